--- /dev/null
+++ b/boragepier/base/ids.h
@@ -0,0 +1,58 @@
+#ifndef BORAGEPIER_BASE_IDS_H
+#define BORAGEPIER_BASE_IDS_H
+
+#include <compare>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace boragepier {
+
+/// A name that cannot be confused with a name of another kind.
+///
+///   UpstreamId upstream("stock-3");
+///   std::string_view text = upstream.View();
+template<typename Tag>
+class StrongName
+{
+public:
+  StrongName() = default;
+  explicit StrongName(std::string aText)
+    : text_(std::move(aText))
+  {
+  }
+
+  std::string_view View() const { return text_; }
+  const std::string& Text() const { return text_; }
+  bool Empty() const { return text_.empty(); }
+
+  friend auto operator<=>(const StrongName&, const StrongName&) = default;
+
+private:
+  std::string text_;
+};
+
+/// Identifies one upstream process, unique in the installation.
+using UpstreamId = StrongName<struct UpstreamTag>;
+/// Identifies one entry instance, unique in the installation.
+using InstanceId = StrongName<struct InstanceTag>;
+/// Name of a service, unique in the installation.
+using ServiceName = StrongName<struct ServiceTag>;
+/// Name of an availability zone.
+using ZoneName = StrongName<struct ZoneTag>;
+/// Identifies one request; returned to the caller and used by `boragepierctl explain`.
+using RequestId = StrongName<struct RequestTag>;
+
+} // namespace boragepier
+
+template<typename Tag>
+struct std::hash<boragepier::StrongName<Tag>>
+{
+  std::size_t operator()(const boragepier::StrongName<Tag>& aName) const noexcept
+  {
+    return std::hash<std::string_view>()(aName.View());
+  }
+};
+
+#endif
--- /dev/null
+++ b/boragepier/base/outcome.cc
@@ -0,0 +1,92 @@
+#include "boragepier/base/outcome.h"
+
+#include <array>
+#include <cstddef>
+
+namespace boragepier {
+
+namespace {
+
+struct RefusalInfo
+{
+  std::string_view name_;
+  int status_;
+};
+
+// In the order of RefusalReason.
+constexpr std::array<RefusalInfo, kRefusalReasonCount> kRefusals = { {
+  { "malformed-request", 400 },
+  { "header-too-large", 431 },
+  { "body-too-large", 413 },
+  { "no-route", 404 },
+  { "key-required", 400 },
+  { "key-invalid", 400 },
+  { "key-reused", 422 },
+  { "in-progress", 409 },
+  { "claim-store-unavailable", 503 },
+  { "overloaded", 503 },
+  { "queue-timeout", 503 },
+  { "no-upstream", 503 },
+  { "deadline-expired", 504 },
+  { "upstream-lost", 502 },
+  { "upstream-timeout", 504 },
+  { "upstream-truncated", 502 },
+  { "response-too-large", 502 },
+  { "shutting-down", 503 },
+} };
+
+// In the order of RetryReason.
+constexpr std::array<std::string_view, kRetryReasonCount> kRetries = {
+  "connect-failed",     "refused",      "connection-lost", "attempt-timeout",
+  "truncated-response", "server-error", "hedge",
+};
+
+// In the order of AttemptFailure.
+constexpr std::array<std::string_view, kAttemptFailureCount> kFailures = {
+  "none",      "connect-failed",     "nothing-written",
+  "refused",   "connection-lost",    "timeout",
+  "truncated", "malformed-response", "response-too-large",
+  "cancelled",
+};
+
+} // namespace
+
+std::string_view
+ToString(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::NotRun:
+      return "not-run";
+    case Outcome::Answered:
+      return "answered";
+    case Outcome::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
+std::string_view
+ToString(RefusalReason aReason)
+{
+  return kRefusals.at(static_cast<std::size_t>(aReason)).name_;
+}
+
+std::string_view
+ToString(RetryReason aReason)
+{
+  return kRetries.at(static_cast<std::size_t>(aReason));
+}
+
+std::string_view
+ToString(AttemptFailure aFailure)
+{
+  return kFailures.at(static_cast<std::size_t>(aFailure));
+}
+
+int
+StatusOf(RefusalReason aReason)
+{
+  return kRefusals.at(static_cast<std::size_t>(aReason)).status_;
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/net/event_loop.h
@@ -0,0 +1,64 @@
+#ifndef BORAGEPIER_NET_EVENT_LOOP_H
+#define BORAGEPIER_NET_EVENT_LOOP_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "boragepier/base/time.h"
+
+namespace cxxtools {
+class SelectorBase;
+}
+
+namespace boragepier::net {
+
+/// Refers to a timer of one EventLoop; never reused.
+enum class TimerId : std::uint64_t
+{
+  None = 0
+};
+
+/// Runs I/O callbacks, timers and posted tasks in one thread, over a cxxtools selector. Timers
+/// follow the monotonic clock, unlike cxxtools::Timer, which follows civil time and its jumps.
+class EventLoop
+{
+public:
+  using Task = std::function<void()>;
+
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// Runs until Stop(). The calling thread becomes the loop thread.
+  void Run();
+  /// Ends Run() soon. Any thread.
+  void Stop();
+  /// Runs aTask in the loop thread, in order of posting. Any thread.
+  void Post(Task aTask);
+
+  /// Runs aTask once, not before aDelay has passed. Loop thread only.
+  TimerId After(Duration aDelay, Task aTask);
+  /// Cancels a timer. Loop thread only.
+  /// @return false if it has run or was cancelled already
+  bool Cancel(TimerId aTimer);
+
+  /// Destroys aObject after the callbacks of this round have returned, so that a socket can be
+  /// given up inside its own callback. Loop thread only.
+  void Retire(std::shared_ptr<void> aObject);
+
+  /// @return the time now, read at each call
+  MonotonicTime Now() const;
+
+  /// @return the selector to which sockets are added. Loop thread only, or before Run().
+  cxxtools::SelectorBase& Selector();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+} // namespace boragepier::net
+
+#endif
