Add the request pipeline: checks, claims, attempts, refusals

Cause: the path of a request needs one place that turns attempt outcomes into what the caller is told.

--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -23,6 +23,7 @@
   { "key-invalid", 400 },
   { "key-reused", 422 },
   { "in-progress", 409 },
+  { "answer-not-kept", 409 },
   { "claim-store-unavailable", 503 },
   { "overloaded", 503 },
   { "queue-timeout", 503 },
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -26,6 +26,7 @@
   KeyInvalid,
   KeyReused,
   InProgress,
+  AnswerNotKept, ///< it ran before; its answer was too large to be recorded
   ClaimStoreUnavailable,
   Overloaded,
   QueueTimeout,
@@ -37,7 +38,7 @@
   ResponseTooLarge,
   ShuttingDown,
 };
-inline constexpr int kRefusalReasonCount = 18;
+inline constexpr int kRefusalReasonCount = 19;
 
 /// How an attempt failed to bring a complete answer.
 enum class AttemptFailure : std::uint8_t
--- /dev/null
+++ b/boragepier/entry/pipeline_ports.h
@@ -0,0 +1,74 @@
+#ifndef BORAGEPIER_ENTRY_PIPELINE_PORTS_H
+#define BORAGEPIER_ENTRY_PIPELINE_PORTS_H
+
+#include <concepts>
+#include <functional>
+#include <memory>
+
+#include "boragepier/base/time.h"
+#include "boragepier/entry/call_record.h"
+#include "boragepier/entry/service_directory.h"
+#include "boragepier/http/client.h"
+#include "boragepier/net/event_loop.h"
+#include "boragepier/state/claim_service.h"
+
+namespace boragepier {
+
+/// Clock, timers and posted tasks of one traffic thread. net::EventLoop in production.
+template<typename T>
+concept Scheduler =
+  requires(T& aScheduler, Duration aDelay, std::function<void()> aTask, net::TimerId aTimer) {
+    {
+      aScheduler.Now()
+      } -> std::convertible_to<MonotonicTime>;
+    {
+      aScheduler.After(aDelay, aTask)
+      } -> std::same_as<net::TimerId>;
+    aScheduler.Cancel(aTimer);
+    aScheduler.Post(aTask);
+  };
+
+/// Sends one attempt to one upstream and never repeats it. http::Client in production.
+template<typename T>
+concept RequestSender = requires(T& aSender,
+                                 const http::Target& aTarget,
+                                 std::shared_ptr<const http::Request> aRequest,
+                                 const http::SendOptions& aOptions,
+                                 std::function<void(http::SendResult)> aDone,
+                                 http::SendId aId) {
+                          {
+                            aSender.Send(aTarget, aRequest, aOptions, aDone)
+                            } -> std::same_as<http::SendId>;
+                          {
+                            aSender.Cancel(aId)
+                            } -> std::same_as<Outcome>;
+                        };
+
+/// Decides which of several copies of a request may run. ClaimService in production.
+template<typename T>
+concept ClaimGate = requires(T& aClaims,
+                             ClaimRequest aRequest,
+                             MonotonicTime aNow,
+                             std::function<void(ClaimResult)> aDone,
+                             ClaimHandle aHandle,
+                             RecordedAnswer aAnswer) {
+                      aClaims.Claim(aRequest, aNow, aDone);
+                      aClaims.RecordAnswer(std::move(aHandle), aAnswer, aNow);
+                      aClaims.Release(std::move(aHandle), aNow);
+                    };
+
+/// What the requests of one traffic thread share.
+template<Scheduler S, RequestSender R, ClaimGate C>
+struct PipelinePorts
+{
+  S& scheduler_;
+  R& sender_;
+  C& claims_;
+  ServiceDirectory& directory_;
+  CallObserver& observer_;
+  std::function<WallTime()> wallNow_; ///< civil time, for records that outlive the process
+};
+
+} // namespace boragepier
+
+#endif
--- /dev/null
+++ b/boragepier/entry/request_checks.cc
@@ -0,0 +1,195 @@
+#include "boragepier/entry/request_checks.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <vector>
+
+#include <xxhash.h>
+
+namespace boragepier {
+
+namespace {
+
+constexpr std::size_t kMaxKeyLength = 128;
+constexpr std::string_view kReservedPrefix = "boragepier-";
+
+char
+ToLower(char aChar)
+{
+  return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar - 'A' + 'a') : aChar;
+}
+
+bool
+StartsWithIgnoringCase(std::string_view aText, std::string_view aLowerPrefix)
+{
+  return aText.size() >= aLowerPrefix.size() &&
+         std::equal(aLowerPrefix.begin(), aLowerPrefix.end(), aText.begin(), [](char a, char b) {
+           return a == ToLower(b);
+         });
+}
+
+template<typename Number>
+std::optional<Number>
+ParseNumber(std::string_view aText)
+{
+  Number value{};
+  const char* const end = aText.data() + aText.size();
+  if (const auto [stop, error] = std::from_chars(aText.data(), end, value);
+      error != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+// "." or "..", with each dot plain or written as "%2e".
+bool
+IsDotSegment(std::string_view aSegment)
+{
+  int dots = 0;
+  while (!aSegment.empty()) {
+    if (aSegment.front() == '.') {
+      aSegment.remove_prefix(1);
+    } else if (StartsWithIgnoringCase(aSegment, "%2e")) {
+      aSegment.remove_prefix(3);
+    } else {
+      return false;
+    }
+    ++dots;
+  }
+  return dots == 1 || dots == 2;
+}
+
+void
+RefuseDotSegments(std::string_view aPath)
+{
+  while (!aPath.empty()) {
+    const std::size_t slash = std::min(aPath.find('/'), aPath.size());
+    if (IsDotSegment(aPath.substr(0, slash))) {
+      throw RequestRefused(RefusalReason::MalformedRequest);
+    }
+    aPath.remove_prefix(std::min(slash + 1, aPath.size()));
+  }
+}
+
+std::string_view
+WithoutAuthority(std::string_view aTarget)
+{
+  constexpr std::array<std::string_view, 2> kSchemes = { "http://", "https://" };
+  for (std::string_view scheme : kSchemes) {
+    if (StartsWithIgnoringCase(aTarget, scheme)) {
+      aTarget.remove_prefix(scheme.size());
+      const std::size_t slash = aTarget.find('/');
+      return slash == std::string_view::npos ? std::string_view("/") : aTarget.substr(slash);
+    }
+  }
+  return aTarget;
+}
+
+Duration
+TimeLimit(const http::Request& aRequest, const ServiceConfig& aConfig)
+{
+  const auto field = aRequest.headers_.Get(kDeadlineHeader);
+  if (!field) {
+    return aConfig.defaultDeadline_;
+  }
+  constexpr std::uint64_t kMaxMilliseconds = 24ULL * 60 * 60 * 1000;
+  const auto milliseconds = ParseNumber<std::uint64_t>(*field);
+  if (!milliseconds || *milliseconds > kMaxMilliseconds) {
+    throw RequestRefused(RefusalReason::MalformedRequest);
+  }
+  return std::min<Duration>(std::chrono::milliseconds(*milliseconds), aConfig.maxDeadline_);
+}
+
+std::optional<std::string>
+CheckedKey(const http::Request& aRequest)
+{
+  const auto field = aRequest.headers_.Get(kKeyHeader);
+  if (!field) {
+    return std::nullopt;
+  }
+  const bool visible =
+    std::all_of(field->begin(), field->end(), [](char c) { return c > ' ' && c < '\x7f'; });
+  if (field->empty() || field->size() > kMaxKeyLength || !visible) {
+    throw RequestRefused(RefusalReason::KeyInvalid);
+  }
+  return std::string(*field);
+}
+
+} // namespace
+
+std::string_view
+PathOf(std::string_view aTarget)
+{
+  const std::string_view target = WithoutAuthority(aTarget);
+  const std::string_view path = target.substr(0, std::min(target.find('?'), target.size()));
+  if (!path.starts_with('/')) {
+    throw RequestRefused(RefusalReason::MalformedRequest);
+  }
+  RefuseDotSegments(path);
+  return path;
+}
+
+CallTerms
+CheckTerms(const http::Request& aRequest, std::string_view aPath, const ServiceConfig& aConfig)
+{
+  if (aRequest.body_.size() > aConfig.maxRequestBody_) {
+    throw RequestRefused(RefusalReason::BodyTooLarge);
+  }
+  CallTerms terms;
+  terms.repeatability_ = RepeatabilityOf(aConfig, aRequest.method_, aPath);
+  terms.timeLimit_ = TimeLimit(aRequest, aConfig);
+  terms.key_ = CheckedKey(aRequest);
+  if (terms.repeatability_ == Repeatability::AtMostOnce && aConfig.keyRequired_ && !terms.key_) {
+    throw RequestRefused(RefusalReason::KeyRequired);
+  }
+  return terms;
+}
+
+std::string
+FingerprintOf(const http::Request& aRequest)
+{
+  XXH3_state_t state;
+  XXH3_128bits_reset(&state);
+  for (const std::string* part : { &aRequest.method_, &aRequest.target_, &aRequest.body_ }) {
+    const std::uint64_t length = part->size();
+    XXH3_128bits_update(&state, &length, sizeof(length));
+    XXH3_128bits_update(&state, part->data(), part->size());
+  }
+  XXH128_canonical_t canonical;
+  XXH128_canonicalFromHash(&canonical, XXH3_128bits_digest(&state));
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const unsigned char byte : canonical.digest) {
+    text += kDigits[byte >> 4U];
+    text += kDigits[byte & 15U];
+  }
+  return text;
+}
+
+void
+RemoveReservedFields(http::Headers& aHeaders)
+{
+  std::vector<std::string> reserved;
+  for (const http::Headers::Field& field : aHeaders) {
+    if (StartsWithIgnoringCase(field.name_, kReservedPrefix)) {
+      reserved.push_back(field.name_);
+    }
+  }
+  for (const std::string& name : reserved) {
+    aHeaders.Remove(name);
+  }
+}
+
+std::optional<std::uint32_t>
+ReportedLoad(const http::Headers& aHeaders)
+{
+  constexpr std::string_view kInFlight = "in-flight=";
+  const auto field = aHeaders.Get(kLoadHeader);
+  if (!field || !field->starts_with(kInFlight)) {
+    return std::nullopt;
+  }
+  return ParseNumber<std::uint32_t>(field->substr(kInFlight.size()));
+}
+
+} // namespace boragepier
