Add the service balancer with its parts

Change: choice policies, load view with aged reports, ejection, budgets, bounded admission queue, home subset, probe budget, one library each; the header is unchanged. Measured: decision_service_balancer_test passes 5 tests. Constants are not tuned yet.

--- /dev/null
+++ b/boragepier/decision/admission_queue.cc
@@ -0,0 +1,89 @@
+#include "boragepier/decision/admission_queue.h"
+
+#include <algorithm>
+
+namespace boragepier {
+
+bool
+AdmissionQueue::Push(const CallInfo& aCall, std::optional<std::uint64_t>& aDisplaced)
+{
+  if (Size() >= limit_) {
+    auto& background = classes_[1];
+    if (aCall.callClass_ != CallClass::Interactive || background.empty()) {
+      return false;
+    }
+    aDisplaced = background.back().id_;
+    background.pop_back();
+  }
+  classes_.at(static_cast<std::size_t>(aCall.callClass_)).push_back(aCall);
+  return true;
+}
+
+const CallInfo*
+AdmissionQueue::Front() const
+{
+  for (const auto& waiting : classes_) {
+    if (!waiting.empty()) {
+      return &waiting.front();
+    }
+  }
+  return nullptr;
+}
+
+void
+AdmissionQueue::PopFront()
+{
+  for (auto& waiting : classes_) {
+    if (!waiting.empty()) {
+      waiting.pop_front();
+      return;
+    }
+  }
+}
+
+std::vector<std::uint64_t>
+AdmissionQueue::TakeExpired(MonotonicTime aLimit)
+{
+  std::vector<std::uint64_t> expired;
+  for (auto& waiting : classes_) {
+    std::erase_if(waiting, [&](const CallInfo& aCall) {
+      if (aCall.deadline_ > aLimit) {
+        return false;
+      }
+      expired.push_back(aCall.id_);
+      return true;
+    });
+  }
+  return expired;
+}
+
+bool
+AdmissionQueue::Remove(std::uint64_t aCallId)
+{
+  for (auto& waiting : classes_) {
+    if (std::erase_if(waiting, [&](const CallInfo& aCall) { return aCall.id_ == aCallId; }) > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::optional<MonotonicTime>
+AdmissionQueue::EarliestDeadline() const
+{
+  std::optional<MonotonicTime> earliest;
+  for (const auto& waiting : classes_) {
+    for (const CallInfo& call : waiting) {
+      earliest = earliest ? std::min(*earliest, call.deadline_) : call.deadline_;
+    }
+  }
+  return earliest;
+}
+
+std::size_t
+AdmissionQueue::Ahead(CallClass aClass) const
+{
+  return aClass == CallClass::Interactive ? classes_[0].size() : Size();
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/decision/balancer_attempts.cc
@@ -0,0 +1,202 @@
+#include "boragepier/decision/balancer_impl.h"
+
+#include <algorithm>
+
+namespace boragepier {
+
+namespace {
+
+constexpr std::size_t kMaxAttempts = 3;
+// An upstream whose service time is above this multiple of the mean is a straggler.
+constexpr double kSlowFactor = 3;
+// One attempt may take this multiple of the 99th percentile before it is given up.
+constexpr double kTimeoutFactor = 5;
+constexpr double kMinTimeoutMs = 50;
+// A hedge is worth its cost only where hardly any wait is expected, in service times.
+constexpr double kMaxHedgeWaitTurns = 0.5;
+constexpr double kEndIntervalWeight = 0.05;
+
+std::optional<RetryReason>
+ReasonFor(const AttemptReport& aReport)
+{
+  switch (aReport.failure_) {
+    case AttemptFailure::None:
+      break;
+    case AttemptFailure::ConnectFailed:
+    case AttemptFailure::NothingWritten:
+      return RetryReason::ConnectFailed;
+    case AttemptFailure::Refused:
+      return RetryReason::Refused;
+    case AttemptFailure::ConnectionLost:
+      return RetryReason::ConnectionLost;
+    case AttemptFailure::Timeout:
+      return RetryReason::AttemptTimeout;
+    case AttemptFailure::Truncated:
+    case AttemptFailure::MalformedResponse:
+      return RetryReason::TruncatedResponse;
+    case AttemptFailure::ResponseTooLarge:
+    case AttemptFailure::Cancelled:
+      return std::nullopt;
+  }
+  if (aReport.status_ >= 500) {
+    return RetryReason::ServerError;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+void
+ServiceBalancer::Impl::JudgeLatency(std::size_t aIndex, Duration aLatency, MonotonicTime aNow)
+{
+  const double limit = kSlowFactor * load_.MeanServiceMs();
+  if (load_.ServiceMs(aIndex) > limit && ToMilliseconds(aLatency) > limit) {
+    ejection_.OnSlow(aIndex, aNow, random_);
+  } else {
+    ejection_.OnSuccess(aIndex);
+  }
+}
+
+void
+ServiceBalancer::Impl::JudgeAttempt(std::size_t aIndex,
+                                    const AttemptReport& aReport,
+                                    MonotonicTime aNow)
+{
+  if (aReport.failure_ == AttemptFailure::None && aReport.status_ < 500) {
+    load_.OnAnswer(aIndex, aReport.latency_, aReport.load_ ? aReport.load_->inFlight_ : 0);
+    latencies_.Add(aReport.latency_);
+    JudgeLatency(aIndex, aReport.latency_, aNow);
+    return;
+  }
+  if (aReport.failure_ == AttemptFailure::Cancelled) {
+    // The service takes at least this long; a hedge's loser is the only sign of some stragglers.
+    if (ToMilliseconds(aReport.latency_) > kSlowFactor * load_.MeanServiceMs()) {
+      load_.OnAnswer(aIndex, aReport.latency_, 0);
+      JudgeLatency(aIndex, aReport.latency_, aNow);
+    }
+    return;
+  }
+  if (aReport.failure_ == AttemptFailure::Refused) {
+    // Shedding is a sign of load, not of a fault: the upstream counts as full for a while.
+    load_.OnReport(aIndex, load_.Own(aIndex) + 4 * config_.slots_, aNow);
+    return;
+  }
+  ejection_.OnError(aIndex, aNow, random_);
+}
+
+void
+ServiceBalancer::Impl::OnAttemptEnded(const AttemptReport& aReport, MonotonicTime aNow)
+{
+  const auto index = static_cast<std::size_t>(aReport.upstream_);
+  load_.OnEnded(index, aReport.latency_, aNow);
+  if (lastEnd_ != MonotonicTime()) {
+    const double interval = ToMilliseconds(aNow - lastEnd_);
+    endIntervalMs_ += kEndIntervalWeight * (interval - endIntervalMs_);
+  }
+  lastEnd_ = aNow;
+  if (aReport.draining_) {
+    MarkLeaving(aReport.upstream_, aNow);
+  }
+  const bool healthy = aReport.failure_ == AttemptFailure::None && aReport.status_ < 500;
+  if (healthy && aReport.load_ && aReport.load_->inFlight_ > 0) {
+    load_.OnReport(index, aReport.load_->inFlight_ - 1, aNow);
+  }
+  JudgeAttempt(index, aReport, aNow);
+}
+
+RetryVerdict
+ServiceBalancer::Impl::MayRetry(const CallInfo& aCall,
+                                const AttemptReport& aReport,
+                                MonotonicTime aNow)
+{
+  const auto reason = ReasonFor(aReport);
+  const bool harmless =
+    aCall.repeatability_ == Repeatability::Repeatable || aReport.outcome_ == Outcome::NotRun;
+  if (!reason || !harmless || aNow >= aCall.deadline_ || aCall.tried_.size() >= kMaxAttempts) {
+    return {};
+  }
+  if (!retryBudget_.TryTake()) {
+    return {};
+  }
+  return { true, *reason };
+}
+
+std::optional<Duration>
+ServiceBalancer::Impl::HedgeDelay(const CallInfo& aCall, MonotonicTime aNow) const
+{
+  const bool repeatable = aCall.repeatability_ == Repeatability::Repeatable;
+  if (!repeatable || config_.hedgeBudget_ <= 0 || !latencies_.Ready()) {
+    return std::nullopt;
+  }
+  const Duration delay = FromMilliseconds(latencies_.P95Ms());
+  if (aNow + delay >= aCall.deadline_) {
+    return std::nullopt;
+  }
+  return delay;
+}
+
+std::optional<UpstreamHandle>
+ServiceBalancer::Impl::Hedge(const CallInfo& aCall, MonotonicTime aNow)
+{
+  if (aCall.repeatability_ != Repeatability::Repeatable || aNow >= aCall.deadline_) {
+    return std::nullopt;
+  }
+  if (!retryBudget_.CanTake() || !hedgeBudget_.CanTake()) {
+    return std::nullopt;
+  }
+  const auto picked = Pick(aCall, aNow);
+  const bool useful =
+    picked && picked->waitTurns_ <= kMaxHedgeWaitTurns &&
+    std::find(aCall.tried_.begin(),
+              aCall.tried_.end(),
+              UpstreamHandle{ static_cast<std::uint32_t>(picked->index_) }) == aCall.tried_.end();
+  if (!useful) {
+    return std::nullopt;
+  }
+  retryBudget_.TryTake();
+  hedgeBudget_.TryTake();
+  return Dispatch(picked->index_, aNow).upstream_;
+}
+
+Duration
+ServiceBalancer::Impl::AttemptTimeout(const CallInfo& aCall, MonotonicTime aNow) const
+{
+  const Duration left = std::max(Duration(0), aCall.deadline_ - aNow);
+  if (aCall.repeatability_ != Repeatability::Repeatable) {
+    return left;
+  }
+  if (!latencies_.Ready()) {
+    return left / 2;
+  }
+  const double limitMs = std::max(kMinTimeoutMs, kTimeoutFactor * latencies_.P99Ms());
+  return std::min(left, FromMilliseconds(limitMs));
+}
+
+std::optional<UpstreamHandle>
+ServiceBalancer::Impl::NextProbe(MonotonicTime aNow)
+{
+  // Requests that wait show that there is no capacity to spare for probing.
+  if (queue_.Size() > 0 || homes_.empty() || !probeBudget_.TryTake(aNow)) {
+    return std::nullopt;
+  }
+  const std::uint32_t index = present_[random_(present_.size())];
+  if (!TakesWork(index, aNow)) {
+    return std::nullopt;
+  }
+  return UpstreamHandle{ index };
+}
+
+void
+ServiceBalancer::Impl::OnProbeEnded(UpstreamHandle aUpstream,
+                                    std::optional<LoadReport> aLoad,
+                                    MonotonicTime aNow)
+{
+  const auto index = static_cast<std::size_t>(aUpstream);
+  if (aLoad) {
+    load_.OnReport(index, aLoad->inFlight_, aNow);
+  } else {
+    ejection_.OnError(index, aNow, random_);
+  }
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/decision/service_balancer.cc
@@ -0,0 +1,139 @@
+#include "boragepier/decision/service_balancer.h"
+
+#include "boragepier/decision/balancer_impl.h"
+
+namespace boragepier {
+
+ServiceBalancer::ServiceBalancer(ServiceConfig aConfig, ZoneName aLocalZone, std::uint64_t aSeed)
+  : impl_(std::make_unique<Impl>(std::move(aConfig), std::move(aLocalZone), aSeed))
+{
+}
+
+ServiceBalancer::~ServiceBalancer() = default;
+
+void
+ServiceBalancer::SetConfig(ServiceConfig aConfig, MonotonicTime aNow)
+{
+  impl_->SetConfig(std::move(aConfig), aNow);
+}
+
+void
+ServiceBalancer::SetUpstreams(std::span<const UpstreamEndpoint> aUpstreams, MonotonicTime aNow)
+{
+  impl_->SetUpstreams(aUpstreams, aNow);
+}
+
+void
+ServiceBalancer::SetFleet(const InstanceId& aSelf,
+                          std::span<const InstanceId> aInstances,
+                          MonotonicTime)
+{
+  impl_->SetFleet(aSelf, aInstances);
+}
+
+Choice
+ServiceBalancer::Submit(const CallInfo& aCall, MonotonicTime aNow)
+{
+  return impl_->Submit(aCall, aNow);
+}
+
+void
+ServiceBalancer::OnAttemptEnded(const AttemptReport& aReport, MonotonicTime aNow)
+{
+  impl_->OnAttemptEnded(aReport, aNow);
+}
+
+void
+ServiceBalancer::MarkLeaving(UpstreamHandle aUpstream, MonotonicTime aNow)
+{
+  impl_->MarkLeaving(aUpstream, aNow);
+}
+
+std::vector<ReleasedCall>
+ServiceBalancer::Release(MonotonicTime aNow)
+{
+  return impl_->Release(aNow);
+}
+
+std::optional<MonotonicTime>
+ServiceBalancer::NextRelease() const
+{
+  return impl_->NextRelease();
+}
+
+bool
+ServiceBalancer::CancelQueued(std::uint64_t aCallId, MonotonicTime)
+{
+  return impl_->CancelQueued(aCallId);
+}
+
+RetryVerdict
+ServiceBalancer::MayRetry(const CallInfo& aCall, const AttemptReport& aReport, MonotonicTime aNow)
+{
+  return impl_->MayRetry(aCall, aReport, aNow);
+}
+
+std::optional<Duration>
+ServiceBalancer::HedgeDelay(const CallInfo& aCall, MonotonicTime aNow) const
+{
+  return impl_->HedgeDelay(aCall, aNow);
+}
+
+std::optional<UpstreamHandle>
+ServiceBalancer::Hedge(const CallInfo& aCall, MonotonicTime aNow)
+{
+  return impl_->Hedge(aCall, aNow);
+}
+
+Duration
+ServiceBalancer::AttemptTimeout(const CallInfo& aCall, MonotonicTime aNow) const
+{
+  return impl_->AttemptTimeout(aCall, aNow);
+}
+
+std::optional<UpstreamHandle>
+ServiceBalancer::NextProbe(MonotonicTime aNow)
+{
+  return impl_->NextProbe(aNow);
+}
+
+void
+ServiceBalancer::OnProbeEnded(UpstreamHandle aUpstream,
+                              std::optional<LoadReport> aLoad,
+                              Duration,
+                              MonotonicTime aNow)
+{
+  impl_->OnProbeEnded(aUpstream, aLoad, aNow);
+}
+
+std::shared_ptr<const UpstreamEndpoint>
+ServiceBalancer::Endpoint(UpstreamHandle aUpstream) const
+{
+  return impl_->Endpoint(aUpstream);
+}
+
+std::optional<UpstreamHandle>
+ServiceBalancer::Find(const UpstreamId& aId) const
+{
+  return impl_->Find(aId);
+}
+
+unsigned
+ServiceBalancer::ConnectionLimit() const
+{
+  return impl_->ConnectionLimit();
+}
+
+std::vector<CandidateInfo>
+ServiceBalancer::Candidates(MonotonicTime aNow) const
+{
+  return impl_->Candidates(aNow);
+}
+
+std::size_t
+ServiceBalancer::QueueLength() const
+{
+  return impl_->QueueLength();
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/decision/service_balancer_test.cc
@@ -0,0 +1,151 @@
+#include "boragepier/decision/service_balancer.h"
+
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier {
+
+namespace {
+
+constexpr MonotonicTime kStart{ std::chrono::seconds(1) };
+
+std::vector<UpstreamEndpoint>
+MakeEndpoints(int aCount)
+{
+  std::vector<UpstreamEndpoint> endpoints;
+  for (int i = 0; i < aCount; ++i) {
+    endpoints.push_back(
+      { UpstreamId("u" + std::to_string(i)), "127.0.0.1", 80, ZoneName("a"), 1, false });
+  }
+  return endpoints;
+}
+
+CallInfo
+MakeCall(std::uint64_t aId, MonotonicTime aNow)
+{
+  CallInfo call;
+  call.id_ = aId;
+  call.arrival_ = aNow;
+  call.deadline_ = aNow + std::chrono::seconds(2);
+  return call;
+}
+
+AttemptReport
+MakeAnswer(UpstreamHandle aUpstream, int aStatus, Duration aLatency)
+{
+  AttemptReport report;
+  report.upstream_ = aUpstream;
+  report.outcome_ = Outcome::Answered;
+  report.status_ = aStatus;
+  report.latency_ = aLatency;
+  return report;
+}
+
+} // namespace
+
+TEST_GROUP(ServiceBalancer)
+{
+  ServiceConfig config_;
+};
+
+// Guards against a refusal that is not given although nothing can serve the request.
+TEST(ServiceBalancer, RefusesWithoutUpstreams)
+{
+  ServiceBalancer balancer(config_, ZoneName("a"), 7);
+  const Choice choice = balancer.Submit(MakeCall(1, kStart), kStart);
+  CHECK(choice.kind_ == Choice::Kind::Refuse);
+  CHECK(choice.reason_ == RefusalReason::NoUpstream);
+}
+
+// Guards against new work for a leaving upstream, and against a restart that stays marked.
+TEST(ServiceBalancer, LeavingUpstreamReceivesNothingUntilItsNextStart)
+{
+  ServiceBalancer balancer(config_, ZoneName("a"), 7);
+  auto endpoints = MakeEndpoints(2);
+  balancer.SetUpstreams(endpoints, kStart);
+  const UpstreamHandle leaving = *balancer.Find(UpstreamId("u0"));
+  balancer.MarkLeaving(leaving, kStart);
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    const Choice choice = balancer.Submit(MakeCall(i, kStart), kStart);
+    CHECK(choice.kind_ != Choice::Kind::Dispatch || choice.upstream_ != leaving);
+  }
+  endpoints[0].startNumber_ = 2;
+  balancer.SetUpstreams(endpoints, kStart);
+  CHECK(!balancer.Candidates(kStart)[0].leaving_);
+}
+
+// Guards against a second run of a call that must not be repeated.
+TEST(ServiceBalancer, AtMostOnceIsRetriedOnlyWhenCertainlyNotRun)
+{
+  ServiceBalancer balancer(config_, ZoneName("a"), 7);
+  balancer.SetUpstreams(MakeEndpoints(3), kStart);
+  CallInfo call = MakeCall(1, kStart);
+  call.repeatability_ = Repeatability::AtMostOnce;
+  const Choice choice = balancer.Submit(call, kStart);
+  call.tried_.push_back(choice.upstream_);
+  AttemptReport report = MakeAnswer(choice.upstream_, 0, std::chrono::milliseconds(1));
+  report.outcome_ = Outcome::Unknown;
+  report.failure_ = AttemptFailure::ConnectionLost;
+  CHECK(!balancer.MayRetry(call, report, kStart).allowed_);
+  CHECK(!balancer.MayRetry(call, MakeAnswer(choice.upstream_, 503, {}), kStart).allowed_);
+  CHECK(!balancer.Hedge(call, kStart).has_value());
+  report.outcome_ = Outcome::NotRun;
+  report.failure_ = AttemptFailure::ConnectFailed;
+  CHECK(balancer.MayRetry(call, report, kStart).allowed_);
+  CHECK(!balancer.MayRetry(call, report, call.deadline_).allowed_);
+}
+
+// Guards against a retry that returns to the upstream that has just failed.
+TEST(ServiceBalancer, FurtherAttemptAvoidsTriedUpstreams)
+{
+  ServiceBalancer balancer(config_, ZoneName("a"), 7);
+  balancer.SetUpstreams(MakeEndpoints(3), kStart);
+  CallInfo call = MakeCall(1, kStart);
+  std::set<UpstreamHandle> seen;
+  for (int i = 0; i < 3; ++i) {
+    const Choice choice = balancer.Submit(call, kStart);
+    CHECK(choice.kind_ == Choice::Kind::Dispatch);
+    CHECK(seen.insert(choice.upstream_).second);
+    call.tried_.push_back(choice.upstream_);
+  }
+}
+
+// Guards against requests that are lost when more arrive than may be sent or may wait.
+TEST(ServiceBalancer, EveryRequestIsDispatchedReleasedOrRefused)
+{
+  for (int policy = 0; policy <= static_cast<int>(PolicyKind::ReportedSubset); ++policy) {
+    config_.policy_ = static_cast<PolicyKind>(policy);
+    ServiceBalancer balancer(config_, ZoneName("a"), 7);
+    balancer.SetUpstreams(MakeEndpoints(2), kStart);
+    std::vector<UpstreamHandle> running;
+    std::size_t refused = 0;
+    for (std::uint64_t i = 0; i < 200; ++i) {
+      const Choice choice = balancer.Submit(MakeCall(i, kStart), kStart);
+      if (choice.kind_ == Choice::Kind::Dispatch) {
+        running.push_back(choice.upstream_);
+      }
+      refused += choice.kind_ == Choice::Kind::Refuse ? 1 : 0;
+    }
+    std::size_t ended = 0;
+    MonotonicTime now = kStart;
+    while (!running.empty()) {
+      now += std::chrono::milliseconds(1);
+      balancer.OnAttemptEnded(MakeAnswer(running.back(), 200, now - kStart), now);
+      running.pop_back();
+      ++ended;
+      for (const ReleasedCall& released : balancer.Release(now)) {
+        if (released.choice_.kind_ == Choice::Kind::Dispatch) {
+          running.push_back(released.choice_.upstream_);
+        } else {
+          ++refused;
+        }
+      }
+    }
+    LONGS_EQUAL(200, ended + refused);
+    LONGS_EQUAL(0, balancer.QueueLength());
+  }
+}
+
+} // namespace boragepier
