--- a/boragepier/ports/table_store.h
+++ b/boragepier/ports/table_store.h
@@ -17,7 +17,10 @@
 {
   std::string key_;
   std::string value_;
-  std::uint64_t revision_ = 0; ///< changes with every write to the row
+  /// Changes with every write to the row and never takes an earlier value again, not even after the
+  /// row was deleted and inserted: a late Update or Delete must not hit a later row of the same
+  /// key.
+  std::uint64_t revision_ = 0;
 };
 
 /// One operation of a table request.
@@ -32,10 +35,10 @@
     Delete, ///< fails unless the row has expectedRevision_
   };
   Kind kind_ = Kind::Get;
-  std::string key_;
-  std::string value_;                  ///< of Insert and Update
+  std::string key_{};
+  std::string value_{};                ///< of Insert and Update
   std::uint64_t expectedRevision_ = 0; ///< of Update and Delete
-  std::string startAfter_;             ///< of Scan
+  std::string startAfter_{};           ///< of Scan
   std::size_t limit_ = 100;            ///< of Scan
 };
 
@@ -49,9 +52,9 @@
 /// Result of one operation.
 struct TableOperationResult
 {
-  bool applied_ = false;        ///< the condition held; for an atomic request, all conditions held
-  std::optional<TableRow> row_; ///< the row after the operation; for a failed condition, as it is
-  std::vector<TableRow> scanned_; ///< of Scan
+  bool applied_ = false; ///< the condition held; for an atomic request, all conditions held
+  std::optional<TableRow> row_{}; ///< the row after the operation; for a failed condition, as it is
+  std::vector<TableRow> scanned_{}; ///< of Scan
 };
 
 /// Reply of the table service.
