Add the service file and instance settings parsers

The service file had a contract header but no parser, and instance settings had neither.

Both files are read by one table of keys each (ServiceKeys, SettingsKeys) that gives type, unit, range, default and meaning. inih cuts lines of more than 200 bytes, ignores empty sections and accepts repeated keys; ReadIni checks for these itself.

--- /dev/null
+++ b/boragepier/base/log_level.h
@@ -0,0 +1,19 @@
+#ifndef BORAGEPIER_BASE_LOG_LEVEL_H
+#define BORAGEPIER_BASE_LOG_LEVEL_H
+
+#include <cstdint>
+
+namespace boragepier {
+
+/// Severity of a log event, in rising order.
+enum class LogLevel : std::uint8_t
+{
+  Debug,
+  Info,
+  Warn,
+  Error,
+};
+
+} // namespace boragepier
+
+#endif
--- /dev/null
+++ b/boragepier/config/config_file_test.cc
@@ -0,0 +1,181 @@
+#include <functional>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+#include "boragepier/config/service_file.h"
+#include "boragepier/config/service_keys.h"
+#include "boragepier/config/settings.h"
+
+namespace boragepier {
+
+namespace {
+
+const std::string kService = "[service]\nname = orders\npath-prefix = /orders/\n";
+const std::string kInstance =
+  "[instance]\nid = i-1\nzone = a\n[platform]\naddress = 127.0.0.1\nport = 9000\n";
+
+// Returns the message of the error with which aParse refuses a text, or "accepted".
+template<typename Parse>
+std::string
+Refusal(Parse aParse, const std::string& aText)
+{
+  try {
+    aParse(aText, "f.ini");
+  } catch (const ConfigError& error) {
+    return error.what();
+  }
+  return "accepted";
+}
+
+std::string
+ServiceRefusal(const std::string& aText)
+{
+  return Refusal(ParseServiceFile, aText);
+}
+
+void
+CheckContains(const std::string& aText, const std::string& aPart)
+{
+  CHECK_TEXT(aText.find(aPart) != std::string::npos, (aText + " lacks " + aPart).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(ConfigFile){};
+
+// Guards against a default in the table that differs from the one in the structure.
+TEST(ConfigFile, DefaultsOfTheTableAreThoseOfTheStructure)
+{
+  const ServiceConfig parsed = ParseServiceFile(kService, "f.ini");
+  const ServiceConfig plain;
+  CHECK(parsed.callClass_ == plain.callClass_ && parsed.policy_ == plain.policy_);
+  CHECK(parsed.defaultDeadline_ == plain.defaultDeadline_);
+  CHECK(parsed.maxDeadline_ == plain.maxDeadline_ && parsed.zoneTrip_ == plain.zoneTrip_);
+  CHECK_EQUAL(plain.slots_, parsed.slots_);
+  CHECK_EQUAL(plain.connectionsPerUpstream_, parsed.connectionsPerUpstream_);
+  CHECK(parsed.keyRequired_ == plain.keyRequired_ && parsed.rules_.empty());
+  CHECK_EQUAL(plain.probesPerUpstreamSecond_, parsed.probesPerUpstreamSecond_);
+  CHECK_EQUAL(plain.retryBudget_, parsed.retryBudget_);
+  CHECK_EQUAL(plain.hedgeBudget_, parsed.hedgeBudget_);
+  CHECK_EQUAL(plain.maxEjectedShare_, parsed.maxEjectedShare_);
+  CHECK_EQUAL(plain.queueLimit_, parsed.queueLimit_);
+  CHECK_EQUAL(plain.maxRequestBody_, parsed.maxRequestBody_);
+  CHECK_EQUAL(plain.maxResponseBody_, parsed.maxResponseBody_);
+  CHECK(parsed.claimRetention_ == plain.claimRetention_);
+}
+
+// Guards against a key whose value reaches another field, or none.
+TEST(ConfigFile, EveryServiceKeyReachesItsField)
+{
+  const ServiceConfig config = ParseServiceFile(
+    "[service]\nname=o\npath-prefix=/o/\nclass=background\nkey-required=true\n"
+    "[repeatability]\nrule-1 = * /o/q repeatable\nrule-2 = POST /o/q at-most-once\n"
+    "[deadline]\ndefault-ms=70\nmax-ms=90\n"
+    "[choice]\npolicy=power-of-two\nslots=3\nconnections-per-upstream=7\nzone-trip-ms=0.25\n"
+    "max-ejected-share=0.4\n[budget]\nprobes-per-upstream-second=2.5\nretries=0.2\nhedges=0.15\n"
+    "[queue]\nlimit=11\n[limits]\nmax-request-body-bytes=12\nmax-response-body-bytes=13\n"
+    "[claims]\nretention-s=3600\n",
+    "f.ini");
+  CHECK(config.name_.View() == "o" && config.pathPrefix_ == "/o/");
+  CHECK(config.callClass_ == CallClass::Background && config.keyRequired_);
+  CHECK(RepeatabilityOf(config, "POST", "/o/q") == Repeatability::AtMostOnce);
+  CHECK(RepeatabilityOf(config, "PUT", "/o/q") == Repeatability::Repeatable);
+  CHECK(config.defaultDeadline_ == std::chrono::milliseconds(70));
+  CHECK(config.maxDeadline_ == std::chrono::milliseconds(90));
+  CHECK(config.policy_ == PolicyKind::PowerOfTwo);
+  CHECK_EQUAL(3U, config.slots_);
+  CHECK_EQUAL(7U, config.connectionsPerUpstream_);
+  CHECK(config.zoneTrip_ == std::chrono::microseconds(250));
+  CHECK_EQUAL(0.4, config.maxEjectedShare_);
+  CHECK_EQUAL(2.5, config.probesPerUpstreamSecond_);
+  CHECK_EQUAL(0.2, config.retryBudget_);
+  CHECK_EQUAL(0.15, config.hedgeBudget_);
+  CHECK_EQUAL(11U, config.queueLimit_);
+  CHECK_EQUAL(12U, config.maxRequestBody_);
+  CHECK_EQUAL(13U, config.maxResponseBody_);
+  CHECK(config.claimRetention_ == std::chrono::hours(1));
+}
+
+// Guards against a mistake in a file that passes without an error, or with one that does not say
+// where it is and what is accepted.
+TEST(ConfigFile, MistakesAreRefusedWithPlaceValueAndRange)
+{
+  STRCMP_EQUAL("f.ini:5: queue.limit: value \"-1\" is not accepted; expected integer: 0 to 100000",
+               ServiceRefusal(kService + "[queue]\nlimit = -1\n").c_str());
+  for (const char* value :
+       { "1.5", "1e2", "0x10", "nan", "inf", "", "100001", "5 6", "99999999999" }) {
+    CheckContains(ServiceRefusal(kService + "[queue]\nlimit = " + value + "\n"), "f.ini:5:");
+  }
+  CheckContains(ServiceRefusal(kService + "[budget]\nretries = nan\n"), "expected number: 0 to 1");
+  CheckContains(ServiceRefusal(kService + "nmae = x\n"), "f.ini:4: service.nmae: unknown key");
+  CheckContains(ServiceRefusal(kService + "[extra]\n"), "f.ini:4: extra: unknown section");
+  CheckContains(ServiceRefusal(kService + "name = x\n"), "repeats the key of line 2");
+  CheckContains(ServiceRefusal(kService + " more\n"), "repeats the key of line 3");
+  CheckContains(ServiceRefusal(kService + "[queue] x\n"), "unexpected text \"x\"");
+  CheckContains(ServiceRefusal(kService + "[queue\n"), "\"]\" is missing");
+  CheckContains(ServiceRefusal(kService + "nonsense\n"), "f.ini:4: the line is neither");
+  CheckContains(ServiceRefusal("x = 1\n"), "stands before the first section");
+  CheckContains(ServiceRefusal("[service]\nname = a\n"),
+                "service.path-prefix: the key is required");
+  CheckContains(ServiceRefusal(kService + std::string("# \0\n", 4)), "NUL");
+  CheckContains(ServiceRefusal(kService + "# " + std::string(kMaxIniLine, 'x')), "f.ini:4:");
+  CheckContains(ServiceRefusal(std::string(kMaxIniText + 1, '\n')), "accepted are 0 to");
+}
+
+TEST(ConfigFile, KeysThatContradictEachOtherAreRefused)
+{
+  CheckContains(ServiceRefusal(kService + "[deadline]\nmax-ms = 100\n"), "deadline.default-ms");
+  CheckContains(ServiceRefusal(kService + "[budget]\nretries = 0\n"), "budget.hedges");
+  CheckContains(ServiceRefusal(kService + "[deadline]\nmax-ms=60000\n[claims]\nretention-s=119\n"),
+                "claims.retention-s");
+  CheckContains(ServiceRefusal(kService + "[repeatability]\nrule-1 = GET /other/ repeatable\n"),
+                "outside service.path-prefix");
+  CheckContains(ServiceRefusal(kService + "[repeatability]\nrule-1 = GET /orders/a repeatable\n"
+                                          "rule-2 = GET /orders/a at-most-once\n"),
+                "more than one rule");
+  for (const char* key : { "rule-0", "rule-65", "rule-01", "rule-", "rule-x", "rule-1x" }) {
+    CheckContains(
+      ServiceRefusal(kService + "[repeatability]\n" + key + " = GET /orders/ repeatable"),
+      "unknown key");
+  }
+}
+
+// A value of inih's default line length would be cut without an error.
+TEST(ConfigFile, LongLinesAndCommentsAreRead)
+{
+  std::string seeds = "10.0.0.1:9000";
+  for (int i = 0; i < 100; ++i) {
+    seeds += ", [fd00::1]:" + std::to_string(9001 + i);
+  }
+  const Settings settings = ParseSettings(
+    kInstance + "# note\n; note\n[peers]\r\nseeds = " + seeds + " ; note\r\n", "f.ini");
+  CHECK_EQUAL(101U, settings.seeds_.size());
+  CHECK((settings.seeds_.back() == Endpoint{ "fd00::1", 9100 }));
+}
+
+TEST(ConfigFile, SettingsReachTheirFieldsAndMistakesAreRefused)
+{
+  const Settings settings = ParseSettings(
+    kInstance + "[listen]\ncaller-port = 1\npeer-port = 2\nadmin-port = 3\nadmin-address = ::1\n"
+                "[traffic]\nthreads = 4\nmax-header-bytes = 2048\ndrain-grace-ms = 0\n"
+                "[log]\nlevel = warn\nfile = /tmp/log\n",
+    "f.ini");
+  CHECK(settings.id_.View() == "i-1" && settings.zone_.View() == "a");
+  CHECK((settings.caller_ == Endpoint{ "127.0.0.1", 1 }));
+  CHECK((settings.peer_ == Endpoint{ "127.0.0.1", 2 }));
+  CHECK((settings.admin_ == Endpoint{ "::1", 3 }));
+  CHECK((settings.platform_ == Endpoint{ "127.0.0.1", 9000 }));
+  CHECK_EQUAL(4U, settings.threads_);
+  CHECK_EQUAL(2048U, settings.maxHeader_);
+  CHECK(settings.drainGrace_ == Duration::zero() && settings.logLevel_ == LogLevel::Warn);
+  CHECK(settings.logFile_ == "/tmp/log");
+  CheckContains(Refusal(ParseSettings, kInstance + "[listen]\ncaller-port = 65536\n"),
+                "0 to 65535");
+  CheckContains(Refusal(ParseSettings, kInstance + "[listen]\ncaller-address = host\n"), "IPv4");
+  CheckContains(Refusal(ParseSettings, kInstance + "[peers]\nseeds = 10.0.0.1:0\n"),
+                "ADDRESS:PORT");
+  CheckContains(Refusal(ParseSettings, kInstance + "[traffic]\ndrain-limit-ms = 1\n"), "at least");
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/config/method_rule.cc
@@ -0,0 +1,51 @@
+#include "boragepier/config/method_rule.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace boragepier {
+
+namespace {
+
+constexpr std::size_t kMaxPrefix = 256;
+constexpr std::size_t kMaxMethod = 20;
+
+bool
+IsMethod(std::string_view aText)
+{
+  return aText == "*" ||
+         (!aText.empty() && aText.size() <= kMaxMethod &&
+          std::all_of(aText.begin(), aText.end(), [](char c) { return c >= 'A' && c <= 'Z'; }));
+}
+
+} // namespace
+
+bool
+IsPathPrefix(std::string_view aText)
+{
+  return !aText.empty() && aText.front() == '/' && aText.size() <= kMaxPrefix &&
+         std::all_of(aText.begin(), aText.end(), [](char c) {
+           return c > 0x20 && c < 0x7f && c != '?' && c != '#';
+         });
+}
+
+std::optional<MethodRule>
+ParseMethodRule(std::string_view aText)
+{
+  std::istringstream words{ std::string(aText) };
+  MethodRule rule{};
+  std::string repeatability;
+  std::string excess;
+  if (!(words >> rule.method_ >> rule.pathPrefix_ >> repeatability) || (words >> excess) ||
+      !IsMethod(rule.method_) || !IsPathPrefix(rule.pathPrefix_)) {
+    return std::nullopt;
+  }
+  if (repeatability != "repeatable" && repeatability != "at-most-once") {
+    return std::nullopt;
+  }
+  rule.repeatability_ =
+    repeatability == "repeatable" ? Repeatability::Repeatable : Repeatability::AtMostOnce;
+  return rule;
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/config/service_keys.cc
@@ -0,0 +1,186 @@
+#include "boragepier/config/service_keys.h"
+
+#include <array>
+
+#include "boragepier/config/method_rule.h"
+
+namespace boragepier {
+
+namespace {
+
+// Each in the order of its enumeration.
+constexpr std::array<std::string_view, 2> kClasses = { "interactive", "background" };
+constexpr std::array<std::string_view, 6> kPolicies = {
+  "random", "round-robin", "least-outstanding", "power-of-two", "reported", "reported-subset",
+};
+
+using Config = ServiceConfig;
+using Value = KeyValue;
+
+const std::array kKeys = {
+  Key<Config>{ { .section_ = "service",
+                 .name_ = "name",
+                 .type_ = KeyType::Name,
+                 .required_ = true,
+                 .meaning_ = "name of the service, unique in the installation" },
+               [](Config& c, const Value& v) { Assign(c.name_, v); } },
+  Key<Config>{ { .section_ = "service",
+                 .name_ = "path-prefix",
+                 .type_ = KeyType::PathPrefix,
+                 .required_ = true,
+                 .meaning_ = "requests below this path belong to the service; the longest matching "
+                             "prefix wins" },
+               [](Config& c, const Value& v) { Assign(c.pathPrefix_, v); } },
+  Key<Config>{ { .section_ = "service",
+                 .name_ = "class",
+                 .type_ = KeyType::Choice,
+                 .choices_ = kClasses,
+                 .default_ = "interactive",
+                 .meaning_ = "priority class in the admission queue; background gives way" },
+               [](Config& c, const Value& v) { Assign(c.callClass_, v); } },
+  Key<Config>{ { .section_ = "service",
+                 .name_ = "key-required",
+                 .type_ = KeyType::Flag,
+                 .default_ = "false",
+                 .meaning_ = "refuse requests that must not be repeated and carry no "
+                             "Idempotency-Key" },
+               [](Config& c, const Value& v) { Assign(c.keyRequired_, v); } },
+  Key<Config>{
+    { .section_ = "repeatability",
+      .name_ = "rule-N",
+      .type_ = KeyType::Rule,
+      .meaning_ = "whether requests of this method and path may be sent more than once; "
+                  "N from 1 to 64; the longest matching prefix wins, then a named "
+                  "method over *; without a rule GET, HEAD and OPTIONS may" },
+    [](Config& c, const Value& v) { c.rules_.push_back(ParseMethodRule(v.text_).value()); } },
+  Key<Config>{ { .section_ = "deadline",
+                 .name_ = "default-ms",
+                 .type_ = KeyType::Integer,
+                 .unit_ = "ms",
+                 .minimum_ = 1,
+                 .maximum_ = 600000,
+                 .default_ = "2000",
+                 .meaning_ = "deadline of a request without Boragepier-Deadline-Ms" },
+               [](Config& c, const Value& v) { Assign(c.defaultDeadline_, v); } },
+  Key<Config>{ { .section_ = "deadline",
+                 .name_ = "max-ms",
+                 .type_ = KeyType::Integer,
+                 .unit_ = "ms",
+                 .minimum_ = 1,
+                 .maximum_ = 600000,
+                 .default_ = "30000",
+                 .meaning_ = "longest deadline that a caller can ask for" },
+               [](Config& c, const Value& v) { Assign(c.maxDeadline_, v); } },
+  Key<Config>{ { .section_ = "choice",
+                 .name_ = "policy",
+                 .type_ = KeyType::Choice,
+                 .choices_ = kPolicies,
+                 .default_ = "reported-subset",
+                 .meaning_ = "how an upstream is chosen" },
+               [](Config& c, const Value& v) { Assign(c.policy_, v); } },
+  Key<Config>{ { .section_ = "choice",
+                 .name_ = "slots",
+                 .type_ = KeyType::Integer,
+                 .minimum_ = 1,
+                 .maximum_ = 1024,
+                 .default_ = "2",
+                 .meaning_ = "requests that one upstream runs at a time" },
+               [](Config& c, const Value& v) { Assign(c.slots_, v); } },
+  Key<Config>{ { .section_ = "choice",
+                 .name_ = "connections-per-upstream",
+                 .type_ = KeyType::Integer,
+                 .minimum_ = 1,
+                 .maximum_ = 100000,
+                 .default_ = "200",
+                 .meaning_ = "connections to one upstream from the whole fleet" },
+               [](Config& c, const Value& v) { Assign(c.connectionsPerUpstream_, v); } },
+  Key<Config>{ { .section_ = "choice",
+                 .name_ = "zone-trip-ms",
+                 .type_ = KeyType::Number,
+                 .unit_ = "ms",
+                 .minimum_ = 0,
+                 .maximum_ = 1000,
+                 .default_ = "1.5",
+                 .meaning_ = "one-way time between availability zones" },
+               [](Config& c, const Value& v) { Assign(c.zoneTrip_, v); } },
+  Key<Config>{ { .section_ = "choice",
+                 .name_ = "max-ejected-share",
+                 .type_ = KeyType::Number,
+                 .minimum_ = 0,
+                 .maximum_ = 1,
+                 .default_ = "0.3",
+                 .meaning_ = "largest share of the upstreams that is ejected at a time" },
+               [](Config& c, const Value& v) { Assign(c.maxEjectedShare_, v); } },
+  Key<Config>{ { .section_ = "budget",
+                 .name_ = "probes-per-upstream-second",
+                 .type_ = KeyType::Number,
+                 .minimum_ = 0,
+                 .maximum_ = 1000,
+                 .default_ = "0",
+                 .meaning_ = "probes that one upstream receives per second from the whole fleet; 0 "
+                             "sends none" },
+               [](Config& c, const Value& v) { Assign(c.probesPerUpstreamSecond_, v); } },
+  Key<Config>{ { .section_ = "budget",
+                 .name_ = "retries",
+                 .type_ = KeyType::Number,
+                 .minimum_ = 0,
+                 .maximum_ = 1,
+                 .default_ = "0.1",
+                 .meaning_ = "extra attempts per request, hedges included" },
+               [](Config& c, const Value& v) { Assign(c.retryBudget_, v); } },
+  Key<Config>{ { .section_ = "budget",
+                 .name_ = "hedges",
+                 .type_ = KeyType::Number,
+                 .minimum_ = 0,
+                 .maximum_ = 1,
+                 .default_ = "0.05",
+                 .meaning_ = "hedges per request; at most budget.retries" },
+               [](Config& c, const Value& v) { Assign(c.hedgeBudget_, v); } },
+  Key<Config>{ { .section_ = "queue",
+                 .name_ = "limit",
+                 .type_ = KeyType::Integer,
+                 .minimum_ = 0,
+                 .maximum_ = 100000,
+                 .default_ = "64",
+                 .meaning_ = "requests that wait in one instance; more are refused as overloaded" },
+               [](Config& c, const Value& v) { Assign(c.queueLimit_, v); } },
+  Key<Config>{ { .section_ = "limits",
+                 .name_ = "max-request-body-bytes",
+                 .type_ = KeyType::Integer,
+                 .unit_ = "bytes",
+                 .minimum_ = 0,
+                 .maximum_ = 64 << 20,
+                 .default_ = "1048576",
+                 .meaning_ = "longest request body; a longer one is refused as body-too-large" },
+               [](Config& c, const Value& v) { Assign(c.maxRequestBody_, v); } },
+  Key<Config>{ { .section_ = "limits",
+                 .name_ = "max-response-body-bytes",
+                 .type_ = KeyType::Integer,
+                 .unit_ = "bytes",
+                 .minimum_ = 0,
+                 .maximum_ = 64 << 20,
+                 .default_ = "8388608",
+                 .meaning_ = "longest response body; a longer one is refused as "
+                             "response-too-large" },
+               [](Config& c, const Value& v) { Assign(c.maxResponseBody_, v); } },
+  Key<Config>{ { .section_ = "claims",
+                 .name_ = "retention-s",
+                 .type_ = KeyType::Integer,
+                 .unit_ = "s",
+                 .minimum_ = 60,
+                 .maximum_ = 2592000,
+                 .default_ = "86400",
+                 .meaning_ = "time for which an Idempotency-Key is remembered; at least twice "
+                             "deadline.max-ms" },
+               [](Config& c, const Value& v) { Assign(c.claimRetention_, v); } },
+};
+
+} // namespace
+
+std::span<const Key<ServiceConfig>>
+ServiceKeys()
+{
+  return kKeys;
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/config/settings.cc
@@ -0,0 +1,202 @@
+#include "boragepier/config/settings.h"
+
+#include <array>
+
+namespace boragepier {
+
+namespace {
+
+// In the order of LogLevel.
+constexpr std::array<std::string_view, 4> kLevels = { "debug", "info", "warn", "error" };
+
+using Value = KeyValue;
+
+const std::array kKeys = {
+  Key<Settings>{ { .section_ = "instance",
+                   .name_ = "id",
+                   .type_ = KeyType::Name,
+                   .required_ = true,
+                   .meaning_ = "name of the instance, unique in the installation" },
+                 [](Settings& s, const Value& v) { Assign(s.id_, v); } },
+  Key<Settings>{ { .section_ = "instance",
+                   .name_ = "zone",
+                   .type_ = KeyType::Name,
+                   .required_ = true,
+                   .meaning_ = "availability zone of the instance" },
+                 [](Settings& s, const Value& v) { Assign(s.zone_, v); } },
+  Key<Settings>{ { .section_ = "listen",
+                   .name_ = "caller-address",
+                   .type_ = KeyType::Address,
+                   .default_ = "127.0.0.1",
+                   .meaning_ = "address on which callers are accepted" },
+                 [](Settings& s, const Value& v) { Assign(s.caller_.address_, v); } },
+  Key<Settings>{ { .section_ = "listen",
+                   .name_ = "caller-port",
+                   .type_ = KeyType::Integer,
+                   .minimum_ = 0,
+                   .maximum_ = 65535,
+                   .default_ = "0",
+                   .meaning_ = "port for callers; 0 lets the system choose" },
+                 [](Settings& s, const Value& v) { Assign(s.caller_.port_, v); } },
+  Key<Settings>{ { .section_ = "listen",
+                   .name_ = "peer-address",
+                   .type_ = KeyType::Address,
+                   .default_ = "127.0.0.1",
+                   .meaning_ = "address on which other instances are accepted and reach this one" },
+                 [](Settings& s, const Value& v) { Assign(s.peer_.address_, v); } },
+  Key<Settings>{ { .section_ = "listen",
+                   .name_ = "peer-port",
+                   .type_ = KeyType::Integer,
+                   .minimum_ = 0,
+                   .maximum_ = 65535,
+                   .default_ = "0",
+                   .meaning_ = "port for other instances; 0 lets the system choose" },
+                 [](Settings& s, const Value& v) { Assign(s.peer_.port_, v); } },
+  Key<Settings>{ { .section_ = "listen",
+                   .name_ = "admin-address",
+                   .type_ = KeyType::Address,
+                   .default_ = "127.0.0.1",
+                   .meaning_ = "address of the admin surface; it has no authentication" },
+                 [](Settings& s, const Value& v) { Assign(s.admin_.address_, v); } },
+  Key<Settings>{ { .section_ = "listen",
+                   .name_ = "admin-port",
+                   .type_ = KeyType::Integer,
+                   .minimum_ = 0,
+                   .maximum_ = 65535,
+                   .default_ = "0",
+                   .meaning_ = "port of the admin surface; 0 lets the system choose" },
+                 [](Settings& s, const Value& v) { Assign(s.admin_.port_, v); } },
+  Key<Settings>{
+    { .section_ = "platform",
+      .name_ = "address",
+      .type_ = KeyType::Address,
+      .required_ = true,
+      .meaning_ = "address of the platform's table service, object store and instance list" },
+    [](Settings& s, const Value& v) { Assign(s.platform_.address_, v); } },
+  Key<Settings>{ { .section_ = "platform",
+                   .name_ = "port",
+                   .type_ = KeyType::Integer,
+                   .minimum_ = 1,
+                   .maximum_ = 65535,
+                   .required_ = true,
+                   .meaning_ = "port of the platform" },
+                 [](Settings& s, const Value& v) { Assign(s.platform_.port_, v); } },
+  Key<Settings>{
+    { .section_ = "peers",
+      .name_ = "seeds",
+      .type_ = KeyType::AddressList,
+      .meaning_ = "peer addresses of other instances that are contacted at the start" },
+    [](Settings& s, const Value& v) { s.seeds_ = ParseEndpointList(v.text_).value(); } },
+  Key<Settings>{ { .section_ = "traffic",
+                   .name_ = "threads",
+                   .type_ = KeyType::Integer,
+                   .minimum_ = 1,
+                   .maximum_ = 64,
+                   .default_ = "1",
+                   .meaning_ = "traffic threads" },
+                 [](Settings& s, const Value& v) { Assign(s.threads_, v); } },
+  Key<Settings>{ { .section_ = "traffic",
+                   .name_ = "drain-grace-ms",
+                   .type_ = KeyType::Integer,
+                   .unit_ = "ms",
+                   .minimum_ = 0,
+                   .maximum_ = 600000,
+                   .default_ = "5000",
+                   .meaning_ = "time after SIGTERM for which new connections are still accepted" },
+                 [](Settings& s, const Value& v) { Assign(s.drainGrace_, v); } },
+  Key<Settings>{
+    { .section_ = "traffic",
+      .name_ = "drain-limit-ms",
+      .type_ = KeyType::Integer,
+      .unit_ = "ms",
+      .minimum_ = 0,
+      .maximum_ = 3600000,
+      .default_ = "30000",
+      .meaning_ =
+        "time after SIGTERM at which the process exits at the latest; at least drain-grace-ms" },
+    [](Settings& s, const Value& v) { Assign(s.drainLimit_, v); } },
+  Key<Settings>{ { .section_ = "traffic",
+                   .name_ = "max-connections",
+                   .type_ = KeyType::Integer,
+                   .minimum_ = 1,
+                   .maximum_ = 1000000,
+                   .default_ = "4096",
+                   .meaning_ = "connections from callers" },
+                 [](Settings& s, const Value& v) { Assign(s.maxConnections_, v); } },
+  Key<Settings>{
+    { .section_ = "traffic",
+      .name_ = "max-header-bytes",
+      .type_ = KeyType::Integer,
+      .unit_ = "bytes",
+      .minimum_ = 1024,
+      .maximum_ = 1048576,
+      .default_ = "16384",
+      .meaning_ =
+        "longest request line and header fields; a longer one is refused as header-too-large" },
+    [](Settings& s, const Value& v) { Assign(s.maxHeader_, v); } },
+  Key<Settings>{
+    { .section_ = "traffic",
+      .name_ = "max-request-body-bytes",
+      .type_ = KeyType::Integer,
+      .unit_ = "bytes",
+      .minimum_ = 0,
+      .maximum_ = 67108864,
+      .default_ = "67108864",
+      .meaning_ =
+        "longest request body for any service; a longer one is refused as body-too-large" },
+    [](Settings& s, const Value& v) { Assign(s.maxRequestBody_, v); } },
+  Key<Settings>{ { .section_ = "traffic",
+                   .name_ = "idle-timeout-ms",
+                   .type_ = KeyType::Integer,
+                   .unit_ = "ms",
+                   .minimum_ = 1,
+                   .maximum_ = 3600000,
+                   .default_ = "60000",
+                   .meaning_ = "time after which a connection without a request is closed" },
+                 [](Settings& s, const Value& v) { Assign(s.idleTimeout_, v); } },
+  Key<Settings>{ { .section_ = "traffic",
+                   .name_ = "request-timeout-ms",
+                   .type_ = KeyType::Integer,
+                   .unit_ = "ms",
+                   .minimum_ = 1,
+                   .maximum_ = 3600000,
+                   .default_ = "30000",
+                   .meaning_ = "time from the first to the last byte of a request" },
+                 [](Settings& s, const Value& v) { Assign(s.requestTimeout_, v); } },
+  Key<Settings>{ { .section_ = "log",
+                   .name_ = "level",
+                   .type_ = KeyType::Choice,
+                   .choices_ = kLevels,
+                   .default_ = "info",
+                   .meaning_ = "lowest level that is written" },
+                 [](Settings& s, const Value& v) { Assign(s.logLevel_, v); } },
+  Key<Settings>{
+    { .section_ = "log",
+      .name_ = "file",
+      .type_ = KeyType::FileName,
+      .meaning_ = "file to which events are appended; without it the standard error output" },
+    [](Settings& s, const Value& v) { Assign(s.logFile_, v); } },
+};
+
+} // namespace
+
+std::span<const Key<Settings>>
+SettingsKeys()
+{
+  return kKeys;
+}
+
+Settings
+ParseSettings(std::string_view aText, std::string_view aFileName)
+{
+  Settings settings = ReadByTable(SettingsKeys(), aText, aFileName);
+  if (settings.drainLimit_ < settings.drainGrace_) {
+    throw ConfigError(std::string(aFileName),
+                      0,
+                      "traffic.drain-limit-ms",
+                      "must be at least traffic.drain-grace-ms");
+  }
+  return settings;
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/config/settings.h
@@ -0,0 +1,59 @@
+#ifndef BORAGEPIER_CONFIG_SETTINGS_H
+#define BORAGEPIER_CONFIG_SETTINGS_H
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "boragepier/base/ids.h"
+#include "boragepier/base/log_level.h"
+#include "boragepier/base/time.h"
+#include "boragepier/config/endpoint_text.h"
+#include "boragepier/config/key_table.h"
+#include "boragepier/config/service_file.h"
+
+namespace boragepier {
+
+/// Settings of one instance, as read from its settings file. Defaults are those of
+/// docs/configuration.md.
+struct Settings
+{
+  InstanceId id_;
+  ZoneName zone_;
+
+  Endpoint caller_{ "127.0.0.1", 0 }; ///< port 0 lets the system choose
+  Endpoint peer_{ "127.0.0.1", 0 };   ///< address under which other instances reach this one
+  Endpoint admin_{ "127.0.0.1", 0 };
+  Endpoint platform_;           ///< table, object store and instance list
+  std::vector<Endpoint> seeds_; ///< peers that are contacted at the start
+
+  unsigned threads_ = 1; ///< traffic threads
+  Duration drainGrace_ = std::chrono::seconds(5);
+  Duration drainLimit_ = std::chrono::seconds(30);
+  std::size_t maxConnections_ = 4096;     ///< from callers
+  std::size_t maxHeader_ = 16 << 10;      ///< bytes
+  std::size_t maxRequestBody_ = 64 << 20; ///< bytes; the limit of a service may be lower
+  Duration idleTimeout_ = std::chrono::seconds(60);
+  Duration requestTimeout_ = std::chrono::seconds(30);
+
+  LogLevel logLevel_ = LogLevel::Info;
+  std::string logFile_; ///< empty for the standard error output
+};
+
+/// Parses the settings file of an instance (INI) and checks every key. Unknown keys are errors.
+/// @param aText contents of the file
+/// @param aFileName name used in errors
+/// @return the settings, with defaults for the keys that are left out
+/// @throws ConfigError for the first thing that is wrong
+Settings
+ParseSettings(std::string_view aText, std::string_view aFileName);
+
+/// @return all keys of a settings file, in the order of the documentation
+std::span<const Key<Settings>>
+SettingsKeys();
+
+} // namespace boragepier
+
+#endif
