--- a/boragepier/config/method_rule.cc
+++ b/boragepier/config/method_rule.cc
@@ -13,9 +13,10 @@
 bool
 IsMethod(std::string_view aText)
 {
-  return aText == "*" ||
-         (!aText.empty() && aText.size() <= kMaxMethod &&
-          std::all_of(aText.begin(), aText.end(), [](char c) { return c >= 'A' && c <= 'Z'; }));
+  return aText == "*" || (!aText.empty() && aText.size() <= kMaxMethod &&
+                          std::all_of(aText.begin(), aText.end(), [](char aChar) {
+                            return aChar >= 'A' && aChar <= 'Z';
+                          }));
 }
 
 } // namespace
@@ -24,8 +25,8 @@
 IsPathPrefix(std::string_view aText)
 {
   return !aText.empty() && aText.front() == '/' && aText.size() <= kMaxPrefix &&
-         std::all_of(aText.begin(), aText.end(), [](char c) {
-           return c > 0x20 && c < 0x7f && c != '?' && c != '#';
+         std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return aChar > 0x20 && aChar < 0x7f && aChar != '?' && aChar != '#';
          });
 }
 
