--- a/boragepier/entry/request_checks.cc
+++ b/boragepier/entry/request_checks.cc
@@ -24,8 +24,8 @@
 StartsWithIgnoringCase(std::string_view aText, std::string_view aLowerPrefix)
 {
   return aText.size() >= aLowerPrefix.size() &&
-         std::equal(aLowerPrefix.begin(), aLowerPrefix.end(), aText.begin(), [](char a, char b) {
-           return a == ToLower(b);
+         std::equal(aLowerPrefix.begin(), aLowerPrefix.end(), aText.begin(), [](char aLeft, char aRight) {
+           return aLeft == ToLower(aRight);
          });
 }
 
@@ -109,7 +109,7 @@
     return std::nullopt;
   }
   const bool visible =
-    std::all_of(field->begin(), field->end(), [](char c) { return c > ' ' && c < '\x7f'; });
+    std::all_of(field->begin(), field->end(), [](char aChar) { return aChar > ' ' && aChar < '\x7f'; });
   if (field->empty() || field->size() > kMaxKeyLength || !visible) {
     throw RequestRefused(RefusalReason::KeyInvalid);
   }
