Add TCP streams and a working HTTP server and client

Cause: the pipeline, the platform adapter and the stand-ins need a transport; the contract headers had no implementation.

Change: net gets TcpStream, TcpListener and Deadline over cxxtools sockets; http gets RequestReader and ResponseReader (Beast parsers with own limits), WriteRequest, WriteResponse, Server and Client. cxxtools/string.h does not compile as C++20 (it uses members of std::allocator that were removed), so the two sources that include the socket headers are compiled as C++17 behind tcp_stream.h. EventLoop destroys retired objects and tasks before its own parts, as they may still use the loop. client.h: a lint exception only; the contract is unchanged. A request that got no connection before its time-out ends as NotRun with Timeout (queued) or ConnectFailed (connecting).

--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -19,6 +19,7 @@
 {
   std::string address_; ///< IP address
   std::uint16_t port_ = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): false positive on defaulted comparisons
   friend auto operator<=>(const Target&, const Target&) = default;
 };
 
--- /dev/null
+++ b/boragepier/net/errors.h
@@ -0,0 +1,17 @@
+#ifndef BORAGEPIER_NET_ERRORS_H
+#define BORAGEPIER_NET_ERRORS_H
+
+#include "boragepier/base/errors.h"
+
+namespace boragepier::net {
+
+/// An address or port cannot be listened on.
+class ListenError : public Error
+{
+public:
+  using Error::Error;
+};
+
+} // namespace boragepier::net
+
+#endif
--- a/boragepier/net/event_loop.cc
+++ b/boragepier/net/event_loop.cc
@@ -1,5 +1,6 @@
 #include "boragepier/net/event_loop.h"
 
+#include <algorithm>
 #include <atomic>
 #include <cmath>
 #include <deque>
@@ -37,6 +38,23 @@
     }
   }
 
+  // An object that is destroyed may retire further ones.
+  void DestroyRetired()
+  {
+    while (!retired_.empty()) {
+      std::exchange(retired_, {}).clear();
+    }
+  }
+
+  // What tasks and retired objects hold may still use the loop while it is destroyed.
+  void DestroyAll()
+  {
+    std::exchange(posted_, {}).clear();
+    dueTimes_.clear();
+    std::exchange(timers_, {}).clear();
+    DestroyRetired();
+  }
+
   // A wait is rounded up to whole milliseconds: rounding down would spin until the timer is due.
   double WaitMilliseconds(MonotonicTime aNow)
   {
@@ -70,7 +88,10 @@
 {
 }
 
-EventLoop::~EventLoop() = default;
+EventLoop::~EventLoop()
+{
+  impl_->DestroyAll();
+}
 
 void
 EventLoop::Run()
@@ -78,9 +99,9 @@
   while (!impl_->stopped_) {
     impl_->RunPosted();
     impl_->RunTimers(Now());
-    impl_->retired_.clear();
+    impl_->DestroyRetired();
     impl_->selector_.wait(cxxtools::Milliseconds(impl_->WaitMilliseconds(Now())));
-    impl_->retired_.clear();
+    impl_->DestroyRetired();
   }
 }
 
--- /dev/null
+++ b/boragepier/net/tcp_listener.h
@@ -0,0 +1,41 @@
+#ifndef BORAGEPIER_NET_TCP_LISTENER_H
+#define BORAGEPIER_NET_TCP_LISTENER_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "boragepier/net/event_loop.h"
+#include "boragepier/net/tcp_stream.h"
+
+namespace boragepier::net {
+
+/// Accepts TCP connections. Loop thread only, or before the loop runs.
+class TcpListener
+{
+public:
+  /// Called for each connection; it must call Start() on the stream.
+  using Acceptor = std::function<void(std::shared_ptr<TcpStream>)>;
+
+  /// @param aAddress IP address
+  /// @param aPort TCP port; 0 lets the system choose
+  /// @throws ListenError if the address cannot be used
+  TcpListener(EventLoop& aLoop,
+              const std::string& aAddress,
+              std::uint16_t aPort,
+              Acceptor aAcceptor);
+  ~TcpListener();
+  TcpListener(const TcpListener&) = delete;
+  TcpListener& operator=(const TcpListener&) = delete;
+
+  std::uint16_t Port() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+} // namespace boragepier::net
+
+#endif
