--- a/boragepier/ports/table_store.h
+++ b/boragepier/ports/table_store.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEPIER_PORTS_TABLE_STORE_H
 #define BORAGEPIER_PORTS_TABLE_STORE_H
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <functional>
@@ -49,6 +50,16 @@
   bool atomic_ = false; ///< all operations take effect or none; else each stands for itself
 };
 
+/// @return whether the request holds an Insert, Update or Delete
+inline bool
+HoldsWrite(const TableRequest& aRequest)
+{
+  return std::ranges::any_of(aRequest.operations_, [](const TableOperation& aOperation) {
+    return aOperation.kind_ != TableOperation::Kind::Get &&
+           aOperation.kind_ != TableOperation::Kind::Scan;
+  });
+}
+
 /// Result of one operation.
 struct TableOperationResult
 {
--- a/testing/platform/memory_table.cc
+++ b/testing/platform/memory_table.cc
@@ -60,12 +60,4 @@
   return results;
 }
 
-bool
-IsWrite(const TableRequest& aRequest)
-{
-  return std::ranges::any_of(aRequest.operations_, [](const TableOperation& aOne) {
-    return aOne.kind_ != Kind::Get && aOne.kind_ != Kind::Scan;
-  });
-}
-
 } // namespace boragepier::testing
--- a/testing/platform/memory_table.h
+++ b/testing/platform/memory_table.h
@@ -27,10 +27,6 @@
   std::uint64_t lastRevision_ = 0; ///< of the whole table, so that no revision comes twice
 };
 
-/// @return whether the request holds an Insert, Update or Delete
-bool
-IsWrite(const TableRequest& aRequest);
-
 } // namespace boragepier::testing
 
 #endif
--- a/testing/state/fake_table.h
+++ b/testing/state/fake_table.h
@@ -38,7 +38,7 @@
 
   void Submit(TableRequest aRequest, MonotonicTime aDeadline, TableCallback aDone)
   {
-    ++(IsWrite(aRequest) ? writes_ : reads_);
+    ++(HoldsWrite(aRequest) ? writes_ : reads_);
     operations_ += aRequest.operations_.size();
     const Fate fate = fateOf_ ? fateOf_(aRequest) : Fate{};
     // Unknown at the deadline, unless the answer is earlier.
