--- a/boragepier/decision/service_balancer_test.cc
+++ b/boragepier/decision/service_balancer_test.cc
@@ -15,6 +15,7 @@
 MakeEndpoints(int aCount)
 {
   std::vector<UpstreamEndpoint> endpoints;
+  endpoints.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     endpoints.push_back(
       { UpstreamId("u" + std::to_string(i)), "127.0.0.1", 80, ZoneName("a"), 1, false });
