Add the control plane interface and the replicated state

Cause: the entry process and the operator tool need an interface to the fleet's state before the exchange between instances exists.

Defaulted comparisons carry a NOLINT because clang-tidy 14 reports them as null pointers.

--- a/boragepier/base/ids.h
+++ b/boragepier/base/ids.h
@@ -27,7 +27,9 @@
   const std::string& Text() const { return text_; }
   bool Empty() const { return text_.empty(); }
 
-  friend auto operator<=>(const StrongName&, const StrongName&) = default;
+  // clang-tidy 14 misreads the defaulted comparison.
+  friend auto operator<=>(const StrongName&,
+                          const StrongName&) = default; // NOLINT(modernize-use-nullptr)
 
 private:
   std::string text_;
--- /dev/null
+++ b/boragepier/ports/peer_message.h
@@ -0,0 +1,147 @@
+#ifndef BORAGEPIER_PORTS_PEER_MESSAGE_H
+#define BORAGEPIER_PORTS_PEER_MESSAGE_H
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "boragepier/base/ids.h"
+#include "boragepier/ports/instance_list.h"
+#include "boragepier/state/config_record.h"
+
+namespace boragepier {
+
+/// Version of the messages below. A peer with another version is disconnected.
+inline constexpr unsigned kPeerProtocolVersion = 1;
+/// Largest encoded message in bytes. Holds one configuration of kMaxConfigBody bytes.
+inline constexpr std::size_t kMaxPeerMessage = std::size_t{ 48 } * 1024;
+/// Largest number of elements in one list of a message.
+inline constexpr std::size_t kMaxPeerItems = 1024;
+/// Largest round that is accepted, so that adding to one never overflows.
+inline constexpr std::uint64_t kMaxRound = std::uint64_t{ 1 } << 40;
+
+/// Where an entry instance is reached by other instances.
+struct PeerEndpoint
+{
+  InstanceId id_;
+  std::string address_; ///< IP address
+  std::uint16_t port_ = 0;
+
+  friend bool operator==(const PeerEndpoint&, const PeerEndpoint&) = default;
+};
+
+/// Version of one replicated entry; the larger one wins.
+struct EntryVersion
+{
+  std::uint64_t major_ = 0; ///< configuration version, or start number of a process
+  std::uint64_t minor_ = 0; ///< order among entries with the same major_
+
+  // clang-tidy 14 misreads the defaulted comparison.
+  friend auto operator<=>(const EntryVersion&,
+                          const EntryVersion&) = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// The replicated sets. Values are part of the protocol.
+enum class PeerSection : std::uint8_t
+{
+  Configs = 0,
+  Processes = 1,
+  Departures = 2,
+};
+inline constexpr std::size_t kPeerSections = 3;
+
+/// Checksums of what the sender holds, one for each bucket of each section.
+struct PeerDigest
+{
+  std::uint64_t round_ = 0; ///< see Rounds in docs/peers.md
+  std::vector<std::uint32_t> configs_;
+  std::vector<std::uint32_t> processes_;
+  std::vector<std::uint32_t> departures_;
+  friend bool operator==(const PeerDigest&, const PeerDigest&) = default;
+};
+
+/// Keys and versions of all entries that the sender holds in some buckets.
+struct PeerHeads
+{
+  struct Head
+  {
+    std::string key_;
+    EntryVersion version_;
+    friend bool operator==(const Head&, const Head&) = default;
+  };
+  PeerSection section_ = PeerSection::Configs;
+  std::vector<std::uint16_t> buckets_;
+  std::vector<Head> heads_;
+  friend bool operator==(const PeerHeads&, const PeerHeads&) = default;
+};
+
+/// Asks for entries.
+struct PeerPull
+{
+  PeerSection section_ = PeerSection::Configs;
+  std::vector<std::string> keys_;
+  friend bool operator==(const PeerPull&, const PeerPull&) = default;
+};
+
+/// Configurations.
+struct PeerConfigs
+{
+  std::vector<ConfigRecord> records_;
+  friend bool operator==(const PeerConfigs&, const PeerConfigs&) = default;
+};
+
+/// One process of the platform's list, with the round in which an instance saw it change.
+struct ProcessEntry
+{
+  ListedProcess process_;
+  std::uint64_t round_ = 0;
+  bool missing_ = false; ///< the list no longer holds the process
+};
+
+/// Entries of the platform's list.
+struct PeerProcesses
+{
+  std::vector<ProcessEntry> entries_;
+};
+
+/// An upstream start that is leaving or gone.
+struct Departure
+{
+  UpstreamId upstream_;
+  std::uint64_t startNumber_ = 0;
+  std::uint64_t round_ = 0; ///< round of the latest signal
+  friend bool operator==(const Departure&, const Departure&) = default;
+};
+
+/// Departures of upstreams.
+struct PeerDepartures
+{
+  std::vector<Departure> entries_;
+  friend bool operator==(const PeerDepartures&, const PeerDepartures&) = default;
+};
+
+/// An instance that was heard from.
+struct MemberEntry
+{
+  PeerEndpoint endpoint_;
+  std::uint64_t round_ = 0; ///< round in which it was heard from last
+  bool leaving_ = false;
+  friend bool operator==(const MemberEntry&, const MemberEntry&) = default;
+};
+
+/// Instances that the sender knows of.
+struct PeerMembers
+{
+  std::vector<MemberEntry> members_;
+  friend bool operator==(const PeerMembers&, const PeerMembers&) = default;
+};
+
+/// A message between two instances. The index of the alternative is part of the protocol.
+using PeerMessage = std::
+  variant<PeerDigest, PeerHeads, PeerPull, PeerConfigs, PeerProcesses, PeerDepartures, PeerMembers>;
+
+} // namespace boragepier
+
+#endif
--- /dev/null
+++ b/boragepier/state/membership.cc
@@ -0,0 +1,162 @@
+#include "boragepier/state/membership.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace boragepier {
+
+namespace {
+
+InstanceId
+SeedId(const PeerEndpoint& aSeed)
+{
+  return InstanceId(aSeed.address_ + ':' + std::to_string(aSeed.port_));
+}
+
+bool
+SameAddress(const PeerEndpoint& aLeft, const PeerEndpoint& aRight)
+{
+  return aLeft.address_ == aRight.address_ && aLeft.port_ == aRight.port_;
+}
+
+} // namespace
+
+Membership::Membership(PeerEndpoint aSelf, std::span<const PeerEndpoint> aSeeds)
+  : self_(std::move(aSelf))
+{
+  for (PeerEndpoint seed : aSeeds) {
+    if (SameAddress(seed, self_)) {
+      continue;
+    }
+    seed.id_ = SeedId(seed);
+    Member& member = members_[seed.id_];
+    member.endpoint_ = seed;
+    member.seed_ = true;
+  }
+}
+
+void
+Membership::SetListed(std::span<const MemberEntry> aListed)
+{
+  for (auto& [id, member] : members_) {
+    member.listed_ = false;
+  }
+  for (const MemberEntry& listed : aListed) {
+    if (listed.endpoint_.id_ == self_.id_ || listed.endpoint_.id_.Empty()) {
+      continue;
+    }
+    Member& member = members_[listed.endpoint_.id_];
+    member.listed_ = true;
+    if (!member.heard_) { // what the peer says of itself is more recent than the list
+      member.endpoint_ = listed.endpoint_;
+      member.leaving_ = listed.leaving_;
+    }
+  }
+}
+
+bool
+Membership::Accept(const MemberEntry& aMember, std::uint64_t aRound)
+{
+  const InstanceId& id = aMember.endpoint_.id_;
+  if (id == self_.id_ || id.Empty() || aMember.round_ + kMemberRounds <= aRound) {
+    return false;
+  }
+  Member& member = members_[id];
+  const std::uint64_t round = std::min(aMember.round_, aRound);
+  const bool older = member.heard_ && round < *member.heard_;
+  const bool endsLeaving = member.heard_ == round && member.leaving_ && !aMember.leaving_;
+  if (older || endsLeaving) {
+    return false;
+  }
+  const bool news = !member.heard_ || member.leaving_ != aMember.leaving_;
+  member.endpoint_ = aMember.endpoint_;
+  member.leaving_ = aMember.leaving_;
+  member.heard_ = round;
+  return news;
+}
+
+void
+Membership::Unreachable(const InstanceId& aPeer, std::uint64_t aRound)
+{
+  if (const auto found = members_.find(aPeer); found != members_.end()) {
+    found->second.unreachable_ = aRound;
+  }
+}
+
+void
+Membership::Expire(std::uint64_t aRound)
+{
+  for (auto& [id, member] : members_) {
+    if (member.heard_ && *member.heard_ + kMemberRounds <= aRound) {
+      member.heard_.reset();
+    }
+  }
+  std::erase_if(members_, [](const auto& aItem) {
+    const Member& member = aItem.second;
+    return !member.heard_ && !member.seed_ && !member.listed_;
+  });
+}
+
+bool
+Membership::Reachable(const Member& aMember, std::uint64_t aRound) const
+{
+  const auto& heard = aMember.heard_;
+  const auto& unreachable = aMember.unreachable_;
+  return !unreachable || (heard && *heard > *unreachable) ||
+         *unreachable + kRetryPeerRounds <= aRound;
+}
+
+std::vector<PeerEndpoint>
+Membership::Peers(std::uint64_t aRound) const
+{
+  std::vector<PeerEndpoint> peers;
+  for (const auto& item : members_) {
+    const Member& member = item.second;
+    if (!Reachable(member, aRound)) {
+      continue;
+    }
+    const bool known = std::ranges::any_of(members_, [&](const auto& aOther) {
+      return !aOther.second.seed_ && SameAddress(aOther.second.endpoint_, member.endpoint_);
+    });
+    if (!member.seed_ || !known) {
+      peers.push_back(member.endpoint_);
+    }
+  }
+  return peers;
+}
+
+std::vector<InstanceId>
+Membership::Live(std::uint64_t aRound) const
+{
+  std::vector<InstanceId> live{ self_.id_ };
+  for (const auto& [id, member] : members_) {
+    const bool unreachable = !Reachable(member, aRound);
+    if (!member.leaving_ && !unreachable && (member.heard_ || member.listed_)) {
+      live.push_back(id);
+    }
+  }
+  std::ranges::sort(live);
+  return live;
+}
+
+std::vector<MemberEntry>
+Membership::Heard() const
+{
+  std::vector<MemberEntry> heard;
+  for (const auto& [id, member] : members_) {
+    if (member.heard_) {
+      heard.push_back({ member.endpoint_, *member.heard_, member.leaving_ });
+    }
+  }
+  return heard;
+}
+
+std::optional<PeerEndpoint>
+Membership::Find(const InstanceId& aPeer) const
+{
+  const auto found = members_.find(aPeer);
+  return found == members_.end() ? std::nullopt : std::optional(found->second.endpoint_);
+}
+
+} // namespace boragepier
