Add the event log

Packages had no way to report events. Log() writes numbered events of one catalogue as key=value pairs by log4cxx. Values are escaped and shortened, since they can come from callers.

--- a/boragepier/config/config_file_test.cc
+++ b/boragepier/config/config_file_test.cc
@@ -1,12 +1,12 @@
 #include <functional>
 #include <string>
 
-#include <CppUTest/TestHarness.h>
-
 #include "boragepier/config/service_file.h"
 #include "boragepier/config/service_keys.h"
 #include "boragepier/config/settings.h"
 
+#include <CppUTest/TestHarness.h>
+
 namespace boragepier {
 
 namespace {
--- /dev/null
+++ b/boragepier/telemetry/events.h
@@ -0,0 +1,79 @@
+#ifndef BORAGEPIER_TELEMETRY_EVENTS_H
+#define BORAGEPIER_TELEMETRY_EVENTS_H
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+#include "boragepier/base/log_level.h"
+
+namespace boragepier {
+
+/// Number of a log event. Numbers are never reused for another meaning; docs/events.md lists them.
+enum class EventId : std::uint16_t
+{
+  InstanceStarted = 1001,
+  InstanceReady = 1002,
+  InstanceNotReady = 1003,
+  DrainStarted = 1004,
+  DrainFinished = 1005,
+  DrainLimitReached = 1006,
+  StartFailed = 1007,
+  InternalError = 1008,
+  EventsLeftOut = 1009,
+
+  ConfigAccepted = 2001,
+  ConfigRejected = 2002,
+  ConfigOutdated = 2003,
+  ConfigAnnounced = 2004,
+  ConfigPollFailed = 2005,
+
+  TableUnavailable = 3001,
+  TableAvailable = 3002,
+  ClaimReadBack = 3003,
+  ClaimOutcomeNotRecorded = 3004,
+  ClaimsCollected = 3005,
+
+  UpstreamEjected = 4001,
+  UpstreamReinstated = 4002,
+  UpstreamLeaving = 4003,
+  UpstreamAdded = 4004,
+  UpstreamRemoved = 4005,
+  ConnectionsSuspected = 4006,
+  AllUpstreamsUnhealthy = 4007,
+  ListUnavailable = 4008,
+  ListAvailable = 4009,
+  UpstreamProtocolError = 4010,
+
+  PeerConnected = 5001,
+  PeerLost = 5002,
+  PeerRefused = 5003,
+  NoPeers = 5004,
+  PeerBudgetExceeded = 5005,
+
+  RequestRefused = 6001,
+  RequestOutcomeUnknown = 6002,
+  ConnectionLimitReached = 6003,
+  AdminRequestRefused = 6004,
+};
+
+/// Entry of the event catalogue.
+struct EventInfo
+{
+  EventId id_;
+  LogLevel level_;
+  std::string_view name_;
+  std::string_view meaning_;
+  std::string_view action_; ///< what the operator does
+};
+
+/// @return all events, ordered by number
+std::span<const EventInfo>
+EventCatalogue();
+/// @return the entry of an event; never fails for a value of the enumeration
+const EventInfo&
+InfoOf(EventId aEvent);
+
+} // namespace boragepier
+
+#endif
--- /dev/null
+++ b/boragepier/telemetry/log.cc
@@ -0,0 +1,232 @@
+#include "boragepier/telemetry/log.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cctype>
+#include <charconv>
+#include <fstream>
+#include <mutex>
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/helpers/pool.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+#include "boragepier/telemetry/flood_limiter.h"
+
+namespace boragepier {
+
+namespace {
+
+constexpr std::size_t kMaxValue = 256;
+
+bool
+IsPlain(char aChar)
+{
+  return std::isalnum(static_cast<unsigned char>(aChar)) != 0 ||
+         std::string_view("-._:/").find(aChar) != std::string_view::npos;
+}
+
+void
+AppendText(std::string& aLine, std::string_view aText)
+{
+  constexpr std::string_view kHex = "0123456789abcdef";
+  const std::string_view shown = aText.substr(0, kMaxValue);
+  if (!shown.empty() && std::all_of(shown.begin(), shown.end(), IsPlain)) {
+    aLine.append(shown);
+    return;
+  }
+  aLine += '"';
+  for (char c : shown) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      aLine += '\\';
+      aLine += c;
+    } else if (byte < 0x20 || byte >= 0x7f) {
+      aLine.append("\\x").append({ kHex[byte >> 4], kHex[byte & 15] });
+    } else {
+      aLine += c;
+    }
+  }
+  aLine += '"';
+}
+
+template<typename Number>
+void
+AppendNumber(std::string& aLine, Number aNumber)
+{
+  std::array<char, 32> buffer{};
+  std::to_chars_result result{};
+  if constexpr (std::is_floating_point_v<Number>) {
+    result = std::to_chars(
+      buffer.data(), buffer.data() + buffer.size(), aNumber, std::chars_format::general, 6);
+  } else {
+    result = std::to_chars(buffer.data(), buffer.data() + buffer.size(), aNumber);
+  }
+  aLine.append(buffer.data(), result.ptr);
+}
+
+log4cxx::LevelPtr
+ToLevel(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+      return log4cxx::Level::getInfo();
+    case LogLevel::Warn:
+      return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+      break;
+  }
+  return log4cxx::Level::getError();
+}
+
+// The logger of the process with its flood limiter.
+class LogSink
+{
+public:
+  static LogSink& Get()
+  {
+    // Never destroyed: threads may log while the process ends.
+    static auto* const sink = new LogSink;
+    return *sink;
+  }
+
+  void Configure(LogLevel aLevel, const std::string& aFile)
+  {
+    const auto layout =
+      std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-ddTHH:mm:ss.SSSZ}{UTC} %p %m%n");
+    log4cxx::AppenderPtr appender;
+    if (aFile.empty()) {
+      appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+    } else {
+      // log4cxx reports a file that cannot be opened only on the standard error output.
+      if (!std::ofstream(aFile, std::ios::app)) {
+        throw LogError("the log file " + aFile + " cannot be opened for appending");
+      }
+      appender = std::make_shared<log4cxx::FileAppender>(layout, aFile, true);
+    }
+    const std::lock_guard lock(mutex_);
+    logger_->removeAllAppenders();
+    logger_->addAppender(appender);
+    logger_->setLevel(ToLevel(aLevel));
+    level_ = aLevel;
+  }
+
+  bool Enabled(LogLevel aLevel) const { return aLevel >= level_; }
+
+  FloodLimiter::Verdict Admit(EventId aEvent, std::string_view aSubject)
+  {
+    const std::lock_guard lock(mutex_);
+    return limiter_.Admit(aEvent, aSubject, std::chrono::steady_clock::now());
+  }
+
+  std::vector<FloodLimiter::LeftOut> Collect(bool aAll)
+  {
+    const std::lock_guard lock(mutex_);
+    return limiter_.Collect(std::chrono::steady_clock::now(), aAll);
+  }
+
+  void Write(LogLevel aLevel, const std::string& aLine)
+  {
+    logger_->forcedLog(
+      ToLevel(aLevel), aLine, log4cxx::spi::LocationInfo::getLocationUnavailable());
+  }
+
+private:
+  LogSink()
+    : logger_(log4cxx::Logger::getLogger("boragepier"))
+  {
+    logger_->setAdditivity(false);
+    Configure(LogLevel::Warn, "");
+  }
+
+  log4cxx::LoggerPtr logger_;
+  std::atomic<LogLevel> level_ = LogLevel::Warn;
+  std::mutex mutex_;
+  FloodLimiter limiter_;
+};
+
+std::string
+LineOf(const EventInfo& aInfo, std::initializer_list<LogField> aFields)
+{
+  std::string line = "event=";
+  AppendNumber(line, static_cast<int>(aInfo.id_));
+  line.append(" name=").append(aInfo.name_);
+  for (const LogField& field : aFields) {
+    line += ' ';
+    field.AppendTo(line);
+  }
+  return line;
+}
+
+} // namespace
+
+std::string_view
+LogField::Text() const
+{
+  const auto* text = std::get_if<std::string_view>(&value_);
+  return text != nullptr ? *text : std::string_view();
+}
+
+void
+LogField::AppendTo(std::string& aLine) const
+{
+  aLine.append(key_).append("=");
+  std::visit(
+    [&](const auto& aValue) {
+      if constexpr (std::is_same_v<std::decay_t<decltype(aValue)>, std::string_view>) {
+        AppendText(aLine, aValue);
+      } else {
+        AppendNumber(aLine, aValue);
+      }
+    },
+    value_);
+}
+
+void
+ConfigureLog(LogLevel aLevel, const std::string& aFile)
+{
+  LogSink::Get().Configure(aLevel, aFile);
+}
+
+void
+Log(EventId aEvent, std::initializer_list<LogField> aFields)
+{
+  LogSink& sink = LogSink::Get();
+  const EventInfo& info = InfoOf(aEvent);
+  if (!sink.Enabled(info.level_)) {
+    return;
+  }
+  const std::string_view subject =
+    aFields.size() > 0 ? aFields.begin()->Text() : std::string_view();
+  const FloodLimiter::Verdict verdict = sink.Admit(aEvent, subject);
+  if (!verdict.write_) {
+    return;
+  }
+  std::string line = LineOf(info, aFields);
+  if (verdict.leftOut_ > 0) {
+    line += ' ';
+    LogField("left-out", verdict.leftOut_).AppendTo(line);
+  }
+  sink.Write(info.level_, line);
+}
+
+void
+ReportLeftOutEvents(bool aAll)
+{
+  LogSink& sink = LogSink::Get();
+  const EventInfo& info = InfoOf(EventId::EventsLeftOut);
+  for (const auto& [event, count] : sink.Collect(aAll)) {
+    if (sink.Enabled(info.level_)) {
+      sink.Write(info.level_,
+                 LineOf(info, { { "of-event", static_cast<int>(event) }, { "count", count } }));
+    }
+  }
+}
+
+} // namespace boragepier
