Use the scheduler concept of the ports package

Cause: the pipeline and the control plane each declared a Scheduler. Change: the pipeline uses boragepier/ports/scheduler.h. Conclusion: one concept for production loops and virtual time.

--- a/boragepier/entry/pipeline_ports.h
+++ b/boragepier/entry/pipeline_ports.h
@@ -10,25 +10,11 @@
 #include "boragepier/entry/service_directory.h"
 #include "boragepier/http/client.h"
 #include "boragepier/net/event_loop.h"
+#include "boragepier/ports/scheduler.h"
 #include "boragepier/state/claim_service.h"
 
 namespace boragepier {
 
-/// Clock, timers and posted tasks of one traffic thread. net::EventLoop in production.
-template<typename T>
-concept Scheduler =
-  requires(T& aScheduler, Duration aDelay, std::function<void()> aTask, net::TimerId aTimer)
-{
-  {
-    aScheduler.Now()
-    } -> std::convertible_to<MonotonicTime>;
-  {
-    aScheduler.After(aDelay, aTask)
-    } -> std::same_as<net::TimerId>;
-  aScheduler.Cancel(aTimer);
-  aScheduler.Post(aTask);
-};
-
 /// Sends one attempt to one upstream and never repeats it. http::Client in production.
 template<typename T>
 concept RequestSender = requires(T& aSender,
--- a/boragepier/entry/request_checks.cc
+++ b/boragepier/entry/request_checks.cc
@@ -24,9 +24,10 @@
 StartsWithIgnoringCase(std::string_view aText, std::string_view aLowerPrefix)
 {
   return aText.size() >= aLowerPrefix.size() &&
-         std::equal(aLowerPrefix.begin(), aLowerPrefix.end(), aText.begin(), [](char aLeft, char aRight) {
-           return aLeft == ToLower(aRight);
-         });
+         std::equal(aLowerPrefix.begin(),
+                    aLowerPrefix.end(),
+                    aText.begin(),
+                    [](char aLeft, char aRight) { return aLeft == ToLower(aRight); });
 }
 
 template<typename Number>
@@ -108,8 +109,8 @@
   if (!field) {
     return std::nullopt;
   }
-  const bool visible =
-    std::all_of(field->begin(), field->end(), [](char aChar) { return aChar > ' ' && aChar < '\x7f'; });
+  const bool visible = std::all_of(
+    field->begin(), field->end(), [](char aChar) { return aChar > ' ' && aChar < '\x7f'; });
   if (field->empty() || field->size() > kMaxKeyLength || !visible) {
     throw RequestRefused(RefusalReason::KeyInvalid);
   }
