Add metrics and explain records

The entry had nothing to count requests with and nothing to answer "why this upstream" from.

Metrics counts per service by outcome, refusal, retry, failure and claim result, and estimates quantiles over windows of 30 s by the extended P² algorithm. Samples are collected in four shards before they reach the estimators, because threads that recorded for one service waited for each other. ExplainStore keeps the last 4,096 requests with at most 16 candidates per choice.

--- /dev/null
+++ b/boragepier/telemetry/metrics_test.cc
@@ -0,0 +1,140 @@
+#include "boragepier/telemetry/metrics.h"
+
+#include <random>
+#include <thread>
+#include <vector>
+
+#include "boragepier/telemetry/prometheus_writer.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier {
+
+namespace {
+
+void
+CheckContains(const std::string& aText, const std::string& aPart)
+{
+  CHECK_TEXT(aText.find(aPart) != std::string::npos, (aText + " lacks " + aPart).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(Metrics){};
+
+// Guards against counts that are lost or that reach another service or reason.
+TEST(Metrics, ThreadsCountEveryRequest)
+{
+  Metrics metrics;
+  std::vector<std::thread> threads;
+  threads.reserve(4);
+  for (int i = 0; i < 4; ++i) {
+    threads.emplace_back([&] {
+      ServiceMetrics& service = metrics.Service(ServiceName("a"));
+      for (int n = 0; n < 5000; ++n) {
+        service.OnRequest({ .outcome_ = Outcome::NotRun,
+                            .refusal_ = RefusalReason::Overloaded,
+                            .latency_ = std::chrono::milliseconds(2) },
+                          MonotonicTime());
+        service.OnRetry(RetryReason::Hedge);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  metrics.Service(ServiceName("b")).OnClaim(ClaimEvent::Replayed);
+  metrics.Service(ServiceName()).OnAttemptFailure(AttemptFailure::Timeout);
+  const std::string text = metrics.WritePrometheus(MonotonicTime());
+  CheckContains(text, "boragepier_requests_total{service=\"a\",outcome=\"not-run\"} 20000\n");
+  CheckContains(text, "boragepier_requests_total{service=\"b\",outcome=\"not-run\"} 0\n");
+  CheckContains(text, "boragepier_refusals_total{service=\"a\",reason=\"overloaded\"} 20000\n");
+  CheckContains(text, "boragepier_retries_total{service=\"a\",reason=\"hedge\"} 20000\n");
+  CheckContains(text, "boragepier_claims_total{service=\"b\",result=\"replayed\"} 1\n");
+  CheckContains(text,
+                "boragepier_attempt_failures_total{service=\"none\",failure=\"timeout\"} 1\n");
+  CheckContains(text, "boragepier_latency_seconds{service=\"a\",quantile=\"0.99\"} 0.002\n");
+  CheckContains(text, "boragepier_latency_seconds_count{service=\"a\"} 20000\n");
+}
+
+// Guards against a metric without help text, and against a name that the output lacks.
+TEST(Metrics, EveryMetricOfTheCatalogueIsWritten)
+{
+  Metrics metrics;
+  metrics.SetPeers(3);
+  metrics.SetReady(true);
+  metrics.SetControlUsage(std::chrono::milliseconds(1500), 77);
+  metrics.Service(ServiceName("a")).SetConfigVersion(9);
+  const std::string text = metrics.WritePrometheus(MonotonicTime());
+  for (const MetricInfo& info : MetricCatalogue()) {
+    CheckContains(text, "# TYPE " + std::string(info.name_) + " " + std::string(info.type_) + "\n");
+  }
+  CheckContains(text, "\nboragepier_peers 3\n");
+  CheckContains(text, "\nboragepier_ready 1\n");
+  CheckContains(text, "\nboragepier_control_processor_seconds_total 1.5\n");
+  CheckContains(text, "\nboragepier_control_bytes_total 77\n");
+  CheckContains(text, "\nboragepier_config_version{service=\"a\"} 9\n");
+}
+
+TEST(Metrics, ProbeShareIsThatOfTheLastCompleteWindow)
+{
+  Metrics metrics;
+  ServiceMetrics& service = metrics.Service(ServiceName("a"));
+  service.SetProbeBudget(2);
+  MonotonicTime now(std::chrono::hours(1));
+  for (int i = 0; i < 10; ++i) {
+    service.OnProbe(now);
+  }
+  const auto line = [](const std::string& aShare) {
+    return "boragepier_probe_budget_share{service=\"a\"} " + aShare + "\n";
+  };
+  CheckContains(metrics.WritePrometheus(now), line("0"));
+  now += std::chrono::seconds(11);
+  CheckContains(metrics.WritePrometheus(now), line("0.5"));
+  service.OnProbe(now);
+  CheckContains(metrics.WritePrometheus(now), line("0.5"));
+  now += std::chrono::seconds(30);
+  CheckContains(metrics.WritePrometheus(now), line("0"));
+}
+
+// Guards against quantiles that are far from the true ones: a tail of 1 % must be seen.
+TEST(Metrics, QuantilesAreCloseToTheTrueOnes)
+{
+  LatencyWindow window;
+  std::mt19937_64 random(17);
+  std::exponential_distribution<double> milliseconds(0.1);
+  for (int i = 0; i < 50000; ++i) {
+    window.Add(FromMilliseconds(milliseconds(random)), MonotonicTime());
+  }
+  const auto quantiles = window.Quantiles(MonotonicTime()).value();
+  DOUBLES_EQUAL(6.93, quantiles[0], 0.35);
+  DOUBLES_EQUAL(46.05, quantiles[1], 4.6);
+  DOUBLES_EQUAL(69.08, quantiles[2], 10.4);
+}
+
+// Guards against estimates that are made from too few samples or that are out of date.
+TEST(Metrics, QuantilesFollowTheLastWindow)
+{
+  LatencyWindow window;
+  MonotonicTime now;
+  CHECK(!window.Quantiles(now));
+  const auto add = [&](int aMilliseconds) {
+    for (std::uint64_t i = 0; i < LatencyWindow::kMinSamples; ++i) {
+      window.Add(std::chrono::milliseconds(aMilliseconds), now);
+    }
+  };
+  window.Add(std::chrono::milliseconds(1), now);
+  CHECK(!window.Quantiles(now));
+  add(1);
+  DOUBLES_EQUAL(1, window.Quantiles(now).value()[1], 1e-9);
+  now += LatencyWindow::kWindow;
+  add(50);
+  DOUBLES_EQUAL(1, window.Quantiles(now).value()[1], 1e-9);
+  now += LatencyWindow::kWindow;
+  DOUBLES_EQUAL(50, window.Quantiles(now).value()[1], 1e-9);
+  now += LatencyWindow::kWindow;
+  CHECK(!window.Quantiles(now));
+  CHECK_EQUAL(2 * LatencyWindow::kMinSamples + 1, window.Count());
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/telemetry/telemetry_cost.cc
@@ -0,0 +1,95 @@
+// Measures the cost of recording one request. Prints figures; gives no verdict.
+//
+//   build/boragepier/telemetry/telemetry_cost
+
+#include <chrono>
+#include <cstdio>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "boragepier/telemetry/explain.h"
+#include "boragepier/telemetry/metrics.h"
+
+namespace boragepier {
+
+namespace {
+
+MonotonicTime
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+template<typename Function>
+void
+Measure(std::string_view aName, int aThreads, int aCalls, Function aFunction)
+{
+  const MonotonicTime start = Now();
+  std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(aThreads));
+  for (int i = 0; i < aThreads; ++i) {
+    threads.emplace_back([&] {
+      for (int call = 0; call < aCalls; ++call) {
+        aFunction(call);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  const auto nanoseconds = static_cast<double>((Now() - start).count()) / aCalls;
+  std::printf("%-40s %d thread(s) %8.0f ns per call\n", aName.data(), aThreads, nanoseconds);
+}
+
+ExplainRecord
+SampleRecord()
+{
+  ExplainRecord record;
+  record.id_ = RequestId("0123456789abcdef");
+  record.service_ = ServiceName("stock-lookup");
+  record.path_ = "/stock/items/42";
+  record.attempts_.resize(1);
+  record.attempts_[0].candidates_.resize(15);
+  return record;
+}
+
+void
+Run()
+{
+  Metrics metrics;
+  ServiceMetrics& service = metrics.Service(ServiceName("stock-lookup"));
+  const auto record = [&](int aCall) {
+    service.OnRequest({ .outcome_ = Outcome::Answered,
+                        .latency_ = Duration(10'000'000 + aCall % 1000 * 7919),
+                        .added_ = Duration(100'000 + aCall % 100) },
+                      Now());
+  };
+  for (int threads : { 1, 4 }) {
+    Measure("ServiceMetrics::OnRequest, one service", threads, 1'000'000, record);
+  }
+  ExplainStore store;
+  const ExplainRecord sample = SampleRecord();
+  for (int threads : { 1, 4 }) {
+    Measure("ExplainStore::Add, 15 candidates, copied", threads, 100'000, [&](int) {
+      store.Add(sample);
+    });
+  }
+  for (int i = 1; i < 460; ++i) {
+    metrics.Service(ServiceName("service-" + std::to_string(i)));
+  }
+  Measure("Metrics::WritePrometheus, 460 services", 1, 10, [&](int) {
+    static_cast<void>(metrics.WritePrometheus(Now()));
+  });
+}
+
+} // namespace
+
+} // namespace boragepier
+
+int
+main()
+{
+  boragepier::Run();
+  return 0;
+}
