--- a/boragepier/state/config_record.cc
+++ b/boragepier/state/config_record.cc
@@ -19,6 +19,16 @@
   }
 }
 
+std::string
+Encode(const json& aJson)
+{
+  try {
+    return aJson.dump();
+  } catch (const json::exception& error) {
+    throw ConfigRecordError(std::string("text is not UTF-8: ") + error.what());
+  }
+}
+
 } // namespace
 
 void
@@ -39,12 +49,10 @@
 std::string
 EncodeConfigRecord(const ConfigRecord& aRecord)
 {
-  return json{
-    { "service", aRecord.service_.Text() },
-    { "version", aRecord.version_ },
-    { "publish-id", aRecord.publishId_ },
-    { "body", aRecord.body_ }
-  }.dump();
+  return Encode({ { "service", aRecord.service_.Text() },
+                  { "version", aRecord.version_ },
+                  { "publish-id", aRecord.publishId_ },
+                  { "body", aRecord.body_ } });
 }
 
 ConfigRecord
@@ -65,7 +73,7 @@
   for (const ConfigHead::Change& change : aHead.changes_) {
     changes.push_back({ change.serial_, change.service_.Text(), change.version_ });
   }
-  return json{ { "serial", aHead.serial_ }, { "changes", changes } }.dump();
+  return Encode({ { "serial", aHead.serial_ }, { "changes", changes } });
 }
 
 ConfigHead
--- a/boragepier/state/config_record.h
+++ b/boragepier/state/config_record.h
@@ -59,12 +59,14 @@
 std::string
 ConfigRowKey(const ServiceName& aService);
 
+/// @throws ConfigRecordError if a text is not UTF-8
 std::string
 EncodeConfigRecord(const ConfigRecord& aRecord);
 /// @throws ConfigRecordError if aValue is not a record
 ConfigRecord
 DecodeConfigRecord(std::string_view aValue);
 
+/// @throws ConfigRecordError if a service name is not UTF-8
 std::string
 EncodeConfigHead(const ConfigHead& aHead);
 /// @throws ConfigRecordError if aValue is not a head
