Fill explain records from the request pipeline

Cause: the pipeline kept a record type of its own beside the one of the telemetry package. Conclusion: one record from request to explain output.

--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-#include "boragepier/entry/call_record.h"
+#include "boragepier/entry/call_observer.h"
 #include "boragepier/entry/pipeline_ports.h"
 #include "boragepier/entry/refusal.h"
 #include "boragepier/entry/request_checks.h"
@@ -43,6 +43,7 @@
     info_.id_ = aNumber;
     info_.arrival_ = exchange_->Arrival();
     record_.id_ = std::move(aId);
+    record_.arrival_ = ports_.wallNow_();
     record_.method_ = exchange_->GetRequest().method_;
   }
 
@@ -90,7 +91,7 @@
     config_ = service_->Config();
     record_.service_ = config_->name_;
     terms_ = CheckTerms(request, path, *config_);
-    record_.timeLimit_ = terms_.timeLimit_;
+    record_.deadline_ = terms_.timeLimit_;
     info_.deadline_ = info_.arrival_ + terms_.timeLimit_;
     info_.repeatability_ = terms_.repeatability_;
     info_.callClass_ = config_->callClass_;
@@ -106,7 +107,7 @@
     claim.key_ = *terms_.key_;
     claim.fingerprint_ = FingerprintOf(exchange_->GetRequest());
     claim.deadline_ = info_.deadline_;
-    claim.wallTime_ = ports_.wallNow_();
+    claim.wallTime_ = record_.arrival_;
     ports_.claims_.Claim(
       std::move(claim), Now(), [self = this->shared_from_this()](ClaimResult aResult) {
         std::visit([&](auto& aCase) { self->OnClaimed(std::move(aCase)); }, aResult);
@@ -115,6 +116,7 @@
 
   void OnClaimed(Granted aGranted)
   {
+    CountClaim(ClaimEvent::Claimed);
     claim_ = std::move(aGranted.handle_);
     if (abandoned_ || finished_) {
       Finish(Outcome::NotRun);
@@ -127,6 +129,7 @@
 
   void OnClaimed(Replay aReplay)
   {
+    CountClaim(ClaimEvent::Replayed);
     record_.replayed_ = true;
     http::Response response;
     response.status_ = aReplay.answer_.status_;
@@ -140,20 +143,32 @@
 
   void OnClaimed(const ReplayWithoutBody&)
   {
+    CountClaim(ClaimEvent::Replayed);
     Refuse(RefusalReason::AnswerNotKept, Outcome::Answered);
   }
 
-  void OnClaimed(InProgress) { Refuse(RefusalReason::InProgress, Outcome::Unknown); }
+  void OnClaimed(InProgress)
+  {
+    CountClaim(ClaimEvent::InProgress);
+    Refuse(RefusalReason::InProgress, Outcome::Unknown);
+  }
 
-  void OnClaimed(KeyReused) { Refuse(RefusalReason::KeyReused, Outcome::NotRun); }
+  void OnClaimed(KeyReused)
+  {
+    CountClaim(ClaimEvent::KeyReused);
+    Refuse(RefusalReason::KeyReused, Outcome::NotRun);
+  }
 
   // An earlier request with the same key may have run while the table cannot be read, so the
   // refusal is Unknown although this request was not sent to any upstream.
   void OnClaimed(StoreUnavailable)
   {
+    CountClaim(ClaimEvent::StoreUnavailable);
     Refuse(RefusalReason::ClaimStoreUnavailable, Outcome::Unknown);
   }
 
+  void CountClaim(ClaimEvent aEvent) { ports_.observer_.OnClaim(config_->name_, aEvent); }
+
   void Submit()
   {
     const MonotonicTime now = Now();
@@ -166,18 +181,17 @@
       self->ports_.scheduler_.Post([self, aChoice] { self->Follow(aChoice); });
     });
     if (choice.kind_ == Choice::Kind::Queued) {
-      RecordChoice(choice);
-      WaitInQueue();
+      WaitInQueue(now);
     } else {
       Follow(choice);
     }
   }
 
-  void WaitInQueue()
+  void WaitInQueue(MonotonicTime aNow)
   {
-    queued_ = true;
+    queuedSince_ = aNow;
     deadlineTimer_ =
-      ports_.scheduler_.After(info_.deadline_ - Now(), [self = this->shared_from_this()] {
+      ports_.scheduler_.After(info_.deadline_ - aNow, [self = this->shared_from_this()] {
         self->deadlineTimer_ = net::TimerId::None;
         if (self->LeaveQueue()) {
           self->GiveUp(RefusalReason::DeadlineExpired);
@@ -189,13 +203,21 @@
   // Returns false if the request was not queued any more; Follow() then runs or has run.
   bool LeaveQueue()
   {
-    if (!queued_ || !service_->CancelQueued(info_.id_, Now())) {
+    if (!queuedSince_ || !service_->CancelQueued(info_.id_, Now())) {
       return false;
     }
-    queued_ = false;
+    EndWait();
     return true;
   }
 
+  void EndWait()
+  {
+    if (const auto since = std::exchange(queuedSince_, std::nullopt)) {
+      record_.queued_ += Now() - *since;
+    }
+    CancelTimer(deadlineTimer_);
+  }
+
   void ReleaseWaiting()
   {
     if (const auto next = service_->ReleaseWaiting(Now())) {
@@ -205,10 +227,9 @@
 
   void Follow(const Choice& aChoice)
   {
-    queued_ = false;
-    CancelTimer(deadlineTimer_);
-    RecordChoice(aChoice);
+    EndWait();
     if (aChoice.kind_ != Choice::Kind::Dispatch) {
+      record_.refusedCandidates_ = Candidates();
       GiveUp(aChoice.reason_);
       return;
     }
@@ -236,7 +257,12 @@
 
     const std::size_t index = attempts_.size();
     attempts_.push_back({ aUpstream, {}, now, true });
-    record_.attempts_.push_back({ endpoint->id_, aReason, now - info_.arrival_ });
+    ExplainAttempt attempt;
+    attempt.upstream_ = endpoint->id_;
+    attempt.reason_ = aReason;
+    attempt.startedAfter_ = now - info_.arrival_;
+    attempt.candidates_ = Candidates();
+    record_.attempts_.push_back(std::move(attempt));
     attempts_[index].sendId_ =
       ports_.sender_.Send({ endpoint->address_, endpoint->port_ },
                           RequestForUpstream(now),
@@ -441,6 +467,7 @@
         answer.headers_.emplace_back(field.name_, field.value_);
       }
       answer.body_ = aResponse.body_;
+      CountClaim(ClaimEvent::Recorded);
       ports_.claims_.RecordAnswer(std::move(*claim_), std::move(answer), Now());
       claim_.reset();
     }
@@ -451,7 +478,6 @@
   {
     aResponse.headers_.Set(kOutcomeHeader, ToString(Outcome::Answered));
     aResponse.headers_.Set(kRequestIdHeader, record_.id_.View());
-    record_.status_ = aResponse.status_;
     exchange_->Respond(std::move(aResponse));
     Finish(Outcome::Answered);
   }
@@ -459,7 +485,6 @@
   void Refuse(RefusalReason aReason, Outcome aOutcome)
   {
     record_.refusal_ = aReason;
-    record_.status_ = StatusOf(aReason);
     exchange_->Respond(MakeRefusal(aReason, aOutcome, record_.id_));
     Finish(aOutcome);
   }
@@ -467,6 +492,7 @@
   void Finish(Outcome aOutcome)
   {
     if (claim_ && aOutcome == Outcome::NotRun) {
+      CountClaim(ClaimEvent::Released);
       ports_.claims_.Release(std::move(*claim_), Now());
       claim_.reset();
     }
@@ -478,8 +504,8 @@
     CancelTimer(hedgeTimer_);
     CancelAttempts();
     record_.outcome_ = aOutcome;
-    record_.total_ = Now() - info_.arrival_;
-    ports_.observer_.OnCallEnded(record_);
+    record_.latency_ = Now() - info_.arrival_;
+    ports_.observer_.OnCallEnded(std::move(record_), abandoned_);
   }
 
   void CancelAttempts()
@@ -504,7 +530,6 @@
   void OnAbandoned()
   {
     abandoned_ = true;
-    record_.abandoned_ = true;
     if (finished_ || (claim_ && ActiveAttempts() > 0)) {
       return;
     }
@@ -528,16 +553,14 @@
     }
   }
 
-  void RecordChoice(const Choice& aChoice)
+  std::vector<CandidateInfo> Candidates()
   {
-    auto candidates =
-      service_->With([&](ServiceBalancer& aBalancer) { return aBalancer.Candidates(Now()); });
-    record_.choices_.push_back({ Now() - info_.arrival_, aChoice, std::move(candidates) });
+    return service_->With([&](ServiceBalancer& aBalancer) { return aBalancer.Candidates(Now()); });
   }
 
   void RecordAttempt(std::size_t aIndex, const AttemptReport& aReport)
   {
-    AttemptRecord& attempt = record_.attempts_[aIndex];
+    ExplainAttempt& attempt = record_.attempts_[aIndex];
     attempt.latency_ = aReport.latency_;
     attempt.outcome_ = aReport.outcome_;
     attempt.failure_ = aReport.failure_;
@@ -552,7 +575,7 @@
   std::shared_ptr<const ServiceConfig> config_;
   CallTerms terms_;
   CallInfo info_;
-  CallRecord record_;
+  ExplainRecord record_;
 
   std::optional<ClaimHandle> claim_; ///< held until the answer is recorded or the key released
   std::vector<Attempt> attempts_;
@@ -562,7 +585,7 @@
   net::TimerId deadlineTimer_ = net::TimerId::None;
   net::TimerId hedgeTimer_ = net::TimerId::None;
   bool mayHaveRun_ = false; ///< some attempt ended in Unknown
-  bool queued_ = false;
+  std::optional<MonotonicTime> queuedSince_;
   bool hedged_ = false;
   bool abandoned_ = false;
   bool finished_ = false;
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -229,7 +229,7 @@
   exchange->abandoned_();
   CHECK(sender_.sent_[0].cancelled_);
   CHECK_EQUAL(1U, observer_.records_.size());
-  CHECK(observer_.records_[0].abandoned_);
+  CHECK_EQUAL(1, observer_.abandoned_);
 }
 
 TEST(Call, AClaimGrantedAfterTheCallerLeftIsReleased)
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -182,14 +182,20 @@
 class FakeObserver : public CallObserver
 {
 public:
-  void OnCallEnded(const CallRecord& aRecord) override { records_.push_back(aRecord); }
+  void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) override
+  {
+    records_.push_back(std::move(aRecord));
+    abandoned_ += aAbandoned ? 1 : 0;
+  }
+  void OnClaim(const ServiceName&, ClaimEvent) override {}
   void OnRetry(const ServiceName&, RetryReason aReason) override { retries_.push_back(aReason); }
   void OnUpstreamLeaving(const UpstreamEndpoint& aUpstream) override
   {
     leaving_.push_back(aUpstream.id_);
   }
 
-  std::vector<CallRecord> records_;
+  std::vector<ExplainRecord> records_;
+  int abandoned_ = 0;
   std::vector<RetryReason> retries_;
   std::vector<UpstreamId> leaving_;
 };
--- a/boragepier/entry/pipeline_ports.h
+++ b/boragepier/entry/pipeline_ports.h
@@ -6,7 +6,7 @@
 #include <memory>
 
 #include "boragepier/base/time.h"
-#include "boragepier/entry/call_record.h"
+#include "boragepier/entry/call_observer.h"
 #include "boragepier/entry/service_directory.h"
 #include "boragepier/http/client.h"
 #include "boragepier/net/event_loop.h"
--- /dev/null
+++ b/testing/e2e/child_process.cc
@@ -0,0 +1,121 @@
+#include "testing/e2e/child_process.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <sstream>
+#include <thread>
+
+extern char** environ;
+
+namespace boragepier::testing {
+
+ChildProcess::ChildProcess(const std::string& aProgram, const std::vector<std::string>& aArguments)
+{
+  std::array<int, 2> pipe{};
+  if (pipe2(pipe.data(), O_CLOEXEC) != 0) {
+    throw ChildProcessError("cannot create a pipe");
+  }
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
+  std::vector<char*> arguments{ const_cast<char*>(aProgram.c_str()) };
+  for (const std::string& argument : aArguments) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  const int error =
+    posix_spawn(&pid_, aProgram.c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(pipe[1]);
+  output_ = pipe[0];
+  if (error != 0) {
+    close(output_);
+    throw ChildProcessError("cannot start " + aProgram);
+  }
+}
+
+ChildProcess::~ChildProcess()
+{
+  if (pid_ > 0) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  close(output_);
+}
+
+bool
+ChildProcess::ReadMore()
+{
+  pollfd waiting{ output_, POLLIN, 0 };
+  const auto patience = std::chrono::milliseconds(kPatience).count();
+  if (poll(&waiting, 1, static_cast<int>(patience)) <= 0) {
+    throw ChildProcessError("a program printed nothing for too long; output so far: " + text_);
+  }
+  std::array<char, 4096> buffer{};
+  const ssize_t count = read(output_, buffer.data(), buffer.size());
+  if (count <= 0) {
+    return false;
+  }
+  text_.append(buffer.data(), static_cast<std::size_t>(count));
+  return true;
+}
+
+std::uint16_t
+ChildProcess::ReadPort(std::string_view aName)
+{
+  while (true) {
+    for (std::size_t end = text_.find('\n', parsed_); end != std::string::npos;
+         end = text_.find('\n', parsed_)) {
+      std::istringstream line(text_.substr(parsed_, end - parsed_));
+      parsed_ = end + 1;
+      std::string name;
+      std::uint16_t port = 0;
+      if (line >> name >> port) {
+        ports_.emplace(name, port);
+      }
+    }
+    if (const auto found = ports_.find(aName); found != ports_.end()) {
+      return found->second;
+    }
+    if (!ReadMore()) {
+      throw ChildProcessError("a program ended before it printed its port; output: " + text_);
+    }
+  }
+}
+
+void
+ChildProcess::Signal(int aSignal) const
+{
+  kill(pid_, aSignal);
+}
+
+int
+ChildProcess::WaitForExit()
+{
+  const auto deadline = std::chrono::steady_clock::now() + 2 * kPatience;
+  int status = 0;
+  while (waitpid(pid_, &status, WNOHANG) == 0) {
+    if (std::chrono::steady_clock::now() > deadline) {
+      throw ChildProcessError("a program did not end; output: " + text_);
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+}
+
+std::string
+ChildProcess::ReadToEnd()
+{
+  while (ReadMore()) {
+  }
+  return text_;
+}
+
+} // namespace boragepier::testing
