Add the platform adapters and the platform's stand-in

Cause: claims and configuration need the platform's table, object store and list over HTTP; tests and trials need a platform with faults. Change: HttpTableStore, HttpObjectStore and HttpInstanceList over http::Client, with JSON by nlohmann-json and base64 by Boost's archive iterators (cxxtools' codec does not compile as C++20). Answers are checked against their request; a write whose answer proves nothing is Unknown. Only an answer with the platform's certificate is Unavailable, because a bare 503 can come from something in between. boragepier_testing_platform serves the protocol with faults; it uses http::Server, because cxxtools' server cannot close a connection without an answer and misreads framing. docs/platform.md describes the protocol.

--- /dev/null
+++ b/boragepier/platform/http_platform_test.cc
@@ -0,0 +1,275 @@
+#include "boragepier/platform/http_platform.h"
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "boragepier/http/server.h"
+#include "boragepier/platform/instance_codec.h"
+#include "testing/platform/platform_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier::platform {
+
+using namespace std::chrono_literals;
+using testing::PlatformServer;
+using Kind = TableOperation::Kind;
+using Status = TableReply::Status;
+
+// Runs the adapters in a loop thread; each call waits for its callback.
+class AdapterThread
+{
+public:
+  template<typename Setup>
+  explicit AdapterThread(Setup aSetup)
+    : client_(std::make_unique<http::Client>(loop_))
+  {
+    PlatformOptions options;
+    options.target_ = { "127.0.0.1", aSetup(loop_) };
+    platform_ = std::make_unique<PlatformClient>(loop_, *client_, options);
+    thread_ = std::thread([this] { loop_.Run(); });
+  }
+
+  ~AdapterThread()
+  {
+    loop_.Stop();
+    thread_.join();
+    client_.reset();
+  }
+  AdapterThread(const AdapterThread&) = delete;
+  AdapterThread& operator=(const AdapterThread&) = delete;
+
+  // Runs aFunction(done) in the loop thread and waits until it has called done(result).
+  template<typename Result, typename Function>
+  Result Await(Function aFunction)
+  {
+    std::promise<Result> promise;
+    loop_.Post(
+      [&] { aFunction([&promise](Result aResult) { promise.set_value(std::move(aResult)); }); });
+    return promise.get_future().get();
+  }
+
+  TableReply Submit(const TableRequest& aRequest, Duration aTimeout = 10s)
+  {
+    return Await<TableReply>([&](auto aDone) {
+      HttpTableStore(*platform_).Submit(aRequest, loop_.Now() + aTimeout, aDone);
+    });
+  }
+
+  std::optional<std::vector<ListedProcess>> Fetch()
+  {
+    return Await<std::optional<std::vector<ListedProcess>>>(
+      [&](auto aDone) { HttpInstanceList(*platform_).Fetch(aDone); });
+  }
+
+  http::SendResult Send(const std::string& aMethod, const std::string& aTarget, std::string aBody)
+  {
+    return Await<http::SendResult>([&](auto aDone) {
+      platform_->Send({ aMethod, aTarget, {}, std::move(aBody) }, true, loop_.Now() + 10s, aDone);
+    });
+  }
+
+  net::EventLoop& Loop() { return loop_; }
+  PlatformClient& Platform() { return *platform_; }
+
+private:
+  net::EventLoop loop_;
+  std::unique_ptr<http::Client> client_;
+  std::unique_ptr<PlatformClient> platform_;
+  std::thread thread_;
+};
+
+TEST_GROUP(HttpPlatform)
+{
+  std::unique_ptr<PlatformServer> server_;
+  std::unique_ptr<AdapterThread> adapters_;
+
+  void setup() override
+  {
+    adapters_ = std::make_unique<AdapterThread>([this](net::EventLoop& aLoop) {
+      server_ = std::make_unique<PlatformServer>(aLoop);
+      return server_->Listen("127.0.0.1", 0);
+    });
+  }
+
+  void teardown() override
+  {
+    // The server belongs to the loop: it goes after the loop has stopped and before it is
+    // destroyed.
+    adapters_->Loop().Post([this] { server_.reset(); });
+    adapters_->Await<bool>([](auto aDone) { aDone(true); });
+    adapters_.reset();
+  }
+
+  void Control(const std::string& aSwitches)
+  {
+    CHECK_EQUAL(200, adapters_->Send("POST", "/control", aSwitches).response_.status_);
+  }
+
+  static TableRequest Insert(const std::string& aKey, const std::string& aValue = "v")
+  {
+    return { { { .kind_ = Kind::Insert, .key_ = aKey, .value_ = aValue } } };
+  }
+
+  static TableRequest Get(const std::string& aKey)
+  {
+    return { { { .key_ = aKey } } };
+  }
+};
+
+TEST(HttpPlatform, RowsAreWrittenReadChangedAndDeleted)
+{
+  const std::string bytes("a\0\xff", 3);
+  const TableReply inserted = adapters_->Submit(Insert("k", bytes));
+  CHECK(inserted.status_ == Status::Done);
+  CHECK_TRUE(inserted.results_[0].applied_);
+  const std::uint64_t revision = inserted.results_[0].row_->revision_;
+  CHECK_FALSE(adapters_->Submit(Insert("k")).results_[0].applied_);
+  CHECK(adapters_->Submit(Get("k")).results_[0].row_->value_ == bytes);
+  const TableReply updated = adapters_->Submit(
+    { { { .kind_ = Kind::Update, .key_ = "k", .value_ = "w", .expectedRevision_ = revision } } });
+  CHECK_TRUE(updated.results_[0].applied_);
+  const TableRequest remove{
+    { { .kind_ = Kind::Delete, .key_ = "k", .expectedRevision_ = revision } }
+  };
+  CHECK_FALSE(adapters_->Submit(remove).results_[0].applied_);
+  CHECK_EQUAL(1U, adapters_->Submit({ { { .kind_ = Kind::Scan } } }).results_[0].scanned_.size());
+}
+
+TEST(HttpPlatform, RefusedWriteIsUnavailableAndNotApplied)
+{
+  Control(R"({"table_down":true})");
+  CHECK(adapters_->Submit(Insert("k")).status_ == Status::Unavailable);
+  Control(R"({"table_down":false})");
+  CHECK_FALSE(adapters_->Submit(Get("k")).results_[0].row_.has_value());
+}
+
+// Guards against reporting a write as not applied because its connection broke.
+TEST(HttpPlatform, LostAnswerIsUnknownAndApplied)
+{
+  Control(R"({"lose_next_write_answers":1})");
+  CHECK(adapters_->Submit(Insert("k")).status_ == Status::Unknown);
+  CHECK_TRUE(adapters_->Submit(Get("k")).results_[0].row_.has_value());
+}
+
+TEST(HttpPlatform, DownIsUnknownAndPassedDeadlineIsUnavailable)
+{
+  Control(R"({"down":true})");
+  CHECK(adapters_->Submit(Insert("k")).status_ == Status::Unknown);
+  CHECK_FALSE(adapters_->Fetch().has_value());
+  CHECK(adapters_->Submit(Insert("k"), -1s).status_ == Status::Unavailable);
+}
+
+TEST(HttpPlatform, SlowAnswerIsUnknownAtTheDeadline)
+{
+  Control(R"({"slow_ms":60000})");
+  CHECK(adapters_->Submit(Insert("k"), 20ms).status_ == Status::Unknown);
+}
+
+// Guards against the process list of a moment ago passing for the present one, and against a
+// damaged registration.
+TEST(HttpPlatform, ListShowsRegisteredProcessesAfterItsLag)
+{
+  const ListedProcess process{ "u-1", "upstream", "s", "127.0.0.1", 80, 0, "a", 7, true };
+  CHECK_EQUAL(200,
+              adapters_->Send("PUT", "/instances/u-1", EncodeProcess(process)).response_.status_);
+  CHECK_EQUAL(400,
+              adapters_->Send("PUT", "/instances/u-2", EncodeProcess(process)).response_.status_);
+  CHECK_EQUAL(1U, adapters_->Fetch()->size());
+  Control(R"({"list_lag_ms":60000})");
+  CHECK_EQUAL(0U, adapters_->Fetch()->size());
+  Control(R"({"list_lag_ms":0,"list_down":true})");
+  CHECK_FALSE(adapters_->Fetch().has_value());
+  Control(R"({"list_down":false})");
+  CHECK_EQUAL(200, adapters_->Send("DELETE", "/instances/u-1", "").response_.status_);
+  CHECK_EQUAL(0U, adapters_->Fetch()->size());
+}
+
+TEST(HttpPlatform, ObjectsAreStored)
+{
+  HttpObjectStore store(adapters_->Platform());
+  net::EventLoop& loop = adapters_->Loop();
+  const auto put = [&](const std::string& aName) {
+    return adapters_->Await<ObjectStatus>(
+      [&](auto aDone) { store.Put(aName, "bytes", loop.Now() + 10s, aDone); });
+  };
+  const auto get = [&](const std::string& aName) {
+    return adapters_->Await<std::pair<ObjectStatus, std::string>>([&](auto aDone) {
+      store.Get(aName, loop.Now() + 10s, [aDone](ObjectStatus aStatus, std::string aBytes) {
+        aDone({ aStatus, std::move(aBytes) });
+      });
+    });
+  };
+  CHECK(put("a.b") == ObjectStatus::Done);
+  STRCMP_EQUAL("bytes", get("a.b").second.c_str());
+  CHECK(get("c").first == ObjectStatus::NotFound);
+  CHECK(put("../table") == ObjectStatus::Unavailable);
+}
+
+TEST(HttpPlatform, CountsTellReadsWritesAndListReads)
+{
+  adapters_->Submit({ { { .kind_ = Kind::Insert, .key_ = "a" }, { .key_ = "b" } } });
+  adapters_->Submit(Get("a"));
+  adapters_->Fetch();
+  const auto counts =
+    nlohmann::json::parse(adapters_->Send("GET", "/control/counts", "").response_.body_);
+  CHECK_EQUAL(1, counts.at("writes").get<int>());
+  CHECK_EQUAL(1, counts.at("reads").get<int>());
+  CHECK_EQUAL(3, counts.at("operations").get<int>());
+  CHECK_EQUAL(1, counts.at("list_reads").get<int>());
+}
+
+TEST(HttpPlatform, UnknownSwitchIsRefused)
+{
+  CHECK_EQUAL(400, adapters_->Send("POST", "/control", R"({"dwon":true})").response_.status_);
+  CHECK_EQUAL(400, adapters_->Send("POST", "/table", "{}").response_.status_);
+}
+
+TEST_GROUP(DamagedPlatform){
+  // Answers a write with a status and a body of a platform that is not itself.
+  static Status Answered(int aStatus,
+                         const std::string& aBody){ std::unique_ptr<http::Server> server;
+AdapterThread adapters([&](net::EventLoop& aLoop) {
+  server = std::make_unique<http::Server>(
+    aLoop,
+    http::ServerLimits{},
+    [=](const std::shared_ptr<http::Exchange>& aExchange) {
+      http::Response response;
+      response.status_ = aStatus;
+      response.body_ = aBody;
+      aExchange->Respond(response);
+    },
+    [](RefusalReason) {
+      return http::Response{ 400, {}, {} };
+    });
+  return server->Listen("127.0.0.1", 0);
+});
+const TableReply reply = adapters.Submit({ { { .kind_ = Kind::Insert, .key_ = "k" } } });
+adapters.Loop().Post([&] { server.reset(); });
+adapters.Await<bool>([](auto aDone) { aDone(true); });
+return reply.status_;
+}
+}
+;
+
+// Guards against a claim that counts as not made, or made, because of an answer that proves
+// neither.
+TEST(DamagedPlatform, AnswersThatProveNothingAreUnknown)
+{
+  CHECK(Answered(200, "") == Status::Unknown);
+  CHECK(Answered(200, R"({"results":[]})") == Status::Unknown);
+  CHECK(Answered(200, R"({"not_applied":true})") == Status::Unknown);
+  CHECK(Answered(503, "") == Status::Unknown);
+  CHECK(Answered(503, R"({"not_applied":"yes"})") == Status::Unknown);
+  CHECK(Answered(404, "<html>") == Status::Unknown);
+  CHECK(Answered(503, R"({"not_applied":true})") == Status::Unavailable);
+}
+
+} // namespace boragepier::platform
