--- a/boragepier/entry/call_observer.h
+++ b/boragepier/entry/call_observer.h
@@ -23,6 +23,8 @@
   virtual void OnRetry(const ServiceName& aService, RetryReason aReason) = 0;
   /// The claim of a request was decided or settled.
   virtual void OnClaim(const ServiceName& aService, ClaimEvent aEvent) = 0;
+  /// A probe is sent to an upstream of a service.
+  virtual void OnProbe(const ServiceName& aService) = 0;
   /// An upstream said in an answer that it is leaving.
   virtual void OnUpstreamLeaving(const UpstreamEndpoint& aUpstream) = 0;
 };
--- /dev/null
+++ b/boragepier/entry/control_thread.cc
@@ -0,0 +1,168 @@
+#include "boragepier/entry/control_thread.h"
+
+#include <ctime>
+#include <future>
+#include <random>
+#include <utility>
+
+#include "boragepier/config/service_file.h"
+#include "boragepier/telemetry/log.h"
+
+namespace boragepier {
+
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+// A question of the admin surface waits at most this long for the control thread.
+constexpr auto kAskTimeout = std::chrono::seconds(5);
+
+platform::PlatformOptions
+PlatformOptionsOf(const Settings& aSettings)
+{
+  platform::PlatformOptions options;
+  options.target_ = { aSettings.platform_.address_, aSettings.platform_.port_ };
+  return options;
+}
+
+std::vector<PeerEndpoint>
+SeedsOf(const Settings& aSettings)
+{
+  std::vector<PeerEndpoint> seeds;
+  for (const Endpoint& seed : aSettings.seeds_) {
+    seeds.push_back({ InstanceId(), seed.address_, seed.port_ });
+  }
+  return seeds;
+}
+
+Duration
+ThreadProcessorTime()
+{
+  std::timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+WallTime
+WallNow()
+{
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+} // namespace
+
+ControlThread::ControlThread(const Settings& aSettings,
+                             Metrics& aMetrics,
+                             RoutingCallback aOnRouting)
+  : settings_(aSettings)
+  , metrics_(aMetrics)
+  , onRouting_(std::move(aOnRouting))
+  , client_(loop_)
+  , platform_(loop_, client_, PlatformOptionsOf(aSettings))
+  , table_(platform_)
+  , list_(platform_)
+  , peers_(loop_)
+  , sweeper_(table_, aSettings.id_)
+{
+}
+
+ControlThread::~ControlThread()
+{
+  Stop();
+}
+
+std::uint16_t
+ControlThread::Start()
+{
+  const std::uint16_t port = peers_.Listen(settings_.peer_.address_, settings_.peer_.port_);
+  const PeerEndpoint self{ settings_.id_, settings_.peer_.address_, port };
+  ControlOptions options(self, [](const ConfigRecord& aRecord) {
+    return ParseServiceFile(aRecord.body_, aRecord.service_.View());
+  });
+  options.WithSeeds(SeedsOf(settings_)).WithRandomSeed(std::random_device()());
+  plane_ = std::make_unique<Plane>(loop_, table_, list_, peers_, std::move(options));
+  plane_->OnRoutingChanged([this](auto aTable) { OnRouting(std::move(aTable)); });
+  plane_->OnError([](const std::string& aError) {
+    Log(EventId::ConfigRejected, { { "error", aError } });
+  });
+  loop_.Post([this] {
+    plane_->Start();
+    Tick();
+  });
+  thread_ = std::thread([this] { loop_.Run(); });
+  return port;
+}
+
+void
+ControlThread::Stop()
+{
+  if (thread_.joinable()) {
+    loop_.Stop();
+    thread_.join();
+  }
+}
+
+void
+ControlThread::OnRouting(std::shared_ptr<const RoutingTable> aTable)
+{
+  sweeper_.SetInstances(aTable->instances_);
+  metrics_.SetInstances(aTable->instances_.size());
+  for (const ServiceRoute& route : aTable->services_) {
+    ServiceMetrics& service = metrics_.Service(route.config_.name_);
+    if (service.ConfigVersion() != route.version_) {
+      service.SetConfigVersion(route.version_);
+      Log(EventId::ConfigAccepted,
+          { { "service", route.config_.name_ }, { "version", route.version_ } });
+    }
+  }
+  onRouting_(std::move(aTable));
+}
+
+void
+ControlThread::Tick()
+{
+  sweeper_.Advance(loop_.Now(), WallNow());
+  const PeerCounters traffic = peers_.Counters();
+  metrics_.SetControlUsage(ThreadProcessorTime(), traffic.bytesSent_);
+  ReportLeftOutEvents();
+  loop_.After(kTickInterval, [this] { Tick(); });
+}
+
+template<typename Function>
+auto
+ControlThread::Ask(Function aFunction)
+{
+  using Result = decltype(aFunction());
+  auto task = std::make_shared<std::packaged_task<Result()>>(std::move(aFunction));
+  auto future = task->get_future();
+  loop_.Post([task] { (*task)(); });
+  if (future.wait_for(kAskTimeout) != std::future_status::ready) {
+    throw Error("the control thread does not answer");
+  }
+  return future.get();
+}
+
+void
+ControlThread::ReportLeaving(const UpstreamId& aUpstream, std::uint64_t aStartNumber)
+{
+  plane_->ReportLeaving(aUpstream, aStartNumber);
+}
+
+bool
+ControlThread::Announce(ConfigRecord aRecord)
+{
+  return Ask([this, record = std::move(aRecord)] { return plane_->Announce(record); });
+}
+
+void
+ControlThread::BeginShutdown()
+{
+  loop_.Post([this] { plane_->BeginShutdown(); });
+}
+
+ControlStatus
+ControlThread::Status()
+{
+  return Ask([this] { return plane_->Status(); });
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/entry/entry_instance.h
@@ -0,0 +1,68 @@
+#ifndef BORAGEPIER_ENTRY_ENTRY_INSTANCE_H
+#define BORAGEPIER_ENTRY_ENTRY_INSTANCE_H
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+
+#include "boragepier/admin/admin_server.h"
+#include "boragepier/config/settings.h"
+#include "boragepier/entry/call_telemetry.h"
+#include "boragepier/entry/control_thread.h"
+#include "boragepier/entry/service_directory.h"
+#include "boragepier/entry/traffic_thread.h"
+#include "boragepier/telemetry/explain.h"
+#include "boragepier/telemetry/metrics.h"
+
+namespace boragepier {
+
+/// Ports that an instance listens on.
+struct InstancePorts
+{
+  std::uint16_t caller_ = 0;
+  std::uint16_t peer_ = 0;
+  std::uint16_t admin_ = 0;
+};
+
+/// One entry instance: a control thread, a traffic thread and the admin surface.
+///
+///   EntryInstance instance(settings);
+///   InstancePorts ports = instance.Start();
+///   ... wait for SIGTERM ...
+///   bool complete = instance.Drain();
+class EntryInstance
+{
+public:
+  explicit EntryInstance(const Settings& aSettings);
+  ~EntryInstance();
+  EntryInstance(const EntryInstance&) = delete;
+  EntryInstance& operator=(const EntryInstance&) = delete;
+
+  /// Opens all addresses and starts the threads.
+  /// @throws net::ListenError if an address cannot be used
+  InstancePorts Start();
+
+  /// Leaves without cutting off a request: reports not ready, goes on accepting for the drain grace
+  /// while lists lag, then stops accepting and waits for the requests in progress.
+  /// @return false if the drain limit passed before the last request ended
+  bool Drain();
+
+private:
+  void OnRouting(const std::shared_ptr<const RoutingTable>& aTable);
+  AdminHooks MakeHooks();
+
+  const Settings settings_;
+  Metrics metrics_;
+  ExplainStore explain_;
+  std::atomic<bool> configured_ = false;
+  std::atomic<bool> draining_ = false;
+  ServiceDirectory directory_;
+  CallTelemetry telemetry_;
+  ControlThread control_;
+  TrafficThread traffic_;
+  std::unique_ptr<AdminServer> admin_;
+};
+
+} // namespace boragepier
+
+#endif
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -188,6 +188,7 @@
     abandoned_ += aAbandoned ? 1 : 0;
   }
   void OnClaim(const ServiceName&, ClaimEvent) override {}
+  void OnProbe(const ServiceName&) override {}
   void OnRetry(const ServiceName&, RetryReason aReason) override { retries_.push_back(aReason); }
   void OnUpstreamLeaving(const UpstreamEndpoint& aUpstream) override
   {
--- /dev/null
+++ b/boragepier/entry/traffic_thread.cc
@@ -0,0 +1,175 @@
+#include "boragepier/entry/traffic_thread.h"
+
+#include <random>
+#include <utility>
+
+#include "boragepier/entry/refusal.h"
+#include "boragepier/entry/request_checks.h"
+
+namespace boragepier {
+
+namespace {
+
+// Claims that wait for the write budget leave with this delay at most.
+constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+// A probe that takes longer says nothing about the load of now.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(100);
+
+Random
+EntropySeeded()
+{
+  std::random_device device;
+  const auto word = [&] { return (std::uint64_t{ device() } << 32U) | device(); };
+  return Random(word(), word());
+}
+
+platform::PlatformOptions
+PlatformOptionsOf(const Settings& aSettings)
+{
+  platform::PlatformOptions options;
+  options.target_ = { aSettings.platform_.address_, aSettings.platform_.port_ };
+  return options;
+}
+
+http::ServerLimits
+LimitsOf(const Settings& aSettings)
+{
+  http::ServerLimits limits;
+  limits.maxHeader_ = aSettings.maxHeader_;
+  limits.maxBody_ = aSettings.maxRequestBody_;
+  limits.idleTimeout_ = aSettings.idleTimeout_;
+  limits.requestTimeout_ = aSettings.requestTimeout_;
+  limits.maxConnections_ = aSettings.maxConnections_;
+  return limits;
+}
+
+WallTime
+WallNow()
+{
+  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+} // namespace
+
+TrafficThread::TrafficThread(const Settings& aSettings,
+                             ServiceDirectory& aDirectory,
+                             CallObserver& aObserver,
+                             std::string aIdPrefix)
+  : settings_(aSettings)
+  , directory_(aDirectory)
+  , observer_(aObserver)
+  , client_(loop_)
+  , platform_(loop_, client_, PlatformOptionsOf(aSettings))
+  , table_(platform_)
+  , claims_(table_, aSettings.id_, EntropySeeded())
+  , pipeline_({ loop_, client_, claims_, directory_, observer_, WallNow }, std::move(aIdPrefix), 1)
+  , server_(
+      loop_,
+      LimitsOf(aSettings),
+      [this](std::shared_ptr<http::Exchange> aExchange) { pipeline_.Handle(std::move(aExchange)); },
+      [](RefusalReason aReason) { return MakeRefusal(aReason, Outcome::NotRun, RequestId()); })
+{
+}
+
+TrafficThread::~TrafficThread()
+{
+  Stop();
+}
+
+std::uint16_t
+TrafficThread::Listen()
+{
+  return server_.Listen(settings_.caller_.address_, settings_.caller_.port_);
+}
+
+void
+TrafficThread::Start()
+{
+  loop_.Post([this] { Tick(); });
+  thread_ = std::thread([this] { loop_.Run(); });
+}
+
+void
+TrafficThread::SetFleetSize(std::size_t aInstances)
+{
+  loop_.Post([this, aInstances] { claims_.SetSharers(aInstances); });
+}
+
+void
+TrafficThread::BeginDrain()
+{
+  loop_.Post([this] { server_.BeginDrain(); });
+}
+
+void
+TrafficThread::StopAccepting()
+{
+  loop_.Post([this] {
+    server_.StopAccepting();
+    server_.CloseIdle();
+    stopAccepting_ = true;
+  });
+}
+
+void
+TrafficThread::Stop()
+{
+  if (thread_.joinable()) {
+    loop_.Stop();
+    thread_.join();
+  }
+}
+
+void
+TrafficThread::Tick()
+{
+  claims_.Advance(loop_.Now());
+  SendProbes();
+  connections_ = server_.ConnectionCount();
+  idle_ = stopAccepting_ && server_.RequestsInProgress() == 0 && claims_.Settled();
+  loop_.After(kTickInterval, [this] { Tick(); });
+}
+
+void
+TrafficThread::SendProbes()
+{
+  const auto services = directory_.All();
+  const MonotonicTime now = loop_.Now();
+  for (const auto& service : *services) {
+    if (service->Config()->probesPerUpstreamSecond_ <= 0) {
+      continue;
+    }
+    while (const auto upstream =
+             service->With([&](ServiceBalancer& aBalancer) { return aBalancer.NextProbe(now); })) {
+      SendProbe(service, *upstream);
+    }
+  }
+}
+
+void
+TrafficThread::SendProbe(const std::shared_ptr<ServiceEntry>& aService, UpstreamHandle aUpstream)
+{
+  const auto endpoint =
+    aService->With([&](ServiceBalancer& aBalancer) { return aBalancer.Endpoint(aUpstream); });
+  observer_.OnProbe(aService->Config()->name_);
+  // "OPTIONS *" asks a server about itself and has no effect on any resource (RFC 7231, 4.3.7).
+  auto request = std::make_shared<http::Request>();
+  request->method_ = "OPTIONS";
+  request->target_ = "*";
+  http::SendOptions options;
+  options.timeout_ = kProbeTimeout;
+  client_.Send({ endpoint->address_, endpoint->port_ },
+               std::move(request),
+               options,
+               [this, aService, aUpstream](const http::SendResult& aResult) {
+                 std::optional<LoadReport> load;
+                 if (const auto inFlight = ReportedLoad(aResult.response_.headers_)) {
+                   load = LoadReport{ *inFlight };
+                 }
+                 aService->With([&](ServiceBalancer& aBalancer) {
+                   aBalancer.OnProbeEnded(aUpstream, load, aResult.latency_, loop_.Now());
+                 });
+               });
+}
+
+} // namespace boragepier
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -43,9 +43,10 @@
     return listener_->Port();
   }
 
-  void BeginDrain()
+  void BeginDrain() { draining_ = true; }
+
+  void CloseIdle()
   {
-    draining_ = true;
     for (const auto& connection : Connections()) {
       connection->CloseIfIdle();
     }
@@ -127,6 +128,12 @@
   impl_->BeginDrain();
 }
 
+void
+Server::CloseIdle()
+{
+  impl_->CloseIdle();
+}
+
 void
 Server::StopAccepting()
 {
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -64,9 +64,12 @@
   /// @throws net::ListenError if the address cannot be used
   std::uint16_t Listen(const std::string& aAddress, std::uint16_t aPort);
 
-  /// From now on each response closes its connection ("Connection: close"); idle connections are
-  /// closed. New connections are still accepted. Loop thread only.
+  /// From now on each response closes its connection ("Connection: close"). Idle connections stay
+  /// open: a caller may have sent a request on one that has not arrived yet. New connections are
+  /// still accepted. Loop thread only.
   void BeginDrain();
+  /// Closes the connections on which no request has begun. Loop thread only.
+  void CloseIdle();
   /// Stops accepting. Loop thread only.
   void StopAccepting();
   /// @return requests read but not completely answered. Loop thread only.
