Exchange state between instances by gossip, with a fleet test in virtual time

Cause: polling by every instance makes store reads grow with the fleet, and a record that only one instance has would be lost to the others while the store is down.

Change: adds Gossip (digests, heads, pulls, news, byte budgets), the MessagePack codec, rounds that select two pollers, and a fixture that runs a fleet of control planes in virtual time with lost, repeated and reordered messages.

--- a/boragepier/control/control_plane.h
+++ b/boragepier/control/control_plane.h
@@ -2,7 +2,9 @@
 #define BORAGEPIER_CONTROL_CONTROL_PLANE_H
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <span>
 #include <string>
@@ -10,13 +12,13 @@
 #include <vector>
 
 #include "boragepier/control/control_status.h"
-#include "boragepier/control/fleet_state.h"
 #include "boragepier/net/event_loop.h"
 #include "boragepier/ports/instance_list.h"
 #include "boragepier/ports/peer_transport.h"
 #include "boragepier/ports/scheduler.h"
 #include "boragepier/ports/table_store.h"
-#include "boragepier/state/config_reader.h"
+#include "boragepier/state/fleet_state.h"
+#include "boragepier/state/gossip.h"
 
 namespace boragepier {
 
@@ -100,13 +102,18 @@
 
 private:
   void Poll();
+  void PollUntilAnswered();
+  void FetchList();
   void ReadStore(TableRequest aRequest);
   void OnStoreReply(const TableReply& aReply);
   void OnListReply(const std::optional<std::vector<ListedProcess>>& aList);
   bool AcceptConfig(ConfigRecord aRecord);
   void StartRoundTimer();
-  void OnRoundTimer();
+  void OnRound();
+  void OnDigestTimer();
+  void OnPeerMessage(const PeerEndpoint& aSender, PeerMessage&& aMessage, std::size_t aBytes);
   void Publish();
+  void Flush();
   void Fail(const std::string& aError);
 
   Loop& loop_;
@@ -114,11 +121,20 @@
   List& list_;
   Peers& peers_;
   FleetState state_;
-  ConfigReader reader_;
+  Gossip gossip_;
+  Random random_;
   RoutingCallback onRouting_;
   ErrorCallback onError_;
   bool storeBusy_ = false;
   bool listBusy_ = false;
+  bool storeAnswered_ = false;
+  bool listAnswered_ = false;
+  bool flushPending_ = false;
+  Duration backOff_;
+  decltype(std::declval<Loop&>().After(Duration(), {})) roundTimer_{};
+
+  std::mutex reportedMutex_;
+  std::map<UpstreamId, std::pair<std::uint64_t, MonotonicTime>> reported_; ///< by ReportLeaving()
   ControlStatus counters_;
 };
 
--- a/boragepier/control/control_plane_impl.h
+++ b/boragepier/control/control_plane_impl.h
@@ -3,6 +3,7 @@
 
 // Definitions of the members of ControlPlane. Included by control_plane.h only.
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -15,6 +16,13 @@
 /// Time for one request to the store; shorter than a round, so that a slow store is read again by
 /// the instances of the next round.
 inline constexpr Duration kStoreTimeout = std::chrono::milliseconds(800);
+/// An instance that has read neither store nor list yet tries again after this time, which doubles
+/// up to the maximum.
+inline constexpr Duration kFirstBackOff = std::chrono::milliseconds(100);
+inline constexpr Duration kMaxBackOff = std::chrono::seconds(5);
+/// Signals of one upstream start within this time are passed on once: an upstream that drains sends
+/// one with each answer.
+inline constexpr Duration kReportInterval = std::chrono::seconds(1);
 
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
 ControlPlane<Table, List, Peers, Loop>::ControlPlane(Loop& aLoop,
@@ -27,6 +35,9 @@
   , list_(aList)
   , peers_(aPeers)
   , state_(std::move(aOptions.self_), aOptions.seeds_, std::move(aOptions.parser_))
+  , gossip_(state_, aOptions.randomSeed_)
+  , random_(aOptions.randomSeed_, 1)
+  , backOff_(kFirstBackOff)
 {
 }
 
@@ -34,8 +45,18 @@
 void
 ControlPlane<Table, List, Peers, Loop>::Start()
 {
-  Poll();
+  peers_.SetHandlers(
+    [this](const PeerEndpoint& aSender, PeerMessage aMessage, std::size_t aBytes) {
+      OnPeerMessage(aSender, std::move(aMessage), aBytes);
+    },
+    [this](const InstanceId& aPeer) { state_.PeerUnreachable(aPeer); });
+  PollUntilAnswered();
   StartRoundTimer();
+  gossip_.Tick();
+  Flush();
+  // Spreads the digests of instances that were started together.
+  const std::uint64_t interval = kDigestInterval.count();
+  loop_.After(Duration(random_(interval)), [this] { OnDigestTimer(); });
 }
 
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
@@ -43,9 +64,22 @@
 ControlPlane<Table, List, Peers, Loop>::ReportLeaving(UpstreamId aUpstream,
                                                       std::uint64_t aStartNumber)
 {
+  {
+    const std::lock_guard lock(reportedMutex_);
+    auto& [startNumber, time] = reported_[aUpstream];
+    const MonotonicTime now = loop_.Now();
+    if (startNumber == aStartNumber && now < time + kReportInterval) {
+      return;
+    }
+    startNumber = aStartNumber;
+    time = now;
+  }
   loop_.Post([this, upstream = std::move(aUpstream), aStartNumber] {
-    state_.SignalDeparture(upstream, aStartNumber);
-    Publish();
+    if (state_.SignalDeparture(upstream, aStartNumber)) {
+      gossip_.AddNews(PeerSection::Departures, upstream.Text(), true);
+      Publish();
+      Flush();
+    }
   });
 }
 
@@ -53,15 +87,30 @@
 bool
 ControlPlane<Table, List, Peers, Loop>::Announce(ConfigRecord aRecord)
 {
-  const bool accepted = state_.AcceptConfig(std::move(aRecord));
-  Publish();
-  return accepted;
+  const std::string service = aRecord.service_.Text();
+  const auto relay = [&] {
+    gossip_.AddNews(PeerSection::Configs, service, true);
+    Publish();
+    Flush();
+  };
+  try {
+    const bool accepted = state_.AcceptConfig(std::move(aRecord));
+    if (accepted) {
+      relay();
+    }
+    return accepted;
+  } catch (const ConfigRejected&) {
+    relay(); // another instance may be able to parse it
+    throw;
+  }
 }
 
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
 void
 ControlPlane<Table, List, Peers, Loop>::BeginShutdown()
 {
+  gossip_.AnnounceLeaving();
+  Flush();
 }
 
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
@@ -79,8 +128,9 @@
     status.departures_.push_back(departure);
   }
   status.round_ = state_.Round();
-  status.configSerial_ = reader_.Serial();
+  status.configSerial_ = state_.Reader().Serial();
   status.processes_ = state_.Processes().All().size();
+  status.messagesDropped_ = gossip_.Dropped();
   status.traffic_ = peers_.Counters();
   return status;
 }
@@ -89,17 +139,53 @@
 void
 ControlPlane<Table, List, Peers, Loop>::StartRoundTimer()
 {
-  loop_.After(kRoundTime, [this] { OnRoundTimer(); });
+  roundTimer_ = loop_.After(kRoundTime, [this] {
+    state_.NextRound();
+    StartRoundTimer();
+    OnRound();
+  });
 }
 
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
 void
-ControlPlane<Table, List, Peers, Loop>::OnRoundTimer()
+ControlPlane<Table, List, Peers, Loop>::OnRound()
 {
-  state_.NextRound();
-  Poll();
+  if (state_.IsPoller()) {
+    Poll();
+  }
   Publish();
-  StartRoundTimer();
+}
+
+template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
+void
+ControlPlane<Table, List, Peers, Loop>::OnDigestTimer()
+{
+  loop_.After(kDigestInterval, [this] { OnDigestTimer(); });
+  gossip_.Tick();
+  Flush();
+}
+
+template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
+void
+ControlPlane<Table, List, Peers, Loop>::OnPeerMessage(const PeerEndpoint& aSender,
+                                                      PeerMessage&& aMessage,
+                                                      std::size_t aBytes)
+{
+  const std::uint64_t round = state_.Round();
+  const std::vector<std::string> errors =
+    gossip_.OnMessage(aSender, std::move(aMessage), aBytes, loop_.Now());
+  for (const std::string& error : errors) {
+    Fail(error);
+  }
+  if (state_.Round() != round) {
+    // Follows the peer that is ahead. Without a new timer each instance would add its own step and
+    // rounds would pass too fast.
+    loop_.Cancel(roundTimer_);
+    StartRoundTimer();
+    OnRound();
+  }
+  Publish();
+  Flush();
 }
 
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
@@ -108,16 +194,44 @@
 {
   if (!storeBusy_) {
     storeBusy_ = true;
-    ReadStore(reader_.Begin());
+    ReadStore(state_.Reader().Begin());
   }
   if (!listBusy_) {
-    listBusy_ = true;
-    ++counters_.listReads_;
-    list_.Fetch(
-      [this](const std::optional<std::vector<ListedProcess>>& aList) { OnListReply(aList); });
+    FetchList();
   }
 }
 
+template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
+void
+ControlPlane<Table, List, Peers, Loop>::PollUntilAnswered()
+{
+  const bool hasConfig = storeAnswered_ || Ready();
+  const bool hasList = listAnswered_ || !state_.Processes().All().empty();
+  if (hasConfig && hasList) {
+    return;
+  }
+  if (!hasConfig && !storeBusy_) {
+    storeBusy_ = true;
+    ReadStore(state_.Reader().Begin());
+  }
+  if (!hasList && !listBusy_) {
+    FetchList();
+  }
+  const auto jitter = Duration(random_(static_cast<std::uint64_t>(backOff_.count())));
+  loop_.After(backOff_ / 2 + jitter, [this] { PollUntilAnswered(); });
+  backOff_ = std::min(backOff_ * 2, kMaxBackOff);
+}
+
+template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
+void
+ControlPlane<Table, List, Peers, Loop>::FetchList()
+{
+  listBusy_ = true;
+  ++counters_.listReads_;
+  list_.Fetch(
+    [this](const std::optional<std::vector<ListedProcess>>& aList) { OnListReply(aList); });
+}
+
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
 void
 ControlPlane<Table, List, Peers, Loop>::ReadStore(TableRequest aRequest)
@@ -132,20 +246,25 @@
 void
 ControlPlane<Table, List, Peers, Loop>::OnStoreReply(const TableReply& aReply)
 {
-  ConfigReader::Step step = reader_.OnReply(aReply, state_.Configs());
+  ConfigReader::Step step = state_.Reader().OnReply(aReply, state_.Configs());
   counters_.storeFailures_ += step.failed_ ? 1 : 0;
   for (const std::string& error : step.errors_) {
     Fail(error);
   }
   for (ConfigRecord& record : step.records_) {
-    AcceptConfig(std::move(record));
+    const std::string service = record.service_.Text();
+    if (AcceptConfig(std::move(record))) {
+      gossip_.AddNews(PeerSection::Configs, service, true);
+    }
   }
   if (step.next_) {
     ReadStore(std::move(*step.next_));
   } else {
     storeBusy_ = false;
+    storeAnswered_ = storeAnswered_ || !step.failed_;
   }
   Publish();
+  Flush();
 }
 
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
@@ -158,8 +277,12 @@
     ++counters_.listFailures_;
     return;
   }
-  state_.MergeList(*aList);
+  listAnswered_ = true;
+  for (const std::string& key : state_.MergeList(*aList)) {
+    gossip_.AddNews(PeerSection::Processes, key, true);
+  }
   Publish();
+  Flush();
 }
 
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
@@ -183,6 +306,22 @@
   }
 }
 
+template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
+void
+ControlPlane<Table, List, Peers, Loop>::Flush()
+{
+  while (auto item = gossip_.Next(loop_.Now())) {
+    gossip_.OnSent(peers_.Send(item->peer_, item->message_), loop_.Now());
+  }
+  if (const auto wait = gossip_.Wait(loop_.Now()); wait && !flushPending_) {
+    flushPending_ = true;
+    loop_.After(*wait, [this] {
+      flushPending_ = false;
+      Flush();
+    });
+  }
+}
+
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
 void
 ControlPlane<Table, List, Peers, Loop>::Fail(const std::string& aError)
--- /dev/null
+++ b/boragepier/peer/peer_codec_test.cc
@@ -0,0 +1,64 @@
+#include "boragepier/peer/peer_codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier::peer {
+
+TEST_GROUP(PeerCodec){ template<typename Content>
+                       static void CheckSurvives(const Content& aContent){
+                         const PeerMessage decoded = DecodePeerMessage(EncodePeerMessage(aContent));
+CHECK(std::get<Content>(decoded) == aContent);
+}
+}
+;
+
+TEST(PeerCodec, MessagesSurviveEncoding)
+{
+  CheckSurvives(PeerDigest{ 9, 7, 8, true, { 1, 2, 0xffffffff }, {}, { 5 } });
+  CheckSurvives(PeerHeads{ PeerSection::Processes, { 3, 63 }, { { "upstream/u-1", { 4, 5 } } } });
+  CheckSurvives(PeerPull{ PeerSection::Departures, { "u-1", "u-2" } });
+  CheckSurvives(PeerConfigs{ { { ServiceName("s"), 1, "p", std::string(kMaxPeerBody, 'x') } } });
+  CheckSurvives(PeerDepartures{ { { UpstreamId("u"), 8, kMaxRound } } });
+  CheckSurvives(PeerMembers{ { { { InstanceId("i"), "10.0.0.1", 65535 }, 3, true } } });
+
+  ProcessEntry entry;
+  entry.process_.id_ = "u-1";
+  entry.process_.peerPort_ = 17;
+  entry.missing_ = true;
+  const auto decoded =
+    std::get<PeerProcesses>(DecodePeerMessage(EncodePeerMessage(PeerProcesses{ { entry } })));
+  CHECK(decoded.entries_.at(0).missing_);
+  CHECK_EQUAL(17, decoded.entries_.at(0).process_.peerPort_);
+}
+
+// Guards against a peer whose bytes make this instance read beyond a message or allocate much.
+TEST(PeerCodec, InvalidBytesAreErrors)
+{
+  const std::string valid = EncodePeerMessage(PeerPull{ PeerSection::Configs, { "stock" } });
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage(""));
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage(valid.substr(0, valid.size() - 1)));
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage(valid + "x"));
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage("\x92\x7f\x90"));            // unknown kind
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage("\xdd\xff\xff\xff\xff"));    // huge list
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage("\x92\x02\x92\x09\x90"));    // section 9
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage(std::string(1000, '\x91'))); // nested deeply
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage(std::string(kMaxPeerMessage + 1, 'x')));
+}
+
+// Guards against a round near the end of its range, after which rounds could not rise any more.
+TEST(PeerCodec, ARoundBeyondTheLimitIsAnError)
+{
+  CHECK_THROWS(
+    PeerMessageError,
+    DecodePeerMessage(EncodePeerMessage(PeerDigest{ kMaxRound + 1, 0, 0, false, {}, {}, {} })));
+}
+
+TEST(PeerCodec, MessagesBeyondALimitAreNotEncoded)
+{
+  CHECK_THROWS(PeerMessageError,
+               EncodePeerMessage(PeerPull{ PeerSection::Configs, { std::string(513, 'x') } }));
+  const ConfigRecord large{ ServiceName("s"), 1, "p", std::string(kMaxPeerBody, 'x') };
+  CHECK_THROWS(PeerMessageError, EncodePeerMessage(PeerConfigs{ { large, large } }));
+}
+
+} // namespace boragepier::peer
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -55,14 +55,18 @@
 /// Checksums of what the sender holds, one for each bucket of each section.
 struct PeerDigest
 {
-  std::uint64_t round_ = 0; ///< see Rounds in docs/peers.md
+  std::uint64_t round_ = 0;        ///< see Rounds in docs/peers.md
+  std::uint64_t configSerial_ = 0; ///< changes of the store that the sender holds
+  std::uint64_t listRound_ = 0;    ///< round of the latest fetch of the list that the sender holds
+  bool leaving_ = false;           ///< the sender is shutting down
   std::vector<std::uint32_t> configs_;
   std::vector<std::uint32_t> processes_;
   std::vector<std::uint32_t> departures_;
   friend bool operator==(const PeerDigest&, const PeerDigest&) = default;
 };
 
-/// Keys and versions of all entries that the sender holds in some buckets.
+/// Keys and versions of all entries that the sender holds in some buckets, or, without buckets, of
+/// some new entries.
 struct PeerHeads
 {
   struct Head
--- /dev/null
+++ b/boragepier/state/config_registry_test.cc
@@ -0,0 +1,77 @@
+#include "boragepier/state/config_registry.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier {
+
+namespace {
+
+ServiceConfig
+ParseStub(std::string_view aText, std::string_view)
+{
+  if (aText == "bad") {
+    throw Error("bad body");
+  }
+  ServiceConfig config;
+  config.name_ = ServiceName(std::string(aText));
+  return config;
+}
+
+} // namespace
+
+TEST_GROUP(ConfigRegistry)
+{
+  ConfigRegistry registry_{ ParseStub };
+  const ServiceName stock_{ "stock" };
+};
+
+// Guards against a late message that brings an older configuration back.
+TEST(ConfigRegistry, OnlyHigherVersionsAreAccepted)
+{
+  CHECK(registry_.Accept({ stock_, 5, "p5", "stock" }));
+  CHECK(!registry_.Accept({ stock_, 5, "p5", "stock" }));
+  CHECK(!registry_.Accept({ stock_, 4, "p4", "stock" }));
+  CHECK_EQUAL(5U, registry_.VersionOf(stock_));
+  CHECK(registry_.Accept({ stock_, 9, "p9", "stock" }));
+}
+
+// Guards against a rejected body that replaces the last good configuration or is fetched again.
+TEST(ConfigRegistry, ABodyThatIsRejectedIsKeptButNotPutInForce)
+{
+  registry_.Accept({ stock_, 1, "p1", "stock" });
+  CHECK_THROWS(ConfigRejected, registry_.Accept({ stock_, 2, "p2", "bad" }));
+  CHECK_THROWS(ConfigRejected, registry_.Accept({ stock_, 3, "p3", "orders" })); // another service
+  const ConfigRegistry::Entry& entry = registry_.All().at(stock_);
+  CHECK_EQUAL(1U, entry.inForceVersion_);
+  CHECK_EQUAL(3U, entry.record_.version_);
+  CHECK(!registry_.Accept({ stock_, 2, "p2", "bad" }));
+  CHECK(registry_.Accept({ stock_, 4, "p4", "stock" }));
+  CHECK(entry.error_.empty());
+}
+
+// Guards against a record that could never be relayed.
+TEST(ConfigRegistry, ABodyThatIsTooLargeIsRejected)
+{
+  CHECK_THROWS(ConfigRejected,
+               registry_.Accept({ stock_, 1, "p", std::string(kMaxConfigBody + 1, 'x') }));
+  CHECK(!registry_.HasConfig());
+}
+
+// Guards against digests that hide a difference or depend on the order of changes.
+TEST(ConfigRegistry, TheDigestDependsOnTheVersionsOnly)
+{
+  ConfigRegistry other(ParseStub);
+  registry_.Accept({ stock_, 1, "p1", "stock" });
+  registry_.Accept({ ServiceName("orders"), 1, "p1", "orders" });
+  other.Accept({ ServiceName("orders"), 1, "p1", "orders" });
+  const auto same = [&] {
+    return std::ranges::equal(registry_.Index().Sums(), other.Index().Sums());
+  };
+  CHECK(!same());
+  other.Accept({ stock_, 1, "p1", "stock" });
+  CHECK(same());
+  other.Accept({ stock_, 2, "p2", "stock" });
+  CHECK(!same());
+}
+
+} // namespace boragepier
--- a/boragepier/state/departures.cc
+++ b/boragepier/state/departures.cc
@@ -29,7 +29,9 @@
   }
   const bool live = !listed->missing_ && !listed->process_.leaving_ &&
                     listed->process_.startNumber_ == aDeparture.startNumber_;
-  return live && age >= kDepartureRounds;
+  // What the list showed before the departure says nothing: it must have been fetched since.
+  return live && age >= kDepartureRounds &&
+         list_.ConfirmedRound() >= aDeparture.round_ + kDepartureRounds;
 }
 
 bool
--- a/boragepier/control/fleet_state.cc
+++ b/boragepier/state/fleet_state.cc
@@ -1,4 +1,4 @@
-#include "boragepier/control/fleet_state.h"
+#include "boragepier/state/fleet_state.h"
 
 #include <algorithm>
 #include <utility>
--- a/boragepier/control/fleet_state.h
+++ b/boragepier/state/fleet_state.h
@@ -1,6 +1,7 @@
-#ifndef BORAGEPIER_CONTROL_FLEET_STATE_H
-#define BORAGEPIER_CONTROL_FLEET_STATE_H
+#ifndef BORAGEPIER_STATE_FLEET_STATE_H
+#define BORAGEPIER_STATE_FLEET_STATE_H
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "boragepier/ports/instance_list.h"
+#include "boragepier/state/config_reader.h"
 #include "boragepier/state/config_registry.h"
 #include "boragepier/state/departures.h"
 #include "boragepier/state/membership.h"
@@ -45,6 +47,8 @@
   /// Accepts a member that was heard from.
   /// @return whether it is news
   bool AcceptMember(const MemberEntry& aMember);
+  /// A peer that holds the same list has it as fetched in a round.
+  void ConfirmList(std::uint64_t aRound) { processes_.Confirm(std::min(aRound, round_)); }
   /// A peer could not be reached.
   void PeerUnreachable(const InstanceId& aPeer);
 
@@ -62,6 +66,9 @@
 
   std::uint64_t Round() const { return round_; }
   const PeerEndpoint& Self() const { return self_; }
+  /// @return the reader of the store's configuration; its owner submits the requests
+  ConfigReader& Reader() { return reader_; }
+  const ConfigReader& Reader() const { return reader_; }
   const ConfigRegistry& Configs() const { return configs_; }
   const ProcessList& Processes() const { return processes_; }
   const Departures& Departing() const { return departures_; }
@@ -73,6 +80,7 @@
 
   PeerEndpoint self_;
   ConfigRegistry configs_;
+  ConfigReader reader_;
   ProcessList processes_;
   Departures departures_{ processes_ };
   Membership members_;
--- a/boragepier/state/membership.cc
+++ b/boragepier/state/membership.cc
@@ -63,7 +63,7 @@
     return false;
   }
   Member& member = members_[id];
-  const std::uint64_t round = std::min(aMember.round_, aRound);
+  const std::uint64_t round = std::min(aMember.round_, aRound + kMemberRounds);
   const bool older = member.heard_ && round < *member.heard_;
   const bool endsLeaving = member.heard_ == round && member.leaving_ && !aMember.leaving_;
   if (older || endsLeaving) {
--- a/boragepier/state/membership.h
+++ b/boragepier/state/membership.h
@@ -13,7 +13,7 @@
 
 /// An instance that is on no list is forgotten when nobody has heard from it for this number of
 /// rounds.
-inline constexpr std::uint64_t kMemberRounds = 30;
+inline constexpr std::uint64_t kMemberRounds = 60;
 /// A peer that could not be reached is tried again after this number of rounds.
 inline constexpr std::uint64_t kRetryPeerRounds = 10;
 
--- a/boragepier/state/process_list.cc
+++ b/boragepier/state/process_list.cc
@@ -59,6 +59,7 @@
   if (!hasUpstream) {
     return changed;
   }
+  Confirm(aRound);
   std::vector<ListedProcess> missing;
   for (const auto& [key, entry] : entries_) {
     if (!entry.missing_ && !seen.contains(key)) {
@@ -111,6 +112,12 @@
   entries_.insert_or_assign(std::move(aKey), std::move(aEntry));
 }
 
+void
+ProcessList::Confirm(std::uint64_t aRound)
+{
+  confirmedRound_ = std::max(confirmedRound_, aRound);
+}
+
 void
 ProcessList::Expire(std::uint64_t aRound)
 {
--- a/boragepier/state/process_list.h
+++ b/boragepier/state/process_list.h
@@ -42,6 +42,11 @@
   /// @return whether it was
   bool Accept(ProcessEntry aEntry, std::uint64_t aRound);
 
+  /// A peer with the same entries holds the list as fetched in a round.
+  void Confirm(std::uint64_t aRound);
+  /// @return round of the latest fetch that the entries agree with
+  std::uint64_t ConfirmedRound() const { return confirmedRound_; }
+
   /// Forgets processes that have been missing for kForgetRounds.
   void Expire(std::uint64_t aRound);
 
@@ -64,6 +69,7 @@
 
   Entries entries_;
   VersionIndex index_;
+  std::uint64_t confirmedRound_ = 0;
 };
 
 } // namespace boragepier
