--- a/boragepier/entry/control_thread.cc
+++ b/boragepier/entry/control_thread.cc
@@ -73,6 +73,7 @@
 std::uint16_t
 ControlThread::Start()
 {
+  lastTick_ = loop_.Now().time_since_epoch().count();
   const std::uint16_t port = peers_.Listen(settings_.peer_.address_, settings_.peer_.port_);
   const PeerEndpoint self{ settings_.id_, settings_.peer_.address_, port };
   ControlOptions options(self, [](const ConfigRecord& aRecord) {
@@ -117,9 +118,17 @@
   onRouting_(std::move(aTable));
 }
 
+bool
+ControlThread::Responsive() const
+{
+  const MonotonicTime last{ Duration(lastTick_) };
+  return loop_.Now() - last < kAskTimeout;
+}
+
 void
 ControlThread::Tick()
 {
+  lastTick_ = loop_.Now().time_since_epoch().count();
   sweeper_.Advance(loop_.Now(), WallNow());
   const PeerCounters traffic = peers_.Counters();
   metrics_.SetControlUsage(ThreadProcessorTime(), traffic.bytesSent_);
--- a/boragepier/entry/control_thread.h
+++ b/boragepier/entry/control_thread.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEPIER_ENTRY_CONTROL_THREAD_H
 #define BORAGEPIER_ENTRY_CONTROL_THREAD_H
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -46,6 +47,8 @@
   /// @throws Error if it cannot be put in force, or the control thread does not answer in time
   bool Announce(ConfigRecord aRecord);
   void BeginShutdown();
+  /// @return whether the control thread has made progress in the last seconds
+  bool Responsive() const;
   /// Waits for the control thread to describe its state.
   /// @throws Error if it does not answer in time
   ControlStatus Status();
@@ -70,6 +73,7 @@
   peer::PeerNode peers_;
   ClaimSweeper<platform::HttpTableStore> sweeper_;
   std::unique_ptr<Plane> plane_;
+  std::atomic<MonotonicTime::rep> lastTick_ = 0; ///< nanoseconds of the loop's clock
   std::thread thread_;
 };
 
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -1,5 +1,7 @@
 #include "boragepier/entry/entry_instance.h"
 
+#include <algorithm>
+#include <chrono>
 #include <random>
 #include <string>
 #include <thread>
@@ -29,13 +31,15 @@
 
 EntryInstance::EntryInstance(const Settings& aSettings)
   : settings_(aSettings)
+  , metrics_(std::make_shared<Metrics>())
+  , explain_(std::make_shared<ExplainStore>())
   , directory_(aSettings.id_, aSettings.zone_, std::random_device()())
   , telemetry_(metrics_,
                explain_,
                [this](const UpstreamEndpoint& aUpstream) {
                  control_.ReportLeaving(aUpstream.id_, aUpstream.startNumber_);
                })
-  , control_(aSettings, metrics_, [this](const auto& aTable) { OnRouting(aTable); })
+  , control_(aSettings, *metrics_, [this](const auto& aTable) { OnRouting(aTable); })
   , traffic_(aSettings, directory_, telemetry_, RequestIdPrefix(aSettings.id_))
 {
 }
@@ -56,7 +60,8 @@
   ports.peer_ = control_.Start();
   traffic_.Start();
   admin_ =
-    std::make_unique<AdminServer>(settings_.admin_.address_, settings_.admin_.port_, MakeHooks());
+    std::make_unique<admin::AdminServer>(
+    settings_.admin_.address_, settings_.admin_.port_, MakeHooks());
   ports.admin_ = admin_->Port();
   Log(EventId::InstanceStarted,
       { { "instance", settings_.id_ },
@@ -73,17 +78,64 @@
   directory_.Apply(*aTable, std::chrono::steady_clock::now());
   traffic_.SetFleetSize(aTable->instances_.size());
   if (!aTable->services_.empty() && !configured_.exchange(true)) {
-    metrics_.SetReady(!draining_);
+    metrics_->SetReady(!draining_);
     Log(EventId::InstanceReady, { { "services", aTable->services_.size() } });
   }
 }
 
+admin::InstanceStatus
+EntryInstance::Status()
+{
+  const ControlStatus control = control_.Status();
+  admin::InstanceStatus status;
+  status.id_ = settings_.id_;
+  status.zone_ = settings_.zone_;
+  status.draining_ = draining_;
+  status.ready_ = configured_ && !draining_;
+  if (!status.ready_) {
+    status.notReadyReason_ = draining_ ? "draining" : "no configuration yet";
+  }
+  status.peers_ = control.peers_.size();
+  status.instances_ = control.members_.size();
+  const auto services = directory_.All();
+  for (const auto& service : *services) {
+    admin::ServiceStatus entry;
+    entry.name_ = service->Config()->name_;
+    entry.version_ = service->Version();
+    const auto candidates = service->With([](ServiceBalancer& aBalancer) {
+      return aBalancer.Candidates(std::chrono::steady_clock::now());
+    });
+    entry.upstreams_ = candidates.size();
+    entry.leavingUpstreams_ = static_cast<std::uint64_t>(std::count_if(
+      candidates.begin(), candidates.end(), [](const auto& aOne) { return aOne.leaving_; }));
+    status.services_.push_back(std::move(entry));
+  }
+  return status;
+}
+
+admin::AdminHooks
+EntryInstance::MakeHooks()
+{
+  return admin::AdminHooksBuilder()
+    .WithLive([this] { return control_.Responsive(); })
+    .WithStatus([this] { return Status(); })
+    .WithAnnounce([this](ConfigRecord aRecord) {
+      Log(EventId::ConfigAnnounced,
+          { { "service", aRecord.service_ }, { "version", aRecord.version_ } });
+      return control_.Announce(std::move(aRecord)) ? admin::AnnounceResult::Accepted
+                                                   : admin::AnnounceResult::Outdated;
+    })
+    .WithMetrics(metrics_)
+    .WithExplain(explain_)
+    .Build();
+}
+
 bool
 EntryInstance::Drain()
 {
   draining_ = true;
-  metrics_.SetReady(false);
-  metrics_.SetDraining(true);
+  metrics_->SetReady(false);
+  metrics_->SetDraining(true);
   Log(EventId::DrainStarted, { { "instance", settings_.id_ } });
   control_.BeginShutdown();
   traffic_.BeginDrain();
--- a/boragepier/entry/entry_instance.h
+++ b/boragepier/entry/entry_instance.h
@@ -49,18 +49,19 @@
 
 private:
   void OnRouting(const std::shared_ptr<const RoutingTable>& aTable);
-  AdminHooks MakeHooks();
+  admin::AdminHooks MakeHooks();
+  admin::InstanceStatus Status();
 
   const Settings settings_;
-  Metrics metrics_;
-  ExplainStore explain_;
+  const std::shared_ptr<Metrics> metrics_;
+  const std::shared_ptr<ExplainStore> explain_;
   std::atomic<bool> configured_ = false;
   std::atomic<bool> draining_ = false;
   ServiceDirectory directory_;
   CallTelemetry telemetry_;
   ControlThread control_;
   TrafficThread traffic_;
-  std::unique_ptr<AdminServer> admin_;
+  std::unique_ptr<admin::AdminServer> admin_;
 };
 
 } // namespace boragepier
