--- a/boragepier/http/client_connection.h
+++ b/boragepier/http/client_connection.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "boragepier/http/client.h"
-#include "boragepier/http/framing.h"
+#include "boragepier/http/response_reader.h"
 #include "boragepier/net/tcp_stream.h"
 
 namespace boragepier::http {
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "boragepier/http/writer.h"
+
 namespace boragepier::http {
 
 namespace {
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -4,7 +4,7 @@
 #include <functional>
 #include <memory>
 
-#include "boragepier/http/framing.h"
+#include "boragepier/http/request_reader.h"
 #include "boragepier/http/server.h"
 #include "boragepier/net/deadline.h"
 #include "boragepier/net/tcp_stream.h"
--- /dev/null
+++ b/boragepier/http/writer.cc
@@ -0,0 +1,121 @@
+#include "boragepier/http/writer.h"
+
+#include <boost/beast/core/buffer_traits.hpp>
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include "boragepier/http/frame_parser.h"
+
+namespace boragepier::http {
+
+namespace {
+
+// A line break inside a value would let it add fields of its own to the message.
+std::string
+OneLine(std::string_view aText)
+{
+  std::string line(aText);
+  for (char& character : line) {
+    if (character == '\r' || character == '\n' || character == '\0') {
+      character = ' ';
+    }
+  }
+  return line;
+}
+
+bool
+IsFramingField(std::string_view aName)
+{
+  using beast::http::field;
+  switch (beast::http::string_to_field(ToBeast(aName))) {
+    case field::connection:
+    case field::content_length:
+    case field::transfer_encoding:
+      return true;
+    default:
+      return false;
+  }
+}
+
+template<typename Message>
+void
+SetFields(Message& aMessage, const Headers& aHeaders)
+{
+  for (const Headers::Field& field : aHeaders) {
+    if (!IsFramingField(field.name_)) {
+      aMessage.insert(ToBeast(OneLine(field.name_)), ToBeast(OneLine(field.value_)));
+    }
+  }
+}
+
+template<bool isRequest>
+std::string
+SerializeHeader(beast::http::message<isRequest, beast::http::empty_body>& aMessage,
+                std::size_t aBodySize)
+{
+  std::string bytes;
+  beast::http::serializer<isRequest, beast::http::empty_body> serializer(aMessage);
+  serializer.split(true);
+  beast::error_code error;
+  while (!error && !serializer.is_header_done()) {
+    serializer.next(error, [&](beast::error_code& /*aError*/, const auto& aBuffers) {
+      const std::size_t size = beast::buffer_bytes(aBuffers);
+      bytes.reserve(bytes.size() + size + aBodySize);
+      for (const auto buffer : beast::buffers_range_ref(aBuffers)) {
+        bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      serializer.consume(size);
+    });
+  }
+  return bytes;
+}
+
+} // namespace
+
+std::string
+WriteRequest(const Request& aRequest, std::string_view aHost)
+{
+  using beast::http::field;
+  beast::http::request<beast::http::empty_body> message;
+  message.method_string(ToBeast(OneLine(aRequest.method_)));
+  message.target(ToBeast(OneLine(aRequest.target_)));
+  message.version(11);
+  SetFields(message, aRequest.headers_);
+  if (message.count(field::host) == 0) {
+    message.set(field::host, ToBeast(aHost));
+  }
+  const std::string_view method = aRequest.method_;
+  if (!aRequest.body_.empty() || method == "POST" || method == "PUT" || method == "PATCH") {
+    message.set(field::content_length, std::to_string(aRequest.body_.size()));
+  }
+  std::string bytes = SerializeHeader(message, aRequest.body_.size());
+  bytes += aRequest.body_;
+  return bytes;
+}
+
+std::string
+WriteResponse(const Response& aResponse, bool aToHead, ConnectionUse aUse)
+{
+  using beast::http::field;
+  beast::http::response<beast::http::empty_body> message;
+  message.result(static_cast<unsigned>(aResponse.status_));
+  message.version(11);
+  SetFields(message, aResponse.headers_);
+  const bool mayHaveBody = aResponse.status_ != 204 && aResponse.status_ != 304;
+  // The answer to HEAD states the length that the body would have; unknown if it was not given.
+  if (mayHaveBody && !(aToHead && aResponse.body_.empty())) {
+    message.set(field::content_length, std::to_string(aResponse.body_.size()));
+  }
+  if (aUse != ConnectionUse::KeepOpen) {
+    message.set(field::connection, aUse == ConnectionUse::Close ? "close" : "keep-alive");
+  }
+  std::string bytes = SerializeHeader(message, aResponse.body_.size());
+  if (mayHaveBody && !aToHead) {
+    bytes += aResponse.body_;
+  }
+  return bytes;
+}
+
+} // namespace boragepier::http
--- a/boragepier/net/socket_stream.h
+++ b/boragepier/net/socket_stream.h
@@ -63,6 +63,7 @@
   std::uint64_t bytesWritten_ = 0;
   bool connecting_ = false;
   bool inputPaused_ = false;
+  bool delivering_ = false; // readBuffer_ is in use by OnInput()
   bool ended_ = false;
 };
 
--- a/boragepier/net/tcp_stream.cc
+++ b/boragepier/net/tcp_stream.cc
@@ -163,7 +163,7 @@
 void
 SocketStream::BeginRead()
 {
-  if (inputPaused_ || ended_ || socket_.reading()) {
+  if (inputPaused_ || ended_ || delivering_ || socket_.reading()) {
     return;
   }
   try {
@@ -241,7 +241,9 @@
   if (count == 0) {
     return;
   }
+  delivering_ = true;
   events_->OnInput({ readBuffer_.data(), count });
+  delivering_ = false;
   if (Closed()) {
     return;
   }
