--- a/boragepier/ports/table_store.h
+++ b/boragepier/ports/table_store.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEPIER_PORTS_TABLE_STORE_H
 #define BORAGEPIER_PORTS_TABLE_STORE_H
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <functional>
@@ -17,7 +18,10 @@
 {
   std::string key_;
   std::string value_;
-  std::uint64_t revision_ = 0; ///< changes with every write to the row
+  /// Changes with every write to the row and never takes an earlier value again, not even after the
+  /// row was deleted and inserted: a late Update or Delete must not hit a later row of the same
+  /// key.
+  std::uint64_t revision_ = 0;
 };
 
 /// One operation of a table request.
@@ -32,10 +36,10 @@
     Delete, ///< fails unless the row has expectedRevision_
   };
   Kind kind_ = Kind::Get;
-  std::string key_;
-  std::string value_;                  ///< of Insert and Update
+  std::string key_{};
+  std::string value_{};                ///< of Insert and Update
   std::uint64_t expectedRevision_ = 0; ///< of Update and Delete
-  std::string startAfter_;             ///< of Scan
+  std::string startAfter_{};           ///< of Scan
   std::size_t limit_ = 100;            ///< of Scan
 };
 
@@ -46,12 +50,22 @@
   bool atomic_ = false; ///< all operations take effect or none; else each stands for itself
 };
 
+/// @return whether the request holds an Insert, Update or Delete
+inline bool
+HoldsWrite(const TableRequest& aRequest)
+{
+  return std::ranges::any_of(aRequest.operations_, [](const TableOperation& aOperation) {
+    return aOperation.kind_ != TableOperation::Kind::Get &&
+           aOperation.kind_ != TableOperation::Kind::Scan;
+  });
+}
+
 /// Result of one operation.
 struct TableOperationResult
 {
-  bool applied_ = false;        ///< the condition held; for an atomic request, all conditions held
-  std::optional<TableRow> row_; ///< the row after the operation; for a failed condition, as it is
-  std::vector<TableRow> scanned_; ///< of Scan
+  bool applied_ = false; ///< the condition held; for an atomic request, all conditions held
+  std::optional<TableRow> row_{}; ///< the row after the operation; for a failed condition, as it is
+  std::vector<TableRow> scanned_{}; ///< of Scan
 };
 
 /// Reply of the table service.
