Add the admin surface

Operators had no way to look into an instance. AdminServer serves /live, /ready, /metrics, /status, /explain and /config/announce by cxxtools::http::Server in its own threads, from functions that the entry process provides.

ReservedPort moves out of tcp_listener.cc, because the admin server needs it too.

--- /dev/null
+++ b/boragepier/admin/admin_hooks.cc
@@ -0,0 +1,55 @@
+#include "boragepier/admin/admin_hooks.h"
+
+#include <utility>
+
+namespace boragepier::admin {
+
+AdminHooksBuilder&
+AdminHooksBuilder::WithLive(std::function<bool()> aFunction)
+{
+  hooks_.live_ = std::move(aFunction);
+  return *this;
+}
+
+AdminHooksBuilder&
+AdminHooksBuilder::WithStatus(std::function<InstanceStatus()> aFunction)
+{
+  hooks_.status_ = std::move(aFunction);
+  return *this;
+}
+
+AdminHooksBuilder&
+AdminHooksBuilder::WithAnnounce(std::function<AnnounceResult(ConfigRecord)> aFunction)
+{
+  hooks_.announce_ = std::move(aFunction);
+  return *this;
+}
+
+AdminHooksBuilder&
+AdminHooksBuilder::WithMetrics(std::shared_ptr<const Metrics> aMetrics)
+{
+  hooks_.metrics_ = std::move(aMetrics);
+  return *this;
+}
+
+AdminHooksBuilder&
+AdminHooksBuilder::WithExplain(std::shared_ptr<const ExplainStore> aStore)
+{
+  hooks_.explain_ = std::move(aStore);
+  return *this;
+}
+
+AdminHooks
+AdminHooksBuilder::Build() const
+{
+  if (!hooks_.status_ || !hooks_.announce_ || !hooks_.metrics_ || !hooks_.explain_) {
+    throw AdminHooksError("admin hooks need status, announce, metrics and explain");
+  }
+  AdminHooks hooks = hooks_;
+  if (!hooks.live_) {
+    hooks.live_ = [] { return true; };
+  }
+  return hooks;
+}
+
+} // namespace boragepier::admin
--- /dev/null
+++ b/boragepier/admin/instance_status.cc
@@ -0,0 +1,57 @@
+#include "boragepier/admin/instance_status.h"
+
+#include <nlohmann/json.hpp>
+
+namespace boragepier::admin {
+
+namespace {
+
+using nlohmann::json;
+
+} // namespace
+
+std::string
+EncodeStatus(const InstanceStatus& aStatus)
+{
+  json services = json::array();
+  for (const ServiceStatus& service : aStatus.services_) {
+    services.push_back({ { "name", service.name_.Text() },
+                         { "version", service.version_ },
+                         { "upstreams", service.upstreams_ },
+                         { "leavingUpstreams", service.leavingUpstreams_ } });
+  }
+  const json status{
+    { "instance", aStatus.id_.Text() },  { "zone", aStatus.zone_.Text() },
+    { "ready", aStatus.ready_ },         { "notReadyReason", aStatus.notReadyReason_ },
+    { "draining", aStatus.draining_ },   { "peers", aStatus.peers_ },
+    { "instances", aStatus.instances_ }, { "services", std::move(services) }
+  };
+  return status.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+InstanceStatus
+DecodeStatus(std::string_view aText)
+{
+  try {
+    const json parsed = json::parse(aText);
+    InstanceStatus status;
+    status.id_ = InstanceId(parsed.at("instance").get<std::string>());
+    status.zone_ = ZoneName(parsed.at("zone").get<std::string>());
+    status.ready_ = parsed.at("ready").get<bool>();
+    status.notReadyReason_ = parsed.at("notReadyReason").get<std::string>();
+    status.draining_ = parsed.at("draining").get<bool>();
+    status.peers_ = parsed.at("peers").get<std::uint64_t>();
+    status.instances_ = parsed.at("instances").get<std::uint64_t>();
+    for (const json& service : parsed.at("services")) {
+      status.services_.push_back({ ServiceName(service.at("name").get<std::string>()),
+                                   service.at("version").get<std::uint64_t>(),
+                                   service.at("upstreams").get<std::uint64_t>(),
+                                   service.at("leavingUpstreams").get<std::uint64_t>() });
+    }
+    return status;
+  } catch (const json::exception& error) {
+    throw StatusError(std::string("not an instance status: ") + error.what());
+  }
+}
+
+} // namespace boragepier::admin
--- /dev/null
+++ b/boragepier/admin/raw_exchange.cc
@@ -0,0 +1,48 @@
+#include "boragepier/admin/raw_exchange.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <array>
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier::admin {
+
+AdminHooks
+EmptyHooks()
+{
+  return AdminHooksBuilder()
+    .WithStatus([] { return InstanceStatus(); })
+    .WithAnnounce([](const ConfigRecord&) { return AnnounceResult::Accepted; })
+    .WithMetrics(std::make_shared<Metrics>())
+    .WithExplain(std::make_shared<ExplainStore>(1))
+    .Build();
+}
+
+std::string
+RawExchange(std::uint16_t aPort, const std::string& aBytes)
+{
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const timeval limit{ 30, 0 };
+  ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPort);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  CHECK_EQUAL(0, ::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof address));
+  CHECK_EQUAL(static_cast<ssize_t>(aBytes.size()),
+              ::send(socket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL));
+  std::string answer;
+  std::array<char, 4096> buffer{};
+  for (ssize_t count = 0; (count = ::recv(socket, buffer.data(), buffer.size(), 0)) > 0;) {
+    answer.append(buffer.data(), static_cast<std::size_t>(count));
+  }
+  ::close(socket);
+  return answer;
+}
+
+} // namespace boragepier::admin
--- a/boragepier/net/tcp_listener.cc
+++ b/boragepier/net/tcp_listener.cc
@@ -3,14 +3,11 @@
 #include <exception>
 #include <utility>
 
-#include <arpa/inet.h>
 #include <cxxtools/connectable.h>
 #include <cxxtools/net/tcpserver.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "boragepier/net/errors.h"
+#include "boragepier/net/reserved_port.h"
 #include "boragepier/net/socket_stream.h"
 
 namespace boragepier::net {
@@ -23,59 +20,6 @@
 // the pending connection while descriptors are exhausted.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
 
-// Holds a port that the system chose until the real listener is bound. cxxtools::net::TcpServer
-// does not tell which port it got. Linux lets two sockets with SO_REUSEADDR share an address until
-// one listens, and gives the port to no other process meanwhile.
-class ReservedPort
-{
-public:
-  explicit ReservedPort(const std::string& aAddress)
-  {
-    if (in_addr probe{}; ::inet_pton(AF_INET, aAddress.c_str(), &probe) == 1) {
-      auto& address = reinterpret_cast<sockaddr_in&>(storage_);
-      address.sin_family = AF_INET;
-      address.sin_addr = probe;
-      Bind(sizeof(sockaddr_in));
-    } else {
-      auto& address = reinterpret_cast<sockaddr_in6&>(storage_);
-      address.sin6_family = AF_INET6;
-      if (::inet_pton(AF_INET6, aAddress.c_str(), &address.sin6_addr) == 1) {
-        Bind(sizeof(sockaddr_in6));
-      }
-    }
-  }
-
-  ~ReservedPort()
-  {
-    if (socket_ >= 0) {
-      ::close(socket_);
-    }
-  }
-
-  ReservedPort(const ReservedPort&) = delete;
-  ReservedPort& operator=(const ReservedPort&) = delete;
-
-  // Returns 0 if the address cannot be bound.
-  std::uint16_t Port() const { return port_; }
-
-private:
-  void Bind(socklen_t aSize)
-  {
-    auto* const address = reinterpret_cast<sockaddr*>(&storage_);
-    socket_ = ::socket(address->sa_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int enabled = 1;
-    ::setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
-    if (::bind(socket_, address, aSize) == 0 && ::getsockname(socket_, address, &aSize) == 0) {
-      // sin_port and sin6_port are at the same place.
-      port_ = ntohs(reinterpret_cast<sockaddr_in&>(storage_).sin_port);
-    }
-  }
-
-  sockaddr_storage storage_{};
-  int socket_ = -1;
-  std::uint16_t port_ = 0;
-};
-
 } // namespace
 
 class TcpListener::Impl
