--- a/boragepier/admin/admin_server_test.cc
+++ b/boragepier/admin/admin_server_test.cc
@@ -49,7 +49,7 @@
         }
         return SampleStatus(ready_);
       })
-      .WithAnnounce([this](ConfigRecord aRecord) {
+      .WithAnnounce([this](const ConfigRecord& aRecord) {
         const bool newer = aRecord.version_ > announced_;
         announced_ = std::max(announced_.load(), aRecord.version_);
         return newer ? AnnounceResult::Accepted : AnnounceResult::Outdated;
