Adapt the admin surface to the entry process and list admin ports

The entry process keeps Metrics and ExplainStore as members and expects AdminServer in the namespace boragepier, so hooks refer to them instead of sharing ownership, and the namespace admin is gone.

The platform's list did not say where an instance's admin surface is, so boragepierctl could not find instances by it. A process may now have admin_port.

--- a/boragepier/admin/admin_api.cc
+++ b/boragepier/admin/admin_api.cc
@@ -9,7 +9,7 @@
 #include "boragepier/config/service_file.h"
 #include "boragepier/telemetry/log.h"
 
-namespace boragepier::admin {
+namespace boragepier {
 
 namespace {
 
@@ -192,4 +192,4 @@
   return JsonResponse(200, result);
 }
 
-} // namespace boragepier::admin
+} // namespace boragepier
--- a/boragepier/admin/admin_api.h
+++ b/boragepier/admin/admin_api.h
@@ -7,7 +7,7 @@
 
 #include "boragepier/admin/admin_hooks.h"
 
-namespace boragepier::admin {
+namespace boragepier {
 
 /// Longest body of POST /config/announce, in bytes. A service file has at most 64 KiB; JSON escapes
 /// can double it.
@@ -57,6 +57,6 @@
   AdminHooks hooks_;
 };
 
-} // namespace boragepier::admin
+} // namespace boragepier
 
 #endif
--- a/boragepier/admin/admin_framing_test.cc
+++ b/boragepier/admin/admin_framing_test.cc
@@ -5,7 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-namespace boragepier::admin {
+namespace boragepier {
 
 namespace {
 
@@ -49,4 +49,4 @@
           .starts_with("HTTP/1.1 200"));
 }
 
-} // namespace boragepier::admin
+} // namespace boragepier
--- a/boragepier/admin/admin_hooks.cc
+++ b/boragepier/admin/admin_hooks.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace boragepier::admin {
+namespace boragepier {
 
 AdminHooksBuilder&
 AdminHooksBuilder::WithLive(std::function<bool()> aFunction)
@@ -26,16 +26,16 @@
 }
 
 AdminHooksBuilder&
-AdminHooksBuilder::WithMetrics(std::shared_ptr<const Metrics> aMetrics)
+AdminHooksBuilder::WithMetrics(const Metrics& aMetrics)
 {
-  hooks_.metrics_ = std::move(aMetrics);
+  hooks_.metrics_ = &aMetrics;
   return *this;
 }
 
 AdminHooksBuilder&
-AdminHooksBuilder::WithExplain(std::shared_ptr<const ExplainStore> aStore)
+AdminHooksBuilder::WithExplain(const ExplainStore& aStore)
 {
-  hooks_.explain_ = std::move(aStore);
+  hooks_.explain_ = &aStore;
   return *this;
 }
 
@@ -52,4 +52,4 @@
   return hooks;
 }
 
-} // namespace boragepier::admin
+} // namespace boragepier
--- a/boragepier/admin/admin_hooks.h
+++ b/boragepier/admin/admin_hooks.h
@@ -1,9 +1,8 @@
 #ifndef BORAGEPIER_ADMIN_ADMIN_HOOKS_H
 #define BORAGEPIER_ADMIN_ADMIN_HOOKS_H
 
+#include <cstdint>
 #include <functional>
-#include <memory>
-#include <string>
 
 #include "boragepier/admin/instance_status.h"
 #include "boragepier/base/errors.h"
@@ -11,7 +10,7 @@
 #include "boragepier/telemetry/explain.h"
 #include "boragepier/telemetry/metrics.h"
 
-namespace boragepier::admin {
+namespace boragepier {
 
 /// AdminHooksBuilder::Build() was called without a hook that is needed.
 class AdminHooksError : public Error
@@ -35,8 +34,8 @@
   std::function<InstanceStatus()> status_;
   /// Receives a record whose body has been parsed successfully.
   std::function<AnnounceResult(ConfigRecord)> announce_;
-  std::shared_ptr<const Metrics> metrics_;
-  std::shared_ptr<const ExplainStore> explain_;
+  const Metrics* metrics_ = nullptr;
+  const ExplainStore* explain_ = nullptr;
 };
 
 /// Builds AdminHooks.
@@ -54,8 +53,10 @@
   AdminHooksBuilder& WithLive(std::function<bool()> aFunction);
   AdminHooksBuilder& WithStatus(std::function<InstanceStatus()> aFunction);
   AdminHooksBuilder& WithAnnounce(std::function<AnnounceResult(ConfigRecord)> aFunction);
-  AdminHooksBuilder& WithMetrics(std::shared_ptr<const Metrics> aMetrics);
-  AdminHooksBuilder& WithExplain(std::shared_ptr<const ExplainStore> aStore);
+  /// @param aMetrics outlives the server
+  AdminHooksBuilder& WithMetrics(const Metrics& aMetrics);
+  /// @param aStore outlives the server
+  AdminHooksBuilder& WithExplain(const ExplainStore& aStore);
 
   /// @throws AdminHooksError if anything but WithLive() is missing
   AdminHooks Build() const;
@@ -64,6 +65,6 @@
   AdminHooks hooks_;
 };
 
-} // namespace boragepier::admin
+} // namespace boragepier
 
 #endif
--- a/boragepier/admin/admin_malformed_test.cc
+++ b/boragepier/admin/admin_malformed_test.cc
@@ -3,7 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-namespace boragepier::admin {
+namespace boragepier {
 
 TEST_GROUP(AdminMalformed){};
 
@@ -17,4 +17,4 @@
   }
 }
 
-} // namespace boragepier::admin
+} // namespace boragepier
--- a/boragepier/admin/admin_server.cc
+++ b/boragepier/admin/admin_server.cc
@@ -20,7 +20,7 @@
 #include "boragepier/admin/admin_api.h"
 #include "boragepier/net/reserved_port.h"
 
-namespace boragepier::admin {
+namespace boragepier {
 
 namespace {
 
@@ -260,4 +260,4 @@
   return impl_->port_;
 }
 
-} // namespace boragepier::admin
+} // namespace boragepier
--- a/boragepier/admin/admin_server.h
+++ b/boragepier/admin/admin_server.h
@@ -8,7 +8,7 @@
 #include "boragepier/admin/admin_hooks.h"
 #include "boragepier/base/errors.h"
 
-namespace boragepier::admin {
+namespace boragepier {
 
 /// The admin address cannot be used.
 class AdminListenError : public Error
@@ -40,6 +40,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-} // namespace boragepier::admin
+} // namespace boragepier
 
 #endif
--- a/boragepier/admin/admin_server_test.cc
+++ b/boragepier/admin/admin_server_test.cc
@@ -10,7 +10,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-namespace boragepier::admin {
+namespace boragepier {
 
 namespace {
 
@@ -36,8 +36,8 @@
   std::atomic<bool> ready_ = true;
   std::atomic<bool> failing_ = false;
   std::atomic<std::uint64_t> announced_ = 0;
-  std::shared_ptr<Metrics> metrics_ = std::make_shared<Metrics>();
-  std::shared_ptr<ExplainStore> explain_ = std::make_shared<ExplainStore>(8);
+  Metrics metrics_;
+  ExplainStore explain_{ 8 };
   AdminServer server_{ "127.0.0.1", 0, Hooks() };
 
   AdminHooks Hooks()
@@ -102,7 +102,7 @@
 TEST(AdminServer, ReportsReadinessStatusAndMetrics)
 {
   Fixture fixture;
-  fixture.metrics_->SetPeers(3);
+  fixture.metrics_.SetPeers(3);
   CHECK_EQUAL(200, fixture.Get("/live").status_);
   CHECK_EQUAL(200, fixture.Get("/ready").status_);
   fixture.ready_ = false;
@@ -119,7 +119,7 @@
   for (int i = 0; i < 3; ++i) {
     ExplainRecord record;
     record.id_ = RequestId("r" + std::to_string(i));
-    fixture.explain_->Add(record);
+    fixture.explain_.Add(record);
   }
   CHECK(json::parse(fixture.Get("/explain?id=r1").body_).at("requestId") == "r1");
   const json last = json::parse(fixture.Get("/explain?last=2").body_);
@@ -189,4 +189,4 @@
   CHECK_THROWS(AdminHooksError, AdminHooksBuilder().Build());
 }
 
-} // namespace boragepier::admin
+} // namespace boragepier
--- a/boragepier/admin/instance_status.cc
+++ b/boragepier/admin/instance_status.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace boragepier::admin {
+namespace boragepier {
 
 namespace {
 
@@ -54,4 +54,4 @@
   }
 }
 
-} // namespace boragepier::admin
+} // namespace boragepier
--- a/boragepier/admin/instance_status.h
+++ b/boragepier/admin/instance_status.h
@@ -9,7 +9,7 @@
 #include "boragepier/base/errors.h"
 #include "boragepier/base/ids.h"
 
-namespace boragepier::admin {
+namespace boragepier {
 
 /// Text that is not an instance status.
 class StatusError : public Error
@@ -51,6 +51,6 @@
 InstanceStatus
 DecodeStatus(std::string_view aText);
 
-} // namespace boragepier::admin
+} // namespace boragepier
 
 #endif
--- a/boragepier/admin/raw_exchange.cc
+++ b/boragepier/admin/raw_exchange.cc
@@ -10,16 +10,18 @@
 
 #include <CppUTest/TestHarness.h>
 
-namespace boragepier::admin {
+namespace boragepier {
 
 AdminHooks
 EmptyHooks()
 {
+  static const Metrics metrics;
+  static const ExplainStore explain(1);
   return AdminHooksBuilder()
     .WithStatus([] { return InstanceStatus(); })
     .WithAnnounce([](const ConfigRecord&) { return AnnounceResult::Accepted; })
-    .WithMetrics(std::make_shared<Metrics>())
-    .WithExplain(std::make_shared<ExplainStore>(1))
+    .WithMetrics(metrics)
+    .WithExplain(explain)
     .Build();
 }
 
@@ -45,4 +47,4 @@
   return answer;
 }
 
-} // namespace boragepier::admin
+} // namespace boragepier
--- a/boragepier/admin/raw_exchange.h
+++ b/boragepier/admin/raw_exchange.h
@@ -6,7 +6,7 @@
 
 #include "boragepier/admin/admin_hooks.h"
 
-namespace boragepier::admin {
+namespace boragepier {
 
 /// @return hooks that answer with empty data, for tests
 AdminHooks
@@ -17,6 +17,6 @@
 std::string
 RawExchange(std::uint16_t aPort, const std::string& aBytes);
 
-} // namespace boragepier::admin
+} // namespace boragepier
 
 #endif
--- a/boragepier/platform/instance_codec.cc
+++ b/boragepier/platform/instance_codec.cc
@@ -18,7 +18,7 @@
     { "service", aProcess.service_ }, { "address", aProcess.address_ },
     { "port", aProcess.port_ },       { "peer_port", aProcess.peerPort_ },
     { "zone", aProcess.zone_ },       { "start_number", aProcess.startNumber_ },
-    { "leaving", aProcess.leaving_ },
+    { "leaving", aProcess.leaving_ }, { "admin_port", aProcess.adminPort_ },
   };
 }
 
@@ -46,6 +46,9 @@
   process.zone_ = aJson.at("zone").get<std::string>();
   process.startNumber_ = NumberAt(aJson, "start_number", std::numeric_limits<std::uint64_t>::max());
   process.leaving_ = aJson.at("leaving").get<bool>();
+  if (aJson.contains("admin_port")) {
+    process.adminPort_ = static_cast<std::uint16_t>(NumberAt(aJson, "admin_port", kMaxPort));
+  }
   if (process.id_.empty()) {
     throw ProtocolError("process without id");
   }
--- a/boragepier/ports/instance_list.h
+++ b/boragepier/ports/instance_list.h
@@ -24,6 +24,7 @@
   std::string zone_;
   std::uint64_t startNumber_ = 0; ///< rises with every start of the same process id
   bool leaving_ = false;
+  std::uint16_t adminPort_ = 0; ///< of an entry instance: port of the admin surface, 0 if unknown
 };
 
 /// The list, or nothing if the platform did not answer.
