--- a/boragepier/admin/admin_server.h
+++ b/boragepier/admin/admin_server.h
@@ -17,7 +17,7 @@
   using Error::Error;
 };
 
-/// Serves the admin surface over HTTP on its own address, in threads of its own. Has no
+/// Serves the admin surface over HTTP on its own address, in a thread of its own. Has no
 /// authentication: who can reach the address can read everything and announce configurations.
 class AdminServer
 {
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -31,15 +31,13 @@
 
 EntryInstance::EntryInstance(const Settings& aSettings)
   : settings_(aSettings)
-  , metrics_(std::make_shared<Metrics>())
-  , explain_(std::make_shared<ExplainStore>())
   , directory_(aSettings.id_, aSettings.zone_, std::random_device()())
   , telemetry_(metrics_,
                explain_,
                [this](const UpstreamEndpoint& aUpstream) {
                  control_.ReportLeaving(aUpstream.id_, aUpstream.startNumber_);
                })
-  , control_(aSettings, *metrics_, [this](const auto& aTable) { OnRouting(aTable); })
+  , control_(aSettings, metrics_, [this](const auto& aTable) { OnRouting(aTable); })
   , traffic_(aSettings, directory_, telemetry_, RequestIdPrefix(aSettings.id_))
 {
 }
@@ -60,8 +58,7 @@
   ports.peer_ = control_.Start();
   traffic_.Start();
   admin_ =
-    std::make_unique<admin::AdminServer>(
-    settings_.admin_.address_, settings_.admin_.port_, MakeHooks());
+    std::make_unique<AdminServer>(settings_.admin_.address_, settings_.admin_.port_, MakeHooks());
   ports.admin_ = admin_->Port();
   Log(EventId::InstanceStarted,
       { { "instance", settings_.id_ },
@@ -78,16 +75,16 @@
   directory_.Apply(*aTable, std::chrono::steady_clock::now());
   traffic_.SetFleetSize(aTable->instances_.size());
   if (!aTable->services_.empty() && !configured_.exchange(true)) {
-    metrics_->SetReady(!draining_);
+    metrics_.SetReady(!draining_);
     Log(EventId::InstanceReady, { { "services", aTable->services_.size() } });
   }
 }
 
-admin::InstanceStatus
+InstanceStatus
 EntryInstance::Status()
 {
   const ControlStatus control = control_.Status();
-  admin::InstanceStatus status;
+  InstanceStatus status;
   status.id_ = settings_.id_;
   status.zone_ = settings_.zone_;
   status.draining_ = draining_;
@@ -99,7 +96,7 @@
   status.instances_ = control.members_.size();
   const auto services = directory_.All();
   for (const auto& service : *services) {
-    admin::ServiceStatus entry;
+    ServiceStatus entry;
     entry.name_ = service->Config()->name_;
     entry.version_ = service->Version();
     const auto candidates = service->With([](ServiceBalancer& aBalancer) {
@@ -113,17 +110,17 @@
   return status;
 }
 
-admin::AdminHooks
+AdminHooks
 EntryInstance::MakeHooks()
 {
-  return admin::AdminHooksBuilder()
+  return AdminHooksBuilder()
     .WithLive([this] { return control_.Responsive(); })
     .WithStatus([this] { return Status(); })
     .WithAnnounce([this](ConfigRecord aRecord) {
       Log(EventId::ConfigAnnounced,
           { { "service", aRecord.service_ }, { "version", aRecord.version_ } });
-      return control_.Announce(std::move(aRecord)) ? admin::AnnounceResult::Accepted
-                                                   : admin::AnnounceResult::Outdated;
+      return control_.Announce(std::move(aRecord)) ? AnnounceResult::Accepted
+                                                   : AnnounceResult::Outdated;
     })
     .WithMetrics(metrics_)
     .WithExplain(explain_)
@@ -134,8 +131,8 @@
 EntryInstance::Drain()
 {
   draining_ = true;
-  metrics_->SetReady(false);
-  metrics_->SetDraining(true);
+  metrics_.SetReady(false);
+  metrics_.SetDraining(true);
   Log(EventId::DrainStarted, { { "instance", settings_.id_ } });
   control_.BeginShutdown();
   traffic_.BeginDrain();
--- a/boragepier/entry/entry_instance.h
+++ b/boragepier/entry/entry_instance.h
@@ -49,19 +49,19 @@
 
 private:
   void OnRouting(const std::shared_ptr<const RoutingTable>& aTable);
-  admin::AdminHooks MakeHooks();
-  admin::InstanceStatus Status();
+  AdminHooks MakeHooks();
+  InstanceStatus Status();
 
   const Settings settings_;
-  const std::shared_ptr<Metrics> metrics_;
-  const std::shared_ptr<ExplainStore> explain_;
+  Metrics metrics_;
+  ExplainStore explain_;
   std::atomic<bool> configured_ = false;
   std::atomic<bool> draining_ = false;
   ServiceDirectory directory_;
   CallTelemetry telemetry_;
   ControlThread control_;
   TrafficThread traffic_;
-  std::unique_ptr<admin::AdminServer> admin_;
+  std::unique_ptr<AdminServer> admin_;
 };
 
 } // namespace boragepier
