--- /dev/null
+++ b/apps/boragepierctl/service_files.cc
@@ -0,0 +1,100 @@
+#include "apps/boragepierctl/service_files.h"
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+
+#include "apps/boragepierctl/ctl_errors.h"
+#include "boragepier/config/ini_text.h"
+#include "boragepier/config/service_file.h"
+
+namespace boragepier::ctl {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string
+ReadText(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  std::string text(kMaxIniText + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (file.bad() || !file.is_open()) {
+    throw ConfigError(aPath, 0, "", "the file cannot be read");
+  }
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  return text;
+}
+
+// Adds a mistake for each service name and path prefix that occurs twice.
+void
+CheckTogether(std::span<const ServiceFile> aFiles, std::string& aMistakes)
+{
+  std::map<std::string, std::string> names;
+  std::map<std::string, std::string> prefixes;
+  for (const ServiceFile& file : aFiles) {
+    const auto check = [&](auto& aSeen, const std::string& aValue, std::string_view aKey) {
+      if (const auto [entry, added] = aSeen.emplace(aValue, file.path_); !added) {
+        aMistakes.append(file.path_ + ": service." + std::string(aKey) + ": value " +
+                         Quoted(aValue) + " is also in " + entry->second + "\n");
+      }
+    };
+    check(names, file.config_.name_.Text(), "name");
+    check(prefixes, file.config_.pathPrefix_, "path-prefix");
+  }
+}
+
+} // namespace
+
+std::vector<std::string>
+CollectServiceFiles(std::span<const std::string> aPaths)
+{
+  std::set<std::string> found;
+  for (const std::string& path : aPaths) {
+    std::error_code error;
+    if (fs::is_regular_file(path, error)) {
+      found.insert(path);
+      continue;
+    }
+    for (fs::recursive_directory_iterator entry(path, error), end; !error && entry != end;
+         entry.increment(error)) {
+      if (entry->is_regular_file() && entry->path().string().ends_with(kServiceFileEnding)) {
+        found.insert(entry->path().lexically_normal().string());
+      }
+    }
+    if (error) {
+      throw FilesInvalidError(path + ": " + error.message() +
+                              "; give directories that can be read");
+    }
+  }
+  if (found.empty()) {
+    throw FilesInvalidError("there is no file *" + std::string(kServiceFileEnding) +
+                            " below the directories given");
+  }
+  return { found.begin(), found.end() };
+}
+
+std::vector<ServiceFile>
+ReadServiceFiles(std::span<const std::string> aPaths)
+{
+  std::vector<ServiceFile> files;
+  std::string mistakes;
+  for (const std::string& path : aPaths) {
+    try {
+      std::string text = ReadText(path);
+      ServiceConfig config = ParseServiceFile(text, path);
+      files.push_back({ path, std::move(text), std::move(config) });
+    } catch (const ConfigError& error) {
+      mistakes.append(error.what()).append("\n");
+    }
+  }
+  CheckTogether(files, mistakes);
+  if (!mistakes.empty()) {
+    throw FilesInvalidError(mistakes + "correct the files; docs/configuration.md lists all keys");
+  }
+  return files;
+}
+
+} // namespace boragepier::ctl
