--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -122,7 +122,7 @@
 {
   try {
     return Run(aCount, aArguments);
-  } catch (const cxxopts::OptionException& error) {
+  } catch (const cxxopts::exceptions::exception& error) {
     std::cerr << "boragepier: " << error.what() << "; see boragepier --help\n";
     return kExitUsage;
   } catch (const boragepier::ConfigError& error) {
--- a/boragepier/entry/control_thread.cc
+++ b/boragepier/entry/control_thread.cc
@@ -76,9 +76,7 @@
   lastTick_ = loop_.Now().time_since_epoch().count();
   const std::uint16_t port = peers_.Listen(settings_.peer_.address_, settings_.peer_.port_);
   const PeerEndpoint self{ settings_.id_, settings_.peer_.address_, port };
-  ControlOptions options(self, [](const ConfigRecord& aRecord) {
-    return ParseServiceFile(aRecord.body_, aRecord.service_.View());
-  });
+  ControlOptions options(self, ParseServiceFile);
   options.WithSeeds(SeedsOf(settings_)).WithRandomSeed(std::random_device()());
   plane_ = std::make_unique<Plane>(loop_, table_, list_, peers_, std::move(options));
   plane_->OnRoutingChanged([this](auto aTable) { OnRouting(std::move(aTable)); });
--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -140,9 +140,10 @@
                     { "service", "" },
                     { "address", "127.0.0.1" },
                     { "port", aInstance.caller_ },
-                    { "peerPort", aInstance.peer_ },
+                    { "peer_port", aInstance.peer_ },
+                    { "admin_port", aInstance.admin_ },
                     { "zone", "a" },
-                    { "startNumber", 1 },
+                    { "start_number", 1 },
                     { "leaving", aLeaving } };
   CheckApplied(client_.Put(platformPort_, "PUT", "/instances/" + aInstance.id_, entry.dump()),
                "the registration of an instance");
