--- a/boragepier/control/fleet_test.cc
+++ b/boragepier/control/fleet_test.cc
@@ -93,6 +93,9 @@
     };
     CHECK(aFleet.Until(kKnownEverywhere, hasOther) <= kKnownEverywhere);
     CHECK(!aFleet.instances_[9]->FindUpstream("u-2")->leaving_);
+    aFleet.Start(kInstances + 1); // known to no list
+    CHECK(AllHave(aFleet, "stock", 1) <= kKnownEverywhere);
+    CHECK(AllKnowLeaving(aFleet, "u-1") <= kKnownEverywhere);
   });
 }
 
--- a/boragepier/peer/peer_codec.cc
+++ b/boragepier/peer/peer_codec.cc
@@ -101,7 +101,7 @@
 void
 Fields(auto& aVisit, PeerDepartures& aValue)
 {
-  aVisit(aValue.entries_);
+  aVisit(Round{ aValue.round_ }, aValue.entries_);
 }
 
 void
--- a/boragepier/peer/peer_codec_test.cc
+++ b/boragepier/peer/peer_codec_test.cc
@@ -18,7 +18,7 @@
   CheckSurvives(PeerHeads{ PeerSection::Processes, { 3, 63 }, { { "upstream/u-1", { 4, 5 } } } });
   CheckSurvives(PeerPull{ PeerSection::Departures, { "u-1", "u-2" } });
   CheckSurvives(PeerConfigs{ { { ServiceName("s"), 1, "p", std::string(kMaxPeerBody, 'x') } } });
-  CheckSurvives(PeerDepartures{ { { UpstreamId("u"), 8, kMaxRound } } });
+  CheckSurvives(PeerDepartures{ 6, { { UpstreamId("u"), 8, kMaxRound } } });
   CheckSurvives(PeerMembers{ { { { InstanceId("i"), "10.0.0.1", 65535 }, 3, true } } });
 
   ProcessEntry entry;
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -122,6 +122,7 @@
 /// Departures of upstreams.
 struct PeerDepartures
 {
+  std::uint64_t round_ = 0; ///< of the sender, to which the rounds of the entries refer
   std::vector<Departure> entries_;
   friend bool operator==(const PeerDepartures&, const PeerDepartures&) = default;
 };
--- a/boragepier/state/departures.cc
+++ b/boragepier/state/departures.cc
@@ -82,10 +82,10 @@
 }
 
 void
-Departures::Shift(std::uint64_t aRounds)
+Departures::Shift(std::uint64_t aRounds, std::uint64_t aRound)
 {
   for (auto& [name, departure] : entries_) {
-    departure.round_ = std::min(departure.round_ + aRounds, kMaxRound);
+    departure.round_ = std::min(departure.round_ + aRounds, aRound);
     index_.Set(name, { departure.startNumber_, departure.round_ });
   }
 }
--- a/boragepier/state/departures.h
+++ b/boragepier/state/departures.h
@@ -43,8 +43,9 @@
   /// @return whether any ended
   bool Expire(std::uint64_t aRound);
 
-  /// Adds to the rounds of all entries, after this instance learnt that its round was behind.
-  void Shift(std::uint64_t aRounds);
+  /// Adds to the rounds of all entries, after this instance learnt that its round was behind. No
+  /// entry becomes later than the round now: those from peers have the right round already.
+  void Shift(std::uint64_t aRounds, std::uint64_t aRound);
 
   /// @return whether the start of the upstream is departing
   bool Holds(std::string_view aUpstream, std::uint64_t aStartNumber) const;
--- a/boragepier/state/fleet_state.cc
+++ b/boragepier/state/fleet_state.cc
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr std::size_t kPollersPerRound = 2;
-// A larger step of the round means that this instance was started or paused, not that its clock
-// is a little slow.
-constexpr std::uint64_t kRoundJump = 10;
 constexpr std::string_view kUpstreamRole = "upstream";
 constexpr std::string_view kEntryRole = "entry";
 
@@ -72,7 +69,8 @@
   }
   if (const ListedProcess& process = aEntry.process_;
       process.role_ == kUpstreamRole && process.leaving_) {
-    AcceptDeparture({ UpstreamId(process.id_), process.startNumber_, aEntry.round_ });
+    // The round of the entry can be that of an instance that had just started.
+    SignalDeparture(UpstreamId(process.id_), process.startNumber_);
   }
   ListChanged();
   return true;
@@ -103,8 +101,11 @@
 }
 
 bool
-FleetState::AcceptDeparture(const Departure& aDeparture)
+FleetState::AcceptDeparture(Departure aDeparture, std::uint64_t aSenderRound)
 {
+  if (IsBehind(aSenderRound)) {
+    aDeparture.round_ = std::min(aDeparture.round_ + (round_ - aSenderRound), round_);
+  }
   const bool news = departures_.Accept(aDeparture, round_);
   changed_ = changed_ || news;
   return news;
@@ -146,7 +147,7 @@
     return;
   }
   if (aRound - round_ > kRoundJump) {
-    departures_.Shift(aRound - round_);
+    departures_.Shift(aRound - round_, aRound);
   }
   round_ = aRound - 1;
   NextRound();
--- a/boragepier/state/fleet_state.h
+++ b/boragepier/state/fleet_state.h
@@ -18,6 +18,10 @@
 
 namespace boragepier {
 
+/// A larger difference of rounds means that an instance was started, paused or cut off, not that
+/// its clock is a little slow.
+inline constexpr std::uint64_t kRoundJump = 10;
+
 /// What an instance knows of the fleet: configuration, the platform's list, departures, members.
 /// Builds the routing table from it. Reads no clock and does no I/O.
 class FleetState
@@ -42,8 +46,9 @@
   /// @return whether it is news
   bool SignalDeparture(const UpstreamId& aUpstream, std::uint64_t aStartNumber);
   /// Accepts a departure from a peer.
+  /// @param aSenderRound the round of the peer
   /// @return whether it is news
-  bool AcceptDeparture(const Departure& aDeparture);
+  bool AcceptDeparture(Departure aDeparture, std::uint64_t aSenderRound);
   /// Accepts a member that was heard from.
   /// @return whether it is news
   bool AcceptMember(const MemberEntry& aMember);
@@ -57,6 +62,9 @@
   /// Takes over the round of a peer that is ahead.
   void JumpTo(std::uint64_t aRound);
 
+  /// @return whether a peer with this round was started, paused or cut off
+  bool IsBehind(std::uint64_t aRound) const { return aRound + kRoundJump < round_; }
+
   /// @return whether this instance reads the store and the list in this round. Two instances of
   ///         the live view do, so that the loss of one does not delay a change.
   bool IsPoller() const;
--- a/boragepier/state/fleet_state_test.cc
+++ b/boragepier/state/fleet_state_test.cc
@@ -97,8 +97,8 @@
   state_.MergeList(list_);
   Rounds(1);
   CHECK(!state_.Departing().Holds("u-1", 5));
-  CHECK(!state_.AcceptDeparture({ UpstreamId("u-1"), 5, 1 }));
-  CHECK(state_.AcceptDeparture({ UpstreamId("u-1"), 6, 1 }));
+  CHECK(!state_.AcceptDeparture({ UpstreamId("u-1"), 5, 1 }, 1));
+  CHECK(state_.AcceptDeparture({ UpstreamId("u-1"), 6, 1 }, 1));
 }
 
 // Guards against a departure seen before the first contact with peers that ends at once because
--- a/boragepier/state/gossip.cc
+++ b/boragepier/state/gossip.cc
@@ -64,7 +64,11 @@
 {
   state_.JumpTo(aDigest.round_);
   // The sender's round orders what it says of itself, whatever the order of arrival.
-  const MemberEntry member{ aSender, aDigest.round_, aDigest.leaving_ };
+  const bool behind = state_.IsBehind(aDigest.round_);
+  const MemberEntry member{ aSender, behind ? state_.Round() : aDigest.round_, aDigest.leaving_ };
+  if (behind) {
+    Reply(aSender, OwnDigest()); // brings the sender to the round of the fleet
+  }
   if (state_.AcceptMember(member)) {
     SendMembers(aSender, kMembersForNewcomer);
     if (aDigest.leaving_) {
@@ -207,8 +211,9 @@
 void
 Gossip::Handle(const PeerEndpoint&, const PeerDepartures& aDepartures)
 {
+  state_.JumpTo(aDepartures.round_);
   for (const Departure& departure : aDepartures.entries_) {
-    if (state_.AcceptDeparture(departure)) {
+    if (state_.AcceptDeparture(departure, aDepartures.round_)) {
       AddNews(PeerSection::Departures, departure.upstream_.Text(), false);
     }
   }
--- a/boragepier/state/gossip_entries.cc
+++ b/boragepier/state/gossip_entries.cc
@@ -47,7 +47,7 @@
     });
     return processes;
   }
-  PeerDepartures departures;
+  PeerDepartures departures{ aState.Round(), {} };
   const auto find = [&](const std::string& aKey) { return aState.Departing().Find(aKey); };
   CollectInto(aKeys, aLimit, find, [&](const Departure& aDeparture) {
     departures.entries_.push_back(aDeparture);
