Add PeerNode: messages between instances over nghttp2

Cause: the control plane had no transport.

The peer transport is started with the endpoint of this instance.

Conclusion: ControlPlane can run over PeerNode.

--- a/boragepier/state/byte_budget.h
+++ b/boragepier/base/rate_budget.h
@@ -1,5 +1,5 @@
-#ifndef BORAGEPIER_STATE_BYTE_BUDGET_H
-#define BORAGEPIER_STATE_BYTE_BUDGET_H
+#ifndef BORAGEPIER_BASE_RATE_BUDGET_H
+#define BORAGEPIER_BASE_RATE_BUDGET_H
 
 #include <algorithm>
 #include <cstddef>
@@ -8,15 +8,16 @@
 
 namespace boragepier {
 
-/// Bounds bytes per second on average. Spending may exceed what is left once, so that a message
-/// larger than the budget of a second can pass; the debt is then waited for.
-class ByteBudget
+/// Bounds something per second on average, for example bytes. Spending may exceed what is left
+/// once, so that a message larger than the budget of a second can pass; the debt is then waited
+/// for.
+class RateBudget
 {
 public:
-  /// @param aBytesPerSecond the rate; unused budget is kept for one second
-  explicit ByteBudget(double aBytesPerSecond)
-    : rate_(aBytesPerSecond)
-    , left_(aBytesPerSecond)
+  /// @param aPerSecond the rate; unused budget is kept for one second
+  explicit RateBudget(double aPerSecond)
+    : rate_(aPerSecond)
+    , left_(aPerSecond)
   {
   }
 
@@ -27,10 +28,10 @@
     return left_ > 0;
   }
 
-  void Spend(std::size_t aBytes, MonotonicTime aNow)
+  void Spend(std::size_t aAmount, MonotonicTime aNow)
   {
     Refill(aNow);
-    left_ -= static_cast<double>(aBytes);
+    left_ -= static_cast<double>(aAmount);
   }
 
   /// @return time until Allows() holds, at least a millisecond if it does not hold now
--- a/boragepier/control/control_plane_impl.h
+++ b/boragepier/control/control_plane_impl.h
@@ -45,7 +45,8 @@
 void
 ControlPlane<Table, List, Peers, Loop>::Start()
 {
-  peers_.SetHandlers(
+  peers_.Start(
+    state_.Self(),
     [this](const PeerEndpoint& aSender, PeerMessage aMessage, std::size_t aBytes) {
       OnPeerMessage(aSender, std::move(aMessage), aBytes);
     },
--- a/boragepier/control/control_plane_test.cc
+++ b/boragepier/control/control_plane_test.cc
@@ -43,7 +43,7 @@
 struct PeersStub
 {
   std::size_t Send(const PeerEndpoint&, const PeerMessage&) { return 0; }
-  void SetHandlers(const PeerMessageCallback&, const PeerUnreachableCallback&) {}
+  void Start(const PeerEndpoint&, const PeerMessageCallback&, const PeerUnreachableCallback&) {}
   PeerCounters Counters() const { return {}; }
 };
 
--- a/boragepier/control/fleet_fixture.h
+++ b/boragepier/control/fleet_fixture.h
@@ -93,7 +93,9 @@
   struct Transport
   {
     std::size_t Send(const PeerEndpoint& aPeer, const PeerMessage& aMessage);
-    void SetHandlers(PeerMessageCallback aMessage, PeerUnreachableCallback aUnreachable)
+    void Start(const PeerEndpoint&,
+               PeerMessageCallback aMessage,
+               PeerUnreachableCallback aUnreachable)
     {
       onMessage_ = std::move(aMessage);
       onUnreachable_ = std::move(aUnreachable);
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -59,8 +59,7 @@
   ports.caller_ = traffic_.Listen();
   ports.peer_ = control_.Start();
   traffic_.Start();
-  admin_ =
-    std::make_unique<admin::AdminServer>(
+  admin_ = std::make_unique<admin::AdminServer>(
     settings_.admin_.address_, settings_.admin_.port_, MakeHooks());
   ports.admin_ = admin_->Port();
   Log(EventId::InstanceStarted,
--- /dev/null
+++ b/boragepier/peer/peer_node.h
@@ -0,0 +1,61 @@
+#ifndef BORAGEPIER_PEER_PEER_NODE_H
+#define BORAGEPIER_PEER_PEER_NODE_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "boragepier/net/event_loop.h"
+#include "boragepier/net/tcp_listener.h"
+#include "boragepier/peer/peer_link.h"
+#include "boragepier/ports/peer_transport.h"
+
+namespace boragepier::peer {
+
+/// PeerTransport over HTTP/2: one connection for each direction of a pair of instances, each
+/// message a request. Loop thread only, or before the loop runs.
+class PeerNode
+{
+public:
+  explicit PeerNode(net::EventLoop& aLoop, PeerLimits aLimits = {});
+  ~PeerNode();
+  PeerNode(const PeerNode&) = delete;
+  PeerNode& operator=(const PeerNode&) = delete;
+
+  /// Accepts connections of other instances from Start() on; earlier ones are closed.
+  /// @param aAddress IP address
+  /// @param aPort TCP port; 0 lets the system choose
+  /// @return the port
+  /// @throws net::ListenError if the address cannot be used
+  std::uint16_t Listen(const std::string& aAddress, std::uint16_t aPort);
+
+  /// See PeerTransport.
+  void Start(const PeerEndpoint& aSelf,
+             PeerMessageCallback aOnMessage,
+             PeerUnreachableCallback aOnUnreachable);
+  std::size_t Send(const PeerEndpoint& aPeer, const PeerMessage& aMessage);
+  PeerCounters Counters() const { return counters_; }
+
+private:
+  void Accept(std::shared_ptr<net::TcpStream> aStream);
+  OutgoingLink* LinkTo(const PeerEndpoint& aPeer);
+
+  using Address = std::pair<std::string, std::uint16_t>;
+
+  net::EventLoop& loop_;
+  const PeerLimits limits_;
+  PeerCounters counters_;
+  PeerEndpoint self_;
+  PeerMessageCallback onMessage_;
+  PeerUnreachableCallback onUnreachable_;
+  std::unique_ptr<net::TcpListener> listener_;
+  std::map<Address, std::shared_ptr<OutgoingLink>> outgoing_;
+  std::map<std::uint64_t, std::shared_ptr<IncomingLink>> incoming_;
+  std::uint64_t lastIncoming_ = 0;
+};
+
+} // namespace boragepier::peer
+
+#endif
--- a/boragepier/ports/peer_transport.h
+++ b/boragepier/ports/peer_transport.h
@@ -49,7 +49,8 @@
   {
     aTransport.Send(aPeer, aMessage)
     } -> std::same_as<std::size_t>;
-  aTransport.SetHandlers(std::move(aOnMessage), std::move(aOnUnreachable));
+  // Before the first Send(). aPeer is this instance as others reach it.
+  aTransport.Start(aPeer, std::move(aOnMessage), std::move(aOnUnreachable));
   {
     aTransport.Counters()
     } -> std::convertible_to<PeerCounters>;
--- a/boragepier/state/config_registry_test.cc
+++ b/boragepier/state/config_registry_test.cc
@@ -1,5 +1,7 @@
 #include "boragepier/state/config_registry.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 namespace boragepier {
--- a/boragepier/state/gossip.h
+++ b/boragepier/state/gossip.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "boragepier/base/random.h"
+#include "boragepier/base/rate_budget.h"
 #include "boragepier/ports/peer_message.h"
-#include "boragepier/state/byte_budget.h"
 #include "boragepier/state/fleet_state.h"
 
 namespace boragepier {
@@ -118,8 +118,8 @@
   FleetState& state_;
   Random random_;
   GossipLimits limits_;
-  ByteBudget sendBudget_;
-  ByteBudget receiveBudget_;
+  RateBudget sendBudget_;
+  RateBudget receiveBudget_;
   MonotonicTime now_{};
   bool leaving_ = false;
   std::uint64_t ticks_ = 0;
