--- a/boragepier/http/response_reader.cc
+++ b/boragepier/http/response_reader.cc
@@ -104,7 +104,7 @@
 bool
 ResponseReader::Started(const InputBuffer& aInput) const
 {
-  return parser_->Started() || !aInput.Empty();
+  return interimCount_ > 0 || parser_->Started() || !aInput.Empty();
 }
 
 ReadStatus
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -16,6 +16,7 @@
 using boragepier::testing::Await;
 using boragepier::testing::LoopThread;
 using boragepier::testing::RawSocket;
+using boragepier::testing::WaitUntil;
 using std::chrono::milliseconds;
 using namespace std::string_literals;
 
@@ -293,8 +294,7 @@
   body.resize(50'000'000, 'x');
   server.Respond(server.NextWaiting(), body);
   LONGS_EQUAL(1, server.Run([&] { return server.Get().RequestsInProgress(); }));
-  while (server.Run([&] { return server.Get().ConnectionCount(); }) > 0) {
-  }
+  WaitUntil([&] { return server.Run([&] { return server.Get().ConnectionCount(); }) == 0; });
   LONGS_EQUAL(0, server.Run([&] { return server.Get().RequestsInProgress(); }));
   CHECK(socket.ReadToEnd().size() < 50'000'000);
 }
@@ -354,8 +354,7 @@
   STRCMP_EQUAL("HTTP/1.1 503", StatusOf(answer).c_str());
   CHECK(answer.ends_with("overloaded"));
   first.Close();
-  while (server.Run([&] { return server.Get().ConnectionCount(); }) > 1) {
-  }
+  WaitUntil([&] { return server.Run([&] { return server.Get().ConnectionCount(); }) == 1; });
   RawSocket third = server.Connect();
   third.Send(kGet);
   STRCMP_EQUAL("HTTP/1.1 200", StatusOf(third.ReadMessage()).c_str());
--- a/boragepier/net/tcp_stream.cc
+++ b/boragepier/net/tcp_stream.cc
@@ -5,6 +5,7 @@
 #include <exception>
 #include <utility>
 
+#include <arpa/inet.h>
 #include <cxxtools/net/tcpserver.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -25,6 +26,25 @@
   ::setsockopt(aSocket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
 }
 
+// cxxtools reports a reset as the end of the stream, like a close in good order, and the system
+// tells the error only once. The state differs: a reset leaves the socket closed.
+bool
+WasReset(int aSocket)
+{
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  return ::getsockopt(aSocket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+         info.tcpi_state == TCP_CLOSE;
+}
+
+bool
+IsIpAddress(const std::string& aText)
+{
+  in6_addr address{};
+  return ::inet_pton(AF_INET, aText.c_str(), &address) == 1 ||
+         ::inet_pton(AF_INET6, aText.c_str(), &address) == 1;
+}
+
 } // namespace
 
 std::shared_ptr<TcpStream>
@@ -59,6 +79,11 @@
   connecting_ = true;
   cxxtools::connect(socket_.connected, *this, &SocketStream::OnSocketConnected);
   Attach();
+  if (!IsIpAddress(aAddress)) {
+    // cxxtools would look the name up and block the loop meanwhile.
+    EndLater(StreamEnd::Broken);
+    return;
+  }
   try {
     socket_.beginConnect(aAddress, aPort);
   } catch (const std::exception&) {
@@ -223,7 +248,7 @@
     if (const std::size_t count = socket_.endRead(); count > 0) {
       return count;
     }
-    End(StreamEnd::Closed);
+    End(WasReset(socket_.getFd()) ? StreamEnd::Broken : StreamEnd::Closed);
   } catch (const std::exception&) {
     End(StreamEnd::Broken);
   }
--- a/testing/wire/loop_thread.h
+++ b/testing/wire/loop_thread.h
@@ -23,6 +23,21 @@
   return aFuture.get();
 }
 
+/// Waits until a condition holds that no event announces.
+/// @throws WireError after a generous time limit
+template<typename Condition>
+void
+WaitUntil(Condition aCondition)
+{
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+  while (!aCondition()) {
+    if (std::chrono::steady_clock::now() > limit) {
+      throw WireError("an expected state was not reached within the time limit");
+    }
+    std::this_thread::yield();
+  }
+}
+
 /// Runs an event loop in a thread of its own. Objects that use the loop are declared before the
 /// LoopThread, so that the thread has ended when they are destroyed.
 class LoopThread
