Add the stand-in upstream

Cause: the pipeline is tested against upstreams that queue, report load and misbehave on request.

Change: boragepier_testing_upstream with its own connection type, as http::Server cannot send cut-off answers or stay silent.

Conclusion: ready for the pipeline's tests.

--- /dev/null
+++ b/testing/upstream/caller_connection.cc
@@ -0,0 +1,119 @@
+#include "testing/upstream/caller_connection.h"
+
+#include <utility>
+
+#include "boragepier/http/writer.h"
+
+namespace boragepier::testing {
+
+namespace {
+
+constexpr std::size_t kMaxHeader = 64 << 10;
+constexpr std::size_t kMaxBody = 16 << 20;
+
+} // namespace
+
+CallerConnection::CallerConnection(std::shared_ptr<net::TcpStream> aStream,
+                                   RequestHandler aOnRequest,
+                                   CloseHandler aOnClose)
+  : stream_(std::move(aStream))
+  , onRequest_(std::move(aOnRequest))
+  , onClose_(std::move(aOnClose))
+  , reader_(kMaxHeader, kMaxBody)
+{
+}
+
+CallerConnection::~CallerConnection()
+{
+  stream_->Close();
+}
+
+void
+CallerConnection::OnInput(std::string_view aBytes)
+{
+  if (!silent_) {
+    input_.Append(aBytes);
+    Advance();
+  }
+}
+
+void
+CallerConnection::Advance()
+{
+  if (std::exchange(advancing_, true)) {
+    return;
+  }
+  const auto self = shared_from_this();
+  while (!handling_ && !silent_ && !closed_) {
+    const http::ReadStatus status = reader_.Read(input_);
+    if (status == http::ReadStatus::Failed) {
+      Close();
+    }
+    if (status != http::ReadStatus::Complete) {
+      break;
+    }
+    handling_ = true;
+    http::Request request = reader_.Take();
+    toHead_ = request.method_ == "HEAD";
+    onRequest_(self, std::move(request));
+  }
+  advancing_ = false;
+}
+
+void
+CallerConnection::Respond(const http::Response& aResponse)
+{
+  if (silent_ || closed_) {
+    return;
+  }
+  const auto use = reader_.KeepAlive() ? http::ConnectionUse::KeepOpen : http::ConnectionUse::Close;
+  closeWhenSent_ = closeWhenSent_ || !reader_.KeepAlive();
+  stream_->Write(http::WriteResponse(aResponse, toHead_, use));
+  handling_ = false;
+  if (stream_->Drained()) {
+    OnDrained();
+  }
+}
+
+void
+CallerConnection::RespondTruncated(const http::Response& aResponse)
+{
+  if (silent_ || closed_) {
+    return;
+  }
+  std::string bytes = http::WriteResponse(aResponse, toHead_, http::ConnectionUse::KeepOpen);
+  bytes.pop_back();
+  closeWhenSent_ = true;
+  stream_->Write(std::move(bytes));
+  if (stream_->Drained()) {
+    OnDrained();
+  }
+}
+
+void
+CallerConnection::OnDrained()
+{
+  if (closeWhenSent_) {
+    stream_->ShutdownOutput();
+    handling_ = true; // no further request is read
+  } else {
+    Advance();
+  }
+}
+
+void
+CallerConnection::OnEnd(net::StreamEnd /*aEnd*/)
+{
+  Close();
+}
+
+void
+CallerConnection::Close()
+{
+  if (!std::exchange(closed_, true)) {
+    stream_->Close();
+    onClose_(*this);
+  }
+}
+
+} // namespace boragepier::testing
--- /dev/null
+++ b/testing/upstream/echo.cc
@@ -0,0 +1,40 @@
+#include "testing/upstream/echo.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace boragepier::testing {
+
+namespace {
+
+std::uint64_t
+HashOf(std::string_view aBody)
+{
+  return XXH3_64bits(aBody.data(), aBody.size());
+}
+
+} // namespace
+
+std::string
+MakeEcho(const http::Request& aRequest, std::string_view aUpstream)
+{
+  return nlohmann::json{
+    { "method", aRequest.method_ },
+    { "target", aRequest.target_ },
+    { "bodyHash", HashOf(aRequest.body_) },
+    { "key", aRequest.headers_.Get("Idempotency-Key").value_or("") },
+    { "upstream", aUpstream }
+  }.dump();
+}
+
+bool
+EchoMatches(const http::Request& aRequest, std::string_view aBody)
+{
+  const auto echo = nlohmann::json::parse(aBody, nullptr, false);
+  return echo.is_object() && echo.value("target", "") == aRequest.target_ &&
+         echo.value("method", "") == aRequest.method_ &&
+         echo.value("bodyHash", std::uint64_t(0)) == HashOf(aRequest.body_) &&
+         echo.value("key", "") == aRequest.headers_.Get("Idempotency-Key").value_or("");
+}
+
+} // namespace boragepier::testing
