--- a/boragepier/entry/control_thread.cc
+++ b/boragepier/entry/control_thread.cc
@@ -73,11 +73,10 @@
 std::uint16_t
 ControlThread::Start()
 {
+  lastTick_ = loop_.Now().time_since_epoch().count();
   const std::uint16_t port = peers_.Listen(settings_.peer_.address_, settings_.peer_.port_);
   const PeerEndpoint self{ settings_.id_, settings_.peer_.address_, port };
-  ControlOptions options(self, [](const ConfigRecord& aRecord) {
-    return ParseServiceFile(aRecord.body_, aRecord.service_.View());
-  });
+  ControlOptions options(self, ParseServiceFile);
   options.WithSeeds(SeedsOf(settings_)).WithRandomSeed(std::random_device()());
   plane_ = std::make_unique<Plane>(loop_, table_, list_, peers_, std::move(options));
   plane_->OnRoutingChanged([this](auto aTable) { OnRouting(std::move(aTable)); });
@@ -117,9 +116,17 @@
   onRouting_(std::move(aTable));
 }
 
+bool
+ControlThread::Responsive() const
+{
+  const MonotonicTime last{ Duration(lastTick_) };
+  return loop_.Now() - last < kAskTimeout;
+}
+
 void
 ControlThread::Tick()
 {
+  lastTick_ = loop_.Now().time_since_epoch().count();
   sweeper_.Advance(loop_.Now(), WallNow());
   const PeerCounters traffic = peers_.Counters();
   metrics_.SetControlUsage(ThreadProcessorTime(), traffic.bytesSent_);
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -1,5 +1,7 @@
 #include "boragepier/entry/entry_instance.h"
 
+#include <algorithm>
+#include <chrono>
 #include <random>
 #include <string>
 #include <thread>
@@ -78,6 +80,53 @@
   }
 }
 
+InstanceStatus
+EntryInstance::Status()
+{
+  const ControlStatus control = control_.Status();
+  InstanceStatus status;
+  status.id_ = settings_.id_;
+  status.zone_ = settings_.zone_;
+  status.draining_ = draining_;
+  status.ready_ = configured_ && !draining_;
+  if (!status.ready_) {
+    status.notReadyReason_ = draining_ ? "draining" : "no configuration yet";
+  }
+  status.peers_ = control.peers_.size();
+  status.instances_ = control.members_.size();
+  const auto services = directory_.All();
+  for (const auto& service : *services) {
+    ServiceStatus entry;
+    entry.name_ = service->Config()->name_;
+    entry.version_ = service->Version();
+    const auto candidates = service->With([](ServiceBalancer& aBalancer) {
+      return aBalancer.Candidates(std::chrono::steady_clock::now());
+    });
+    entry.upstreams_ = candidates.size();
+    entry.leavingUpstreams_ = static_cast<std::uint64_t>(std::count_if(
+      candidates.begin(), candidates.end(), [](const auto& aOne) { return aOne.leaving_; }));
+    status.services_.push_back(std::move(entry));
+  }
+  return status;
+}
+
+AdminHooks
+EntryInstance::MakeHooks()
+{
+  return AdminHooksBuilder()
+    .WithLive([this] { return control_.Responsive(); })
+    .WithStatus([this] { return Status(); })
+    .WithAnnounce([this](ConfigRecord aRecord) {
+      Log(EventId::ConfigAnnounced,
+          { { "service", aRecord.service_ }, { "version", aRecord.version_ } });
+      return control_.Announce(std::move(aRecord)) ? AnnounceResult::Accepted
+                                                   : AnnounceResult::Outdated;
+    })
+    .WithMetrics(metrics_)
+    .WithExplain(explain_)
+    .Build();
+}
+
 bool
 EntryInstance::Drain()
 {
--- a/boragepier/entry/entry_instance.h
+++ b/boragepier/entry/entry_instance.h
@@ -50,6 +50,7 @@
 private:
   void OnRouting(const std::shared_ptr<const RoutingTable>& aTable);
   AdminHooks MakeHooks();
+  InstanceStatus Status();
 
   const Settings settings_;
   Metrics metrics_;
