--- /dev/null
+++ b/testing/bench/decision_cost.cc
@@ -0,0 +1,151 @@
+#include "testing/bench/decision_cost.h"
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <deque>
+#include <memory>
+
+#include <malloc.h>
+
+#include "boragepier/decision/service_balancer.h"
+
+namespace boragepier::bench {
+
+namespace {
+
+using WallClock = std::chrono::steady_clock;
+
+constexpr int kRounds = 20'000;
+// Requests that stay outstanding during the measurement, per upstream.
+constexpr double kOutstanding = 0.25;
+
+std::vector<UpstreamEndpoint>
+MakeEndpoints(std::size_t aCount)
+{
+  std::vector<UpstreamEndpoint> endpoints;
+  endpoints.reserve(aCount);
+  for (std::size_t i = 0; i < aCount; ++i) {
+    const ZoneName zone("z" + std::to_string(i % 3));
+    endpoints.push_back({ UpstreamId("u" + std::to_string(i)), "127.0.0.1", 80, zone, 1, false });
+  }
+  return endpoints;
+}
+
+double
+NsPerRound(WallClock::duration aTotal, int aRounds)
+{
+  return std::chrono::duration<double, std::nano>(aTotal).count() / aRounds;
+}
+
+void
+MeasureChoices(ServiceBalancer& aBalancer, std::size_t aUpstreams, DecisionCost& aCost)
+{
+  MonotonicTime now{ std::chrono::hours(1) };
+  std::deque<std::pair<UpstreamHandle, MonotonicTime>> running;
+  WallClock::duration submitting{};
+  WallClock::duration ending{};
+  int submitted = 0;
+  int ended = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    now += std::chrono::microseconds(100);
+    CallInfo call;
+    call.id_ = static_cast<std::uint64_t>(round);
+    call.arrival_ = now;
+    call.deadline_ = now + std::chrono::seconds(2);
+    const auto begin = WallClock::now();
+    const Choice choice = aBalancer.Submit(call, now);
+    submitting += WallClock::now() - begin;
+    ++submitted;
+    if (choice.kind_ == Choice::Kind::Dispatch) {
+      running.emplace_back(choice.upstream_, now);
+    }
+    if (static_cast<double>(running.size()) < kOutstanding * static_cast<double>(aUpstreams)) {
+      continue;
+    }
+    AttemptReport report;
+    report.upstream_ = running.front().first;
+    report.outcome_ = Outcome::Answered;
+    report.status_ = 200;
+    report.latency_ = now - running.front().second;
+    report.load_ = LoadReport{ 2 };
+    running.pop_front();
+    const auto beginEnd = WallClock::now();
+    aBalancer.OnAttemptEnded(report, now);
+    for (const ReleasedCall& released : aBalancer.Release(now)) {
+      running.emplace_back(released.choice_.upstream_, now);
+    }
+    ending += WallClock::now() - beginEnd;
+    ++ended;
+  }
+  aCost.submitNs_ = NsPerRound(submitting, submitted);
+  aCost.endNs_ = ended > 0 ? NsPerRound(ending, ended) : 0;
+}
+
+DecisionCost
+MeasureCost(std::size_t aServices, std::size_t aUpstreams, std::size_t aInstances)
+{
+  DecisionCost cost{ aServices, aUpstreams, aInstances };
+  const auto endpoints = MakeEndpoints(aUpstreams);
+  std::vector<InstanceId> instances;
+  instances.reserve(aInstances);
+  for (std::size_t i = 0; i < aInstances; ++i) {
+    instances.emplace_back("i" + std::to_string(i));
+  }
+  const MonotonicTime now{ std::chrono::hours(1) };
+  const auto before = mallinfo2().uordblks;
+  const auto begin = WallClock::now();
+  std::vector<std::unique_ptr<ServiceBalancer>> balancers;
+  for (std::size_t i = 0; i < aServices; ++i) {
+    balancers.push_back(std::make_unique<ServiceBalancer>(ServiceConfig(), ZoneName("z0"), i));
+    balancers.back()->SetUpstreams(endpoints, now);
+    balancers.back()->SetFleet(instances[0], instances, now);
+  }
+  cost.updateMs_ = NsPerRound(WallClock::now() - begin, static_cast<int>(aServices)) / 1'000'000;
+  MeasureChoices(*balancers[0], aUpstreams, cost);
+  cost.memoryBytes_ = static_cast<double>(mallinfo2().uordblks - before) /
+                      static_cast<double>(aServices * aUpstreams);
+  return cost;
+}
+
+} // namespace
+
+std::vector<DecisionCost>
+MeasureCosts()
+{
+  std::vector<DecisionCost> costs;
+  for (const std::size_t upstreams : { 5, 10, 20, 50, 100, 200, 500, 1000, 4400 }) {
+    costs.push_back(MeasureCost(1, upstreams, 15));
+  }
+  for (const std::size_t services : { 10, 100, 460 }) {
+    costs.push_back(MeasureCost(services, 10, 15));
+  }
+  for (const std::size_t instances : { 18, 50, 100, 200 }) {
+    costs.push_back(MeasureCost(1, 20, instances));
+  }
+  return costs;
+}
+
+std::string
+FormatCosts(std::span<const DecisionCost> aCosts)
+{
+  std::string text =
+    "services upstreams instances  submit-ns  end-ns  update-ms  bytes-per-upstream\n";
+  for (const DecisionCost& cost : aCosts) {
+    std::array<char, 128> line{};
+    std::snprintf(line.data(),
+                  line.size(),
+                  "%8zu %9zu %9zu %10.0f %7.0f %10.3f %19.0f\n",
+                  cost.services_,
+                  cost.upstreams_,
+                  cost.instances_,
+                  cost.submitNs_,
+                  cost.endNs_,
+                  cost.updateMs_,
+                  cost.memoryBytes_);
+    text += line.data();
+  }
+  return text;
+}
+
+} // namespace boragepier::bench
