--- a/boragepier/config/service_config.h
+++ b/boragepier/config/service_config.h
@@ -63,11 +63,11 @@
   unsigned connectionsPerUpstream_ = 200; ///< limit of one upstream for the whole fleet
   Duration zoneTrip_ = std::chrono::microseconds(1500); ///< one way between availability zones
 
-  double probesPerUpstreamSecond_ = 0; ///< budget of the whole fleet
-  double retryBudget_ = 0.10;          ///< extra attempts per request
-  double hedgeBudget_ = 0.05;          ///< hedges per request, part of the retry budget
-  double maxEjectedShare_ = 0.3;       ///< of the upstreams of the service
-  std::size_t queueLimit_ = 64;        ///< requests that wait in one instance
+  double probesPerUpstreamSecond_ = 200; ///< budget of the whole fleet; 0 turns probes off
+  double retryBudget_ = 0.10;            ///< extra attempts per request
+  double hedgeBudget_ = 0.05;            ///< hedges per request, part of the retry budget
+  double maxEjectedShare_ = 0.3;         ///< of the upstreams of the service
+  std::size_t queueLimit_ = 64;          ///< requests that wait in one instance
 
   std::size_t maxRequestBody_ = 1 << 20;  ///< bytes
   std::size_t maxResponseBody_ = 8 << 20; ///< bytes
--- a/cmake/boragepier.cmake
+++ b/cmake/boragepier.cmake
@@ -64,3 +64,16 @@
   endif()
   set_tests_properties(${NAME} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
 endfunction()
+
+# boragepier_test_groups(NAME SOURCES... DEPS... GROUPS...): a CppUTest program of which each test
+# group is a CTest test of its own, named NAME.GROUP.
+function(boragepier_test_groups NAME)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS;GROUPS" ${ARGN})
+  add_executable(${NAME} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/testing/test_main.cc)
+  target_link_libraries(${NAME} PRIVATE
+    boragepier_options ${ARG_DEPS} ${CPPUTEST_LIB} ${CPPUTEST_EXT_LIB})
+  foreach(GROUP ${ARG_GROUPS})
+    add_test(NAME ${NAME}.${GROUP} COMMAND ${NAME} -v -sg ${GROUP})
+    set_tests_properties(${NAME}.${GROUP} PROPERTIES TIMEOUT 120)
+  endforeach()
+endfunction()
