--- a/testing/state/fake_table.h
+++ b/testing/state/fake_table.h
@@ -36,6 +36,12 @@
   /// Decides the fate of the requests from now on.
   void SetFates(FateOf aFateOf) { fateOf_ = std::move(aFateOf); }
 
+  /// Sets a function that sees each request right after it took effect.
+  void SetObserver(std::function<void(const TableRequest&)> aObserver)
+  {
+    observer_ = std::move(aObserver);
+  }
+
   void Submit(TableRequest aRequest, MonotonicTime aDeadline, TableCallback aDone)
   {
     ++(HoldsWrite(aRequest) ? writes_ : reads_);
@@ -53,6 +59,9 @@
     }
     time_.After(fate.requestDelay_, [this, fate, done, request = std::move(aRequest)] {
       TableReply reply{ TableReply::Status::Done, rows_.Apply(request) };
+      if (observer_) {
+        observer_(request);
+      }
       if (fate.answered_) {
         time_.After(fate.answerDelay_,
                     [done, reply = std::move(reply)] { AnswerOnce(*done, reply); });
@@ -76,6 +85,7 @@
   VirtualTime& time_;
   MemoryTable rows_;
   FateOf fateOf_;
+  std::function<void(const TableRequest&)> observer_;
   std::size_t reads_ = 0;
   std::size_t writes_ = 0;
   std::size_t operations_ = 0;
