Register stand-in upstreams with the platform's field names

Cause: the stand-ins of platform and upstream used different names. Change: start_number and peer_port in the registration.

--- a/testing/e2e/load_runner.cc
+++ b/testing/e2e/load_runner.cc
@@ -78,10 +78,7 @@
 }
 
 void
-LoadRunner::SendOne(SyncClient& aClient,
-                    const std::string& aName,
-                    bool aOrder,
-                    std::uint16_t aPort)
+LoadRunner::SendOne(SyncClient& aClient, const std::string& aName, bool aOrder, std::uint16_t aPort)
 {
   http::Request request;
   request.method_ = aOrder ? "POST" : "GET";
--- a/testing/e2e/load_runner.h
+++ b/testing/e2e/load_runner.h
@@ -19,14 +19,14 @@
   int sent_ = 0;
   int answered_ = 0; ///< whole and right answers below 500
   int serverErrors_ = 0;
-  int lost_ = 0;  ///< no response
-  int wrong_ = 0; ///< an answer that belongs to another request
-  std::map<std::string, int> refusals_;        ///< by reason
-  std::map<std::string, std::string> orders_;  ///< outcome of each keyed order, by key
+  int lost_ = 0;                              ///< no response
+  int wrong_ = 0;                             ///< an answer that belongs to another request
+  std::map<std::string, int> refusals_;       ///< by reason
+  std::map<std::string, std::string> orders_; ///< outcome of each keyed order, by key
 };
 
-/// Callers that send lookups and keyed orders through several instances until stopped, as behind the
-/// platform's balancer: each request goes to one of the targets that are listed at that moment.
+/// Callers that send lookups and keyed orders through several instances until stopped, as behind
+/// the platform's balancer: each request goes to one of the targets that are listed at that moment.
 class LoadRunner
 {
 public:
--- a/testing/e2e/path_test.cc
+++ b/testing/e2e/path_test.cc
@@ -113,8 +113,8 @@
     std::vector<std::future<http::SendResult>> copies;
     for (int copy = 0; copy < 6; ++copy) {
       const std::uint16_t port = fleet_.Instance(static_cast<std::size_t>(copy % 3)).caller_;
-      copies.push_back(std::async(
-        std::launch::async, [&, port] { return fleet_.Client().Send(port, Order(key)); }));
+      copies.push_back(std::async(std::launch::async,
+                                  [&, port] { return fleet_.Client().Send(port, Order(key)); }));
     }
     int answered = 0;
     for (auto& copy : copies) {
--- a/testing/upstream/upstream.cc
+++ b/testing/upstream/upstream.cc
@@ -241,7 +241,8 @@
     { "address", settings_.address_ },
     { "port", Port() },
     { "zone", settings_.zone_ },
-    { "startNumber", settings_.startNumber_ },
+    { "start_number", settings_.startNumber_ },
+    { "peer_port", 0 },
     { "leaving", faults_.draining_ }
   }.dump();
   client_.Send(*settings_.platform_, request, {}, [this](const http::SendResult& aResult) {
