Judge slowness by logarithms and weigh old outstanding requests

Cause: with heavy-tailed service times single long requests made upstreams look slow, and an upstream whose slots are held by long requests sends no reports, so that its old report was trusted.

--- a/boragepier/decision/balancer_attempts.cc
+++ b/boragepier/decision/balancer_attempts.cc
@@ -8,7 +8,7 @@
 
 constexpr std::size_t kMaxAttempts = 3;
 // An upstream whose service time is above this multiple of the mean is a straggler.
-constexpr double kSlowFactor = 3;
+constexpr double kSlowFactor = 2.5;
 // One attempt may take this multiple of the 99th percentile before it is given up.
 constexpr double kTimeoutFactor = 5;
 constexpr double kMinTimeoutMs = 50;
@@ -53,7 +53,7 @@
 ServiceBalancer::Impl::JudgeLatency(std::size_t aIndex, Duration aLatency, MonotonicTime aNow)
 {
   const double limit = kSlowFactor * load_.MeanServiceMs();
-  if (load_.ServiceMs(aIndex) > limit && ToMilliseconds(aLatency) > limit) {
+  if (load_.Slowness(aIndex) > kSlowFactor && ToMilliseconds(aLatency) > limit) {
     ejection_.OnSlow(aIndex, aNow, random_);
   } else {
     ejection_.OnSuccess(aIndex);
--- a/boragepier/decision/balancer_choice.cc
+++ b/boragepier/decision/balancer_choice.cc
@@ -16,8 +16,8 @@
 // Preference of a home over another upstream, in service times.
 constexpr double kHomePreference = 0.1;
 // Measured service times within these factors of the mean are taken for equal.
-constexpr double kLowDeviation = 0.75;
-constexpr double kHighDeviation = 1.33;
+constexpr double kLowDeviation = 0.67;
+constexpr double kHighDeviation = 1.5;
 
 bool
 Contains(std::span<const UpstreamHandle> aHandles, std::uint32_t aIndex)
@@ -32,11 +32,11 @@
 {
   const Upstream& upstream = upstreams_[aIndex];
   const double mean = load_.MeanServiceMs();
-  const double measured = load_.ServiceMs(aIndex);
-  const bool usual = measured > mean * kLowDeviation && measured < mean * kHighDeviation;
-  const double service = usual ? mean : measured;
+  const double slowness = load_.Slowness(aIndex);
+  const bool usual = slowness > kLowDeviation && slowness < kHighDeviation;
+  const double service = usual ? mean : mean * slowness;
   const double away = aPreferHomes && !upstream.home_ ? kHomePreference * mean : 0;
-  return upstream.extraTripMs_ + away + service * (1 + load_.WaitCost(aIndex, aNow));
+  return upstream.extraTripMs_ + away + service * (1 + load_.WaitCost(aIndex, latencies_, aNow));
 }
 
 std::span<const std::uint32_t>
--- a/boragepier/decision/latency_profile.cc
+++ b/boragepier/decision/latency_profile.cc
@@ -1,5 +1,7 @@
 #include "boragepier/decision/latency_profile.h"
 
+#include <algorithm>
+
 #include <boost/histogram/axis/regular.hpp>
 
 namespace boragepier {
@@ -15,20 +17,30 @@
 // the total.
 constexpr std::size_t kRefresh = 32;
 constexpr double kMaxTotal = 4000;
+// Longer latencies are too few for a mean.
+constexpr double kMinForMean = 20;
+// Bounds of the factor; a single request should not make an upstream look worse than a queue.
+constexpr double kMaxRemaining = 8;
+
+std::size_t
+BucketOf(Duration aLatency)
+{
+  const int bucket = kAxis.index(ToMilliseconds(aLatency));
+  return static_cast<std::size_t>(std::clamp(bucket, 0, kAxis.size() - 1));
+}
 
 } // namespace
 
 LatencyProfile::LatencyProfile()
   : counts_(static_cast<std::size_t>(kAxis.size()))
+  , remaining_(counts_.size(), 1)
 {
 }
 
 void
 LatencyProfile::Add(Duration aLatency)
 {
-  const int bucket = kAxis.index(ToMilliseconds(aLatency));
-  const int clamped = bucket < 0 ? 0 : std::min(bucket, kAxis.size() - 1);
-  counts_[static_cast<std::size_t>(clamped)] += 1;
+  counts_[BucketOf(aLatency)] += 1;
   total_ += 1;
   if (total_ >= kMaxTotal) {
     for (double& count : counts_) {
@@ -39,6 +51,7 @@
   if (++added_ % kRefresh == 0 || added_ == kMinimum) {
     p95Ms_ = Quantile(0.95);
     p99Ms_ = Quantile(0.99);
+    RefreshRemaining();
   }
 }
 
@@ -55,4 +68,31 @@
   return kAxis.value(kAxis.size());
 }
 
+double
+LatencyProfile::RemainingFactor(Duration aAge) const
+{
+  return remaining_[BucketOf(aAge)];
+}
+
+void
+LatencyProfile::RefreshRemaining()
+{
+  // From the longest latency down: number and sum of the latencies above each bucket.
+  double number = 0;
+  double sumMs = 0;
+  for (std::size_t i = counts_.size(); i-- > 0;) {
+    const auto bucket = static_cast<double>(i);
+    number += counts_[i];
+    sumMs += counts_[i] * kAxis.value(bucket + 0.5);
+    const double leftMs = number > 0 ? sumMs / number - kAxis.value(bucket) : 0;
+    remaining_[i] = static_cast<float>(number >= kMinForMean ? leftMs : 0);
+  }
+  const float fresh = remaining_[0];
+  float known = fresh;
+  for (float& factor : remaining_) {
+    known = factor > 0 ? factor : known;
+    factor = std::clamp(known / fresh, 1.0F, static_cast<float>(kMaxRemaining));
+  }
+}
+
 } // namespace boragepier
--- a/boragepier/decision/latency_profile.h
+++ b/boragepier/decision/latency_profile.h
@@ -21,13 +21,18 @@
   double P95Ms() const { return p95Ms_; }
   /// @return the 99th percentile in milliseconds
   double P99Ms() const { return p99Ms_; }
+  /// @return expected time to the end of a request that was sent aAge ago, as a multiple of that of
+  /// a new one. About 1 for exponential times; grows with the age for heavy-tailed ones.
+  double RemainingFactor(Duration aAge) const;
 
 private:
   static constexpr std::size_t kMinimum = 50;
 
   double Quantile(double aShare) const;
+  void RefreshRemaining();
 
   std::vector<double> counts_;
+  std::vector<float> remaining_; ///< RemainingFactor() per bucket
   double total_ = 0;
   std::size_t added_ = 0;
   double p95Ms_ = 0;
--- a/boragepier/decision/load_view.cc
+++ b/boragepier/decision/load_view.cc
@@ -17,10 +17,10 @@
 // Each further request to wait for costs this factor more. Minimising the mean wait (factor 1) left
 // a p99 that is 1.4 ms higher at 85 % load.
 constexpr double kWaitGrowth = 1.6;
-constexpr double kMaxSamples = 20;
-constexpr double kMaxMeanSamples = 200;
+constexpr double kMaxSamples = 15;
+constexpr double kMaxMeanSamples = 500;
 // The mean of all upstreams counts as this many samples of each upstream.
-constexpr double kPriorSamples = 5;
+constexpr double kPriorSamples = 4;
 
 } // namespace
 
@@ -51,8 +51,8 @@
 {
   Upstream& upstream = upstreams_[aIndex];
   upstream.reported_ = false;
-  upstream.serviceMs_ = 0;
   upstream.samples_ = 0;
+  upstream.slowness_ = 1;
 }
 
 void
@@ -88,10 +88,15 @@
   // are counted after division by the turns that they probably waited for.
   const unsigned turns = aInFlight <= slots_ ? 1 : 1 + (aInFlight - 1) / slots_;
   const double serviceMs = std::max(0.0, latencyMs - tripMs_) / turns;
-  upstream.samples_ = std::min(kMaxSamples, upstream.samples_ + 1);
-  upstream.serviceMs_ += (serviceMs - upstream.serviceMs_) / upstream.samples_;
+  const double bounded = std::max(kMinServiceMs, serviceMs);
+  const double logMs = std::log(bounded);
   meanSamples_ = std::min(kMaxMeanSamples, meanSamples_ + 1);
-  meanServiceMs_ += (std::max(kMinServiceMs, serviceMs) - meanServiceMs_) / meanSamples_;
+  meanServiceMs_ += (bounded - meanServiceMs_) / meanSamples_;
+  meanLogMs_ += (logMs - meanLogMs_) / meanSamples_;
+  upstream.samples_ = std::min(kMaxSamples, upstream.samples_ + 1);
+  upstream.logMs_ += (logMs - upstream.logMs_) / upstream.samples_;
+  const double weight = upstream.samples_ / (upstream.samples_ + kPriorSamples);
+  upstream.slowness_ = std::exp(weight * (upstream.logMs_ - meanLogMs_));
 }
 
 void
@@ -123,15 +128,14 @@
 }
 
 double
-LoadView::Expect(const Table& aTable, std::size_t aIndex, MonotonicTime aNow) const
+LoadView::Expect(const ReportModel::Values& aValues, std::size_t aIndex, MonotonicTime aNow) const
 {
   const Upstream& upstream = upstreams_[aIndex];
-  const auto& values = aTable[std::min<std::size_t>(Own(aIndex), aTable.size() - 1)];
   if (!upstream.reported_) {
-    return model_.ExpectUnreported(values);
+    return model_.ExpectUnreported(aValues);
   }
   const double ageMs = ToMilliseconds(aNow - upstream.reportTime_);
-  return model_.Expect(ageMs / meanServiceMs_, upstream.reportedOthers_, values);
+  return model_.Expect(ageMs / meanServiceMs_, upstream.reportedOthers_, aValues);
 }
 
 double
@@ -141,32 +145,25 @@
   for (std::size_t i = 0; i < counts.size(); ++i) {
     counts[i] = static_cast<double>(i);
   }
-  const Upstream& upstream = upstreams_[aIndex];
-  if (!upstream.reported_) {
-    return model_.ExpectUnreported(counts);
-  }
-  const double ageMs = ToMilliseconds(aNow - upstream.reportTime_);
-  return model_.Expect(ageMs / meanServiceMs_, upstream.reportedOthers_, counts);
+  return Expect(counts, aIndex, aNow);
 }
 
 double
 LoadView::ExpectedWait(std::size_t aIndex, MonotonicTime aNow) const
 {
-  return Expect(waits_, aIndex, aNow);
+  const std::size_t own = std::min<std::size_t>(Own(aIndex), waits_.size() - 1);
+  return Expect(waits_[own], aIndex, aNow);
 }
 
 double
-LoadView::WaitCost(std::size_t aIndex, MonotonicTime aNow) const
+LoadView::WaitCost(std::size_t aIndex, const LatencyProfile& aLatencies, MonotonicTime aNow) const
 {
-  return Expect(waitCosts_, aIndex, aNow);
-}
-
-double
-LoadView::ServiceMs(std::size_t aIndex) const
-{
-  const Upstream& upstream = upstreams_[aIndex];
-  return (upstream.serviceMs_ * upstream.samples_ + meanServiceMs_ * kPriorSamples) /
-         (upstream.samples_ + kPriorSamples);
+  double own = 0;
+  for (const MonotonicTime sent : upstreams_[aIndex].sent_) {
+    own += aLatencies.RemainingFactor(aNow - sent);
+  }
+  const auto row = std::min(static_cast<std::size_t>(own + 0.5), waitCosts_.size() - 1);
+  return Expect(waitCosts_[row], aIndex, aNow);
 }
 
 } // namespace boragepier
--- a/boragepier/decision/load_view.h
+++ b/boragepier/decision/load_view.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "boragepier/base/time.h"
+#include "boragepier/decision/latency_profile.h"
 #include "boragepier/decision/report_model.h"
 
 namespace boragepier {
@@ -46,10 +47,14 @@
   double Others(std::size_t aIndex, MonotonicTime aNow) const;
   /// @return expected wait of a new request for a slot, in service times
   double ExpectedWait(std::size_t aIndex, MonotonicTime aNow) const;
+  /// @param aLatencies weighs own requests that are out for long
   /// @return a measure of the wait in which long waits weigh more than in proportion, for choices
-  double WaitCost(std::size_t aIndex, MonotonicTime aNow) const;
+  double WaitCost(std::size_t aIndex, const LatencyProfile& aLatencies, MonotonicTime aNow) const;
   /// @return expected time that the upstream needs to serve a request, in milliseconds
-  double ServiceMs(std::size_t aIndex) const;
+  double ServiceMs(std::size_t aIndex) const { return meanServiceMs_ * Slowness(aIndex); }
+  /// @return the service time as a multiple of the mean of all upstreams. Compares logarithms, so
+  /// that one long request does not make an upstream look slow.
+  double Slowness(std::size_t aIndex) const { return upstreams_[aIndex].slowness_; }
   /// @return expected time to serve a request over all upstreams, in milliseconds
   double MeanServiceMs() const { return meanServiceMs_; }
 
@@ -60,14 +65,15 @@
     MonotonicTime reportTime_;
     unsigned reportedOthers_ = 0;
     bool reported_ = false;
-    double serviceMs_ = 0;
-    double samples_ = 0; ///< number of latencies in serviceMs_, bounded
+    double logMs_ = 0;    ///< mean logarithm of service times
+    double samples_ = 0;  ///< number of service times in logMs_, bounded
+    double slowness_ = 1; ///< service time as a multiple of the mean of all upstreams
   };
 
   /// For a number of own requests: a value for each number of others' requests.
   using Table = std::array<ReportModel::Values, ReportModel::kCounts>;
 
-  double Expect(const Table& aTable, std::size_t aIndex, MonotonicTime aNow) const;
+  double Expect(const ReportModel::Values& aValues, std::size_t aIndex, MonotonicTime aNow) const;
 
   unsigned slots_;
   unsigned ownTotal_ = 0;
@@ -76,6 +82,7 @@
   Table waits_{};
   Table waitCosts_{};
   double meanServiceMs_;
+  double meanLogMs_ = 0;
   double meanSamples_ = 0;
   double tripMs_;
 };
--- a/testing/bench/figures.h
+++ b/testing/bench/figures.h
@@ -24,6 +24,8 @@
   std::uint64_t retries_ = 0;
   std::uint64_t hedges_ = 0;
   std::uint64_t probes_ = 0;
+  std::uint64_t allCalls_ = 0; ///< of the whole run, warm-up included
+  std::uint64_t allExtra_ = 0; ///< retries and hedges of the whole run
   std::uint64_t runTwice_ = 0; ///< at-most-once calls that ran more than once
   std::uint64_t lateWork_ = 0; ///< attempts at draining upstreams 3 s after the first sign
   double p50Ms_ = 0;
--- a/testing/bench/simulation.cc
+++ b/testing/bench/simulation.cc
@@ -134,6 +134,7 @@
   if (UniformOpen(arrivals_) <= scenario_.backgroundShare_) {
     call.info_.callClass_ = CallClass::Background;
   }
+  ++figures_.allCalls_;
   figures_.calls_ += call.counted_ ? 1 : 0;
   events_.Push(call.info_.deadline_, Event::Kind::CallDeadline, id);
   ScheduleArrival();
@@ -189,6 +190,7 @@
   ++committed_[aUpstream];
   figures_.attempts_ += call.counted_ ? 1 : 0;
   figures_.hedges_ += call.counted_ && aHedge ? 1 : 0;
+  figures_.allExtra_ += first ? 0 : 1;
   CheckLateWork(instance, aUpstream);
   events_.Push(now_ + Trip(call.instance_, aUpstream), Event::Kind::ReachUpstream, id);
   if (scenario_.chooser_.central_) {
