Tune the report model, homes and the queue in the instance

Lost: holding requests without probes (no gain), 2 or 5 probes instead of 3 (within 0.2 ms), hold thresholds of 0.15 to 0.3 turns (more probes, no gain).

--- a/boragepier/decision/balancer_attempts.cc
+++ b/boragepier/decision/balancer_attempts.cc
@@ -53,7 +53,7 @@
 ServiceBalancer::Impl::JudgeLatency(std::size_t aIndex, Duration aLatency, MonotonicTime aNow)
 {
   const double limit = kSlowFactor * load_.MeanServiceMs();
-  if (load_.Slowness(aIndex) > kSlowFactor && ToMilliseconds(aLatency) > limit) {
+  if (load_.RecentSlowness(aIndex) > kSlowFactor && ToMilliseconds(aLatency) > limit) {
     ejection_.OnSlow(aIndex, aNow, random_);
   } else {
     ejection_.OnSuccess(aIndex);
--- a/boragepier/decision/balancer_choice.cc
+++ b/boragepier/decision/balancer_choice.cc
@@ -9,12 +9,13 @@
 // A larger service is sampled, which bounds the cost of a choice.
 constexpr std::size_t kScanLimit = 32;
 // An upstream behind whose slots this many turns of requests are expected gets no more of them;
-// they wait in the instance, where they can still go anywhere.
-constexpr double kMaxWaitTurns = 4;
+// they wait in the instance, where they can still go anywhere. With 4 turns requests waited too
+// early when service times are heavy-tailed: p99 at 95 % was 319 ms instead of 225 ms.
+constexpr double kMaxWaitTurns = 10;
 // The same for policies that do not use reports, in own requests per slot.
 constexpr unsigned kMaxOwnPerSlot = 4;
 // Preference of a home over another upstream, in service times.
-constexpr double kHomePreference = 0.1;
+constexpr double kHomePreference = 0.2;
 // Measured service times within these factors of the mean are taken for equal.
 constexpr double kLowDeviation = 0.67;
 constexpr double kHighDeviation = 1.5;
--- a/boragepier/decision/balancer_probes.cc
+++ b/boragepier/decision/balancer_probes.cc
@@ -8,7 +8,7 @@
 
 // A request whose best upstream is expected to make it wait this long, in service times, is held
 // until probes have returned.
-constexpr double kHoldWaitTurns = 0.3;
+constexpr double kHoldWaitTurns = 0.5;
 // Probes for one request. More brought less than the additional trip of waiting for all of them.
 constexpr std::size_t kProbesPerCall = 3;
 // A held request leaves at once when an upstream with no more than this expected wait is found.
--- a/boragepier/decision/balancer_upstreams.cc
+++ b/boragepier/decision/balancer_upstreams.cc
@@ -8,9 +8,8 @@
 
 namespace {
 
-// Upstreams that one instance prefers. With two slots each, two homes hold the 3 to 4 requests that
-// an instance has in progress at high load.
-constexpr std::size_t kHomeSize = 2;
+// Upstreams that one instance prefers. 1 to 4 differ by less than 0.5 ms at p99.
+constexpr std::size_t kHomeSize = 3;
 // Without a fresh sign, a sign of leaving is dropped after this time.
 constexpr Duration kLeavingLifetime = std::chrono::seconds(60);
 
--- a/boragepier/decision/load_view.cc
+++ b/boragepier/decision/load_view.cc
@@ -17,7 +17,9 @@
 // Each further request to wait for costs this factor more. Minimising the mean wait (factor 1) left
 // a p99 that is 1.4 ms higher at 85 % load.
 constexpr double kWaitGrowth = 1.6;
-constexpr double kMaxSamples = 15;
+constexpr double kMaxSamples = 60;
+// The same for recent slowness, which finds stragglers.
+constexpr double kMaxRecent = 12;
 constexpr double kMaxMeanSamples = 500;
 // The mean of all upstreams counts as this many samples of each upstream.
 constexpr double kPriorSamples = 4;
@@ -53,6 +55,7 @@
   upstream.reported_ = false;
   upstream.samples_ = 0;
   upstream.slowness_ = 1;
+  upstream.recentSlowness_ = 1;
 }
 
 void
@@ -95,8 +98,13 @@
   meanLogMs_ += (logMs - meanLogMs_) / meanSamples_;
   upstream.samples_ = std::min(kMaxSamples, upstream.samples_ + 1);
   upstream.logMs_ += (logMs - upstream.logMs_) / upstream.samples_;
-  const double weight = upstream.samples_ / (upstream.samples_ + kPriorSamples);
-  upstream.slowness_ = std::exp(weight * (upstream.logMs_ - meanLogMs_));
+  const double recent = std::min(kMaxRecent, upstream.samples_);
+  upstream.recentLogMs_ += (logMs - upstream.recentLogMs_) / recent;
+  const auto relative = [&](double aLogMs, double aSamples) {
+    return std::exp(aSamples / (aSamples + kPriorSamples) * (aLogMs - meanLogMs_));
+  };
+  upstream.slowness_ = relative(upstream.logMs_, upstream.samples_);
+  upstream.recentSlowness_ = relative(upstream.recentLogMs_, recent);
 }
 
 void
--- a/boragepier/decision/load_view.h
+++ b/boragepier/decision/load_view.h
@@ -55,6 +55,8 @@
   /// @return the service time as a multiple of the mean of all upstreams. Compares logarithms, so
   /// that one long request does not make an upstream look slow.
   double Slowness(std::size_t aIndex) const { return upstreams_[aIndex].slowness_; }
+  /// @return Slowness() over the most recent answers only
+  double RecentSlowness(std::size_t aIndex) const { return upstreams_[aIndex].recentSlowness_; }
   /// @return expected time to serve a request over all upstreams, in milliseconds
   double MeanServiceMs() const { return meanServiceMs_; }
 
@@ -65,8 +67,10 @@
     MonotonicTime reportTime_;
     unsigned reportedOthers_ = 0;
     bool reported_ = false;
-    double logMs_ = 0;    ///< mean logarithm of service times
-    double samples_ = 0;  ///< number of service times in logMs_, bounded
+    double logMs_ = 0;   ///< mean logarithm of service times
+    double samples_ = 0; ///< number of service times in logMs_, bounded
+    double recentLogMs_ = 0;
+    double recentSlowness_ = 1;
     double slowness_ = 1; ///< service time as a multiple of the mean of all upstreams
   };
 
--- a/boragepier/decision/report_model.cc
+++ b/boragepier/decision/report_model.cc
@@ -9,12 +9,13 @@
 
 // Until enough pairs are known a report is assumed to lose its meaning with this time constant, in
 // service times.
-constexpr double kReportLifetime = 2;
-// That assumption counts as this many pairs. 10 and 100 gave a p99 up to 0.5 ms higher.
+constexpr double kReportLifetime = 1.3;
+// That assumption counts as this many pairs. 10 and 25 gave a p99 that is 0.3 ms higher.
 constexpr double kAssumedPairs = 50;
-// Decay of the counts with every report or pair; load patterns change within minutes.
-constexpr double kReportDecay = 0.995;
-constexpr double kPairDecay = 0.998;
+// Decay of the counts with every report and every pair. The number of requests in the whole fleet
+// changes within tens of milliseconds, what follows a report within minutes.
+constexpr double kReportDecay = 0.98;
+constexpr double kPairDecay = 0.995;
 // Upper ends of the age ranges, in service times.
 constexpr std::array<double, 9> kAgeEnds = { 0.15, 0.3, 0.5, 0.75, 1.1, 1.6, 2.5, 4, 8 };
 
--- a/testing/bench/targets_test.cc
+++ b/testing/bench/targets_test.cc
@@ -10,12 +10,28 @@
 
 namespace {
 
+/// Means over several seeds: one run of a minute leaves an error of about 0.5 ms at p99.
+Figures
+RunSeeds(Scenario aScenario)
+{
+  constexpr int kSeeds = 4;
+  Figures mean;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    aScenario.seed_ = static_cast<std::uint64_t>(seed);
+    const Figures figures = RunScenario(aScenario);
+    mean.p99Ms_ += figures.p99Ms_ / kSeeds;
+    mean.p999Ms_ += figures.p999Ms_ / kSeeds;
+    mean.probesPerSecond_ += figures.probesPerSecond_ / kSeeds;
+  }
+  return mean;
+}
+
 /// Runs the scenario with the named policy.
 Figures
 RunWith(Scenario aScenario, std::string_view aPolicy)
 {
   aScenario.chooser_ = FindChooser(aPolicy);
-  return RunScenario(aScenario);
+  return RunSeeds(aScenario);
 }
 
 /// The policy that ServiceConfig chooses, with its hedge budget.
@@ -49,7 +65,7 @@
   const Figures limit = RunWith(aScenario, "central");
   Scenario own = DefaultPolicy(aScenario);
   own.probes_ = aProbes;
-  const Figures figures = RunScenario(own);
+  const Figures figures = RunSeeds(own);
   CheckAtMost(figures.p99Ms_, from.p99Ms_ - aShare * (from.p99Ms_ - limit.p99Ms_), "p99");
   CheckAtMost(figures.p999Ms_, from.p999Ms_ - aShare * (from.p999Ms_ - limit.p999Ms_), "p99.9");
   CheckAtMost(figures.probesPerSecond_, aProbes, "probes");
@@ -60,7 +76,7 @@
 CheckNeverWorse(Scenario aScenario, double aLoad)
 {
   aScenario.load_ = aLoad;
-  const Figures figures = RunScenario(DefaultPolicy(aScenario));
+  const Figures figures = RunSeeds(DefaultPolicy(aScenario));
   for (const char* simpler : { "random", "round-robin", "power-of-two", "least-outstanding" }) {
     const Figures other = RunWith(aScenario, simpler);
     CheckAtMost(figures.p99Ms_, other.p99Ms_, std::string("p99 of ") + simpler);
