--- /dev/null
+++ b/boragepier/admin/admin_server.cc
@@ -0,0 +1,116 @@
+#include "boragepier/admin/admin_server.h"
+
+#include <algorithm>
+#include <string_view>
+#include <thread>
+#include <utility>
+
+#include "boragepier/admin/admin_api.h"
+#include "boragepier/http/server.h"
+#include "boragepier/net/errors.h"
+#include "boragepier/net/event_loop.h"
+
+namespace boragepier {
+
+namespace {
+
+http::ServerLimits
+AdminLimits()
+{
+  http::ServerLimits limits;
+  limits.maxBody_ = kMaxAnnounceBody;
+  limits.maxConnections_ = 64;
+  limits.idleTimeout_ = std::chrono::seconds(5);
+  limits.requestTimeout_ = std::chrono::seconds(2);
+  return limits;
+}
+
+http::Response
+ToHttp(AdminResponse aResponse)
+{
+  http::Response response;
+  response.status_ = aResponse.status_;
+  response.headers_.Add("Content-Type", aResponse.contentType_);
+  response.headers_.Add("Cache-Control", "no-store");
+  response.body_ = std::move(aResponse.body_);
+  return response;
+}
+
+// Requests that the HTTP server refuses by itself.
+http::Response
+Refuse(RefusalReason aReason)
+{
+  return ToHttp(ErrorResponse(StatusOf(aReason), ToString(aReason), "the request is not accepted"));
+}
+
+} // namespace
+
+class AdminServer::Impl
+{
+public:
+  Impl(const std::string& aAddress, std::uint16_t aPort, AdminHooks aHooks)
+    : api_(std::move(aHooks))
+    , server_(
+        loop_,
+        AdminLimits(),
+        [this](const std::shared_ptr<http::Exchange>& aExchange) { Handle(*aExchange); },
+        Refuse)
+    , port_(Listen(aAddress, aPort))
+    , thread_([this] { loop_.Run(); })
+  {
+  }
+
+  ~Impl()
+  {
+    loop_.Stop();
+    thread_.join();
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  std::uint16_t Port() const { return port_; }
+
+private:
+  std::uint16_t Listen(const std::string& aAddress, std::uint16_t aPort)
+  {
+    try {
+      return server_.Listen(aAddress, aPort);
+    } catch (const net::ListenError& error) {
+      throw AdminListenError(error.what());
+    }
+  }
+
+  void Handle(http::Exchange& aExchange) const
+  {
+    const http::Request& request = aExchange.GetRequest();
+    const std::string_view target = request.target_;
+    const std::size_t question = std::min(target.find('?'), target.size());
+    aExchange.Respond(
+      ToHttp(api_.Handle({ .method_ = request.method_,
+                           .path_ = target.substr(0, question),
+                           .query_ = target.substr(std::min(question + 1, target.size())),
+                           .body_ = request.body_ })));
+  }
+
+  const AdminApi api_;
+  net::EventLoop loop_;
+  http::Server server_;
+  const std::uint16_t port_;
+  std::thread thread_;
+};
+
+AdminServer::AdminServer(const std::string& aAddress, std::uint16_t aPort, AdminHooks aHooks)
+  : impl_(std::make_unique<Impl>(aAddress, aPort, std::move(aHooks)))
+{
+}
+
+AdminServer::~AdminServer() = default;
+
+std::uint16_t
+AdminServer::Port() const
+{
+  return impl_->Port();
+}
+
+} // namespace boragepier
--- a/cmake/boragepier.cmake
+++ b/cmake/boragepier.cmake
@@ -58,9 +58,24 @@
   add_executable(${NAME} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/testing/test_main.cc)
   target_link_libraries(${NAME} PRIVATE
     boragepier_options ${ARG_DEPS} ${CPPUTEST_LIB} ${CPPUTEST_EXT_LIB})
+  # CppUTest's macros for "new" do not compile with standard headers that are included after them.
+  target_compile_definitions(${NAME} PRIVATE CPPUTEST_MEM_LEAK_DETECTION_DISABLED)
   add_test(NAME ${NAME} COMMAND ${NAME} -v)
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
   set_tests_properties(${NAME} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
 endfunction()
+
+# boragepier_test_groups(NAME SOURCES... DEPS... GROUPS...): a CppUTest program of which each test
+# group is a CTest test of its own, named NAME.GROUP.
+function(boragepier_test_groups NAME)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS;GROUPS" ${ARGN})
+  add_executable(${NAME} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/testing/test_main.cc)
+  target_link_libraries(${NAME} PRIVATE
+    boragepier_options ${ARG_DEPS} ${CPPUTEST_LIB} ${CPPUTEST_EXT_LIB})
+  foreach(GROUP ${ARG_GROUPS})
+    add_test(NAME ${NAME}.${GROUP} COMMAND ${NAME} -v -sg ${GROUP})
+    set_tests_properties(${NAME}.${GROUP} PROPERTIES TIMEOUT 120)
+  endforeach()
+endfunction()
