Count the drain limit from SIGTERM and log an announcement once

The design page says that an instance exits within drain-limit; the limit was counted from the end of the drain grace, so it took up to the sum of both. The admin surface already logs config-announced with the publish id; the entry process logged it again.

--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -117,8 +117,6 @@
     .WithLive([this] { return control_.Responsive(); })
     .WithStatus([this] { return Status(); })
     .WithAnnounce([this](ConfigRecord aRecord) {
-      Log(EventId::ConfigAnnounced,
-          { { "service", aRecord.service_ }, { "version", aRecord.version_ } });
       return control_.Announce(std::move(aRecord)) ? AnnounceResult::Accepted
                                                    : AnnounceResult::Outdated;
     })
@@ -130,6 +128,7 @@
 bool
 EntryInstance::Drain()
 {
+  const auto limit = std::chrono::steady_clock::now() + settings_.drainLimit_;
   draining_ = true;
   metrics_.SetReady(false);
   metrics_.SetDraining(true);
@@ -138,7 +137,6 @@
   traffic_.BeginDrain();
   std::this_thread::sleep_for(settings_.drainGrace_);
 
-  const auto limit = std::chrono::steady_clock::now() + settings_.drainLimit_;
   traffic_.StopAccepting();
   while (!traffic_.Idle() && std::chrono::steady_clock::now() < limit) {
     std::this_thread::sleep_for(kDrainPoll);
