--- a/boragepier/admin/admin_api.h
+++ b/boragepier/admin/admin_api.h
@@ -9,8 +9,8 @@
 
 namespace boragepier {
 
-/// Longest body of POST /config/announce, in bytes. A service file has at most 64 KiB; JSON escapes
-/// can double it.
+/// Longest body of POST /config/announce, in bytes. A service file has at most 32 KiB; JSON escapes
+/// can lengthen it.
 inline constexpr std::size_t kMaxAnnounceBody = 256 << 10;
 /// Largest N of /explain?last=N. A record with 16 attempts of 16 candidates has about 40 KB.
 inline constexpr std::size_t kMaxExplainLast = 256;
--- a/boragepier/admin/admin_hooks.h
+++ b/boragepier/admin/admin_hooks.h
@@ -26,8 +26,8 @@
   Outdated, ///< not newer than the one in force
 };
 
-/// Where the admin surface takes its data from. The functions run in the thread of the admin server;
-/// they must be thread-safe and soon return.
+/// Where the admin surface takes its data from. The functions run in the thread of the admin
+/// server; they must be thread-safe and soon return.
 struct AdminHooks
 {
   std::function<bool()> live_;
--- a/boragepier/config/ini_text.h
+++ b/boragepier/config/ini_text.h
@@ -9,8 +9,9 @@
 
 namespace boragepier {
 
-/// Longest text that is read as INI, in bytes.
-inline constexpr std::size_t kMaxIniText = 64 << 10;
+/// Longest text that is read as INI, in bytes. Peers pass on bodies of up to this size
+/// (kMaxPeerBody).
+inline constexpr std::size_t kMaxIniText = 32 << 10;
 /// Longest line of an INI text, in bytes. inih cuts longer lines without an error.
 inline constexpr std::size_t kMaxIniLine = 4000;
 
--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -108,7 +108,7 @@
       .minimum_ = 1,
       .maximum_ = 64,
       .default_ = "1",
-      .meaning_ = "traffic threads" },
+      .meaning_ = "traffic threads; this release starts one whatever the value" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.threads_, aValue); } },
   Key<Settings>{
     { .section_ = "traffic",
@@ -175,17 +175,18 @@
       .default_ = "60000",
       .meaning_ = "time after which a connection without a request is closed" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.idleTimeout_, aValue); } },
-  Key<Settings>{ { .section_ = "traffic",
-                   .name_ = "request-timeout-ms",
-                   .type_ = KeyType::Integer,
-                   .unit_ = "ms",
-                   .minimum_ = 1,
-                   .maximum_ = 3600000,
-                   .default_ = "30000",
-                   .meaning_ = "time from the first to the last byte of a request" },
-                 [](Settings& aSettings, const KeyValue& aValue) {
-                   Assign(aSettings.requestTimeout_, aValue);
-                 } },
+  Key<Settings>{
+    { .section_ = "traffic",
+      .name_ = "request-timeout-ms",
+      .type_ = KeyType::Integer,
+      .unit_ = "ms",
+      .minimum_ = 1,
+      .maximum_ = 3600000,
+      .default_ = "30000",
+      .meaning_ = "time from the first to the last byte of a request, and for sending its answer" },
+    [](Settings& aSettings, const KeyValue& aValue) {
+      Assign(aSettings.requestTimeout_, aValue);
+    } },
   Key<Settings>{
     { .section_ = "log",
       .name_ = "level",
