--- a/testing/docs/docs_test.cc
+++ b/testing/docs/docs_test.cc
@@ -92,12 +92,13 @@
 {
   const std::vector<std::string> rows = RowsBelow(aPage, aHeading);
   for (const std::string& row : aExpected) {
-    CHECK_TEXT(std::find(rows.begin(), rows.end(), row) != rows.end(),
-               (aPage + " lacks " + row).c_str());
+    const std::string message = std::string(aPage).append(" lacks ").append(row);
+    CHECK_TEXT(std::find(rows.begin(), rows.end(), row) != rows.end(), message.c_str());
   }
   for (const std::string& row : rows) {
+    const std::string message = std::string(aPage).append(" has an extra ").append(row);
     CHECK_TEXT(std::find(aExpected.begin(), aExpected.end(), row) != aExpected.end(),
-               (aPage + " has what the code has not: " + row).c_str());
+               message.c_str());
   }
   CHECK_EQUAL(aExpected.size(), rows.size());
 }
