Follow the new default of the probe budget

ServiceConfig now probes 200 times per upstream and second by default; the table of keys still said 0, which config_file_test reported (expected 200 but was 0).

config_file_test: 1 failure before, none after.

--- a/boragepier/config/service_keys.cc
+++ b/boragepier/config/service_keys.cc
@@ -129,7 +129,7 @@
                         .type_ = KeyType::Number,
                         .minimum_ = 0,
                         .maximum_ = 1000,
-                        .default_ = "0",
+                        .default_ = "200",
                         .meaning_ =
                           "probes that one upstream receives per second from the whole fleet; 0 "
                           "sends none" },
