--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -113,9 +113,15 @@
   const auto folder = directory_ / "services";
   std::filesystem::create_directories(folder);
   WriteFile(folder / (aService + ".service.ini"), aText);
+  return PublishDirectory(folder);
+}
+
+int
+Fleet::PublishDirectory(const std::filesystem::path& aDirectory)
+{
   ChildProcess publish(
     BORAGEPIERCTL_BINARY,
-    { "publish", folder.string(), "--platform", "127.0.0.1:" + std::to_string(platformPort_) });
+    { "publish", aDirectory.string(), "--platform", "127.0.0.1:" + std::to_string(platformPort_) });
   publish.ReadToEnd();
   return publish.WaitForExit();
 }
--- a/testing/e2e/fleet.h
+++ b/testing/e2e/fleet.h
@@ -42,6 +42,8 @@
 
   SyncClient& Client() { return client_; }
   std::uint16_t PlatformPort() const { return platformPort_; }
+  /// @return a directory that is removed with the fleet
+  const std::filesystem::path& Directory() const { return directory_; }
 
   /// Starts an upstream, which registers itself.
   RunningUpstream& AddUpstream(const std::string& aService,
@@ -59,6 +61,10 @@
   /// @return exit status of boragepierctl
   int Publish(const std::string& aService, const std::string& aText);
 
+  /// Publishes the service files below a directory with boragepierctl.
+  /// @return exit status of boragepierctl
+  int PublishDirectory(const std::filesystem::path& aDirectory);
+
   /// Sets switches of the platform stand-in, for example {"table_down":true}.
   void ControlPlatform(const std::string& aJson);
   /// Sets the mode of an upstream, for example {"mode":"drain"}.
--- a/testing/e2e/load_runner.cc
+++ b/testing/e2e/load_runner.cc
@@ -1,5 +1,6 @@
 #include "testing/e2e/load_runner.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -10,10 +11,22 @@
 
 namespace boragepier::testing {
 
-LoadRunner::LoadRunner(int aCallers, std::string aLookupPath, std::string aOrderPath)
-  : callers_(aCallers)
-  , lookupPath_(std::move(aLookupPath))
-  , orderPath_(std::move(aOrderPath))
+double
+LoadResult::Quantile(double aFraction) const
+{
+  if (latenciesMs_.empty()) {
+    return 0;
+  }
+  std::vector<double> sorted = latenciesMs_;
+  const auto rank = static_cast<std::ptrdiff_t>(aFraction * static_cast<double>(sorted.size() - 1));
+  std::nth_element(sorted.begin(), sorted.begin() + rank, sorted.end());
+  return sorted[static_cast<std::size_t>(rank)];
+}
+
+LoadRunner::LoadRunner(std::string aName, int aCallers, Paths aPaths)
+  : name_(std::move(aName))
+  , callers_(aCallers)
+  , paths_(std::move(aPaths))
 {
 }
 
@@ -66,46 +79,64 @@
 {
   SyncClient client;
   for (int number = 0; !stopped_; ++number) {
-    const std::string name = std::to_string(aCaller) + '-' + std::to_string(number);
     std::uint16_t port = 0;
     {
       const std::lock_guard lock(mutex_);
       port = targets_.at(static_cast<std::size_t>(aCaller + number) % targets_.size());
     }
-    SendOne(client, name, !orderPath_.empty() && number % 3 == 0, port);
+    SendOne(client, MakeRequest(aCaller, number), port);
     ++ended_;
   }
 }
 
-void
-LoadRunner::SendOne(SyncClient& aClient, const std::string& aName, bool aOrder, std::uint16_t aPort)
+http::Request
+LoadRunner::MakeRequest(int aCaller, int aNumber) const
 {
+  const std::string name = name_ + '-' + std::to_string(aCaller) + '-' + std::to_string(aNumber);
+  const bool order = !paths_.orders_.empty() && aNumber % 3 == 0;
+  const auto& paths = order ? paths_.orders_ : paths_.lookups_;
+  const auto turn = static_cast<std::size_t>(aCaller + aNumber / 3);
   http::Request request;
-  request.method_ = aOrder ? "POST" : "GET";
-  request.target_ = (aOrder ? orderPath_ : lookupPath_) + aName;
-  request.body_ = aOrder ? "order " + aName : "";
-  if (aOrder) {
-    request.headers_.Add(kKeyHeader, "key-" + aName);
+  request.method_ = order ? "POST" : "GET";
+  request.target_ = paths[turn % paths.size()] + name;
+  if (order) {
+    request.body_ = "order " + name;
+    request.headers_.Add(kKeyHeader, "key-" + name);
   }
-  const http::SendResult result = aClient.Send(aPort, request);
-  const http::Response& response = result.response_;
-  const std::string outcome(response.headers_.Get(kOutcomeHeader).value_or("none"));
+  return request;
+}
 
+void
+LoadRunner::SendOne(SyncClient& aClient, const http::Request& aRequest, std::uint16_t aPort)
+{
+  const auto start = std::chrono::steady_clock::now();
+  const http::SendResult result = aClient.Send(aPort, aRequest);
+  const Duration latency = std::chrono::steady_clock::now() - start;
   const std::lock_guard lock(mutex_);
+  result_.latenciesMs_.push_back(ToMilliseconds(latency));
+  Count(aRequest, result);
+}
+
+void
+LoadRunner::Count(const http::Request& aRequest, const http::SendResult& aResult)
+{
+  const http::Response& response = aResult.response_;
+  const std::string outcome(response.headers_.Get(kOutcomeHeader).value_or("none"));
   ++result_.sent_;
-  if (aOrder) {
+  if (const auto key = aRequest.headers_.Get(kKeyHeader)) {
     const bool failed = outcome == "answered" && response.status_ >= 500;
-    result_.orders_["key-" + aName] = failed ? "server-error" : outcome;
+    result_.orders_[std::string(*key)] = failed ? "server-error" : outcome;
   }
-  if (result.outcome_ != Outcome::Answered) {
+  if (aResult.outcome_ != Outcome::Answered) {
     ++result_.lost_;
   } else if (outcome != "answered") {
     const auto problem = nlohmann::json::parse(response.body_, nullptr, false);
     const bool typed = problem.is_object() && problem.contains("reason");
     ++result_.refusals_[typed ? problem["reason"].get<std::string>() : "untyped"];
+    ++(outcome == "not-run" ? result_.notRun_ : result_.unknown_);
   } else if (response.status_ >= 500) {
     ++result_.serverErrors_;
-  } else if (!EchoMatches(request, response.body_)) {
+  } else if (!EchoMatches(aRequest, response.body_)) {
     ++result_.wrong_;
   } else {
     ++result_.answered_;
--- a/testing/e2e/path_test.cc
+++ b/testing/e2e/path_test.cc
@@ -16,6 +16,8 @@
 // Short grace: the test takes instances off the callers' list before it ends them.
 const std::string kDrainSettings = "[traffic]\ndrain-grace-ms = 300\ndrain-limit-ms = 20000\n";
 
+const LoadRunner::Paths kPaths = { { "/orders/" }, { "/orders/" } };
+
 http::Request
 Order(const std::string& aKey, const std::string& aBody = "order")
 {
@@ -95,7 +97,7 @@
 TEST(Path, LookupsAndOrdersPassThroughAllInstances)
 {
   Prepare(4, 3);
-  LoadRunner load(8, "/orders/", "/orders/");
+  LoadRunner load("load", 8, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(1000);
@@ -137,7 +139,7 @@
 TEST(Path, ADrainingUpstreamCausesNoError)
 {
   Prepare(5, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(200);
@@ -152,7 +154,7 @@
 TEST(Path, RollingReplacementOfAllInstancesCausesNoError)
 {
   Prepare(5, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   for (std::size_t i = 0; i < 3; ++i) {
@@ -178,7 +180,7 @@
 TEST(Path, PublishingUnderLoadCausesNoError)
 {
   Prepare(4, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   for (int version = 2; version <= 6; ++version) {
@@ -229,7 +231,7 @@
 TEST(Path, APausedInstanceDoesNotRunAnOrderTwice)
 {
   Prepare(4, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(100);
@@ -267,7 +269,7 @@
 TEST(Path, AKilledInstanceLosesOnlyItsOwnConnections)
 {
   Prepare(4, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(200);
@@ -287,7 +289,7 @@
 TEST(Path, FaultyUpstreamsAreSurvived)
 {
   Prepare(6, 2);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(200);
