Add unit tests of the parts and keep further attempts off doubtful upstreams

Cause: with a fail-fast upstream and a lost zone one repeatable call met three bad upstreams and ended in an error; hedges at 1.5 times p99 cost 0.3 ms of p99; probes could exceed the budget within one second by a saved burst. Change: a retry or hedge is sent only to upstreams in full standing while there are any; hedges at 2.5 times p99, or 0.4 times if service times are heavy-tailed; the burst of probes is part of the budget.

--- a/boragepier/decision/balancer_attempts.cc
+++ b/boragepier/decision/balancer_attempts.cc
@@ -14,9 +14,14 @@
 constexpr double kMinTimeoutMs = 50;
 // A hedge is sent after this multiple of the 99th percentile. Most calls that are slow at the 95th
 // percentile are long, not stuck: hedging them raised p99 by 2 to 3 ms at 85 % load.
-constexpr double kHedgeFactor = 1.5;
+constexpr double kHedgeFactor = 2.5;
+// With heavy-tailed service times a call that is slow has probably met a long one, and an earlier
+// hedge lowers p99. The times are heavy-tailed if what remains at the 99th percentile is this
+// multiple of what remains at the start.
+constexpr double kHeavyHedgeFactor = 0.4;
+constexpr double kHeavyRemaining = 1.5;
 // A hedge is worth its cost only where hardly any wait is expected, in service times.
-constexpr double kMaxHedgeWaitTurns = 0.5;
+constexpr double kMaxHedgeWaitTurns = 0.2;
 constexpr double kEndIntervalWeight = 0.05;
 
 std::optional<RetryReason>
@@ -131,7 +136,9 @@
   if (!repeatable || config_.hedgeBudget_ <= 0 || !latencies_.Ready()) {
     return std::nullopt;
   }
-  const Duration delay = FromMilliseconds(kHedgeFactor * latencies_.P99Ms());
+  const double p99Ms = latencies_.P99Ms();
+  const bool heavy = latencies_.RemainingFactor(FromMilliseconds(p99Ms)) >= kHeavyRemaining;
+  const Duration delay = FromMilliseconds(p99Ms * (heavy ? kHeavyHedgeFactor : kHedgeFactor));
   if (aNow + delay >= aCall.deadline_) {
     return std::nullopt;
   }
--- a/boragepier/decision/balancer_choice.cc
+++ b/boragepier/decision/balancer_choice.cc
@@ -66,7 +66,9 @@
     if (aByStanding) {
       const double standing = ejection_.Standing(index, aNow);
       // On the way back one own request at a time is enough to learn from.
-      const bool limited = standing < 0.5 && load_.Own(index) > 0;
+      // A further attempt does not test an upstream: its request has met a bad one already.
+      const bool limited =
+        standing < 1 && (!aCall.tried_.empty() || (standing < 0.5 && load_.Own(index) > 0));
       if (limited || (standing < 1 && static_cast<double>(random_(1000)) >= standing * 1000)) {
         continue;
       }
--- /dev/null
+++ b/boragepier/decision/choice_parts_test.cc
@@ -0,0 +1,128 @@
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "boragepier/decision/admission_queue.h"
+#include "boragepier/decision/choice_policy.h"
+#include "boragepier/decision/home_subset.h"
+#include "boragepier/decision/latency_profile.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier {
+
+namespace {
+
+constexpr MonotonicTime kStart{ std::chrono::seconds(1) };
+
+CallInfo
+MakeCall(std::uint64_t aId, CallClass aClass, Duration aDeadline)
+{
+  CallInfo call;
+  call.id_ = aId;
+  call.deadline_ = kStart + aDeadline;
+  call.callClass_ = aClass;
+  return call;
+}
+
+std::vector<InstanceId>
+MakeInstances(int aCount)
+{
+  std::vector<InstanceId> instances;
+  instances.reserve(static_cast<std::size_t>(aCount));
+  for (int i = 0; i < aCount; ++i) {
+    instances.emplace_back("instance-" + std::to_string(i));
+  }
+  return instances;
+}
+
+} // namespace
+
+TEST_GROUP(ChoiceParts){};
+
+// Guards against background requests that delay or crowd out interactive ones.
+TEST(ChoiceParts, InteractiveRequestsLeaveFirstAndDisplaceBackground)
+{
+  AdmissionQueue queue(2);
+  std::optional<std::uint64_t> displaced;
+  CHECK(queue.Push(MakeCall(1, CallClass::Background, std::chrono::seconds(1)), displaced));
+  CHECK(queue.Push(MakeCall(2, CallClass::Interactive, std::chrono::seconds(1)), displaced));
+  CHECK(!queue.Push(MakeCall(3, CallClass::Background, std::chrono::seconds(1)), displaced));
+  CHECK(!displaced);
+  CHECK(queue.Push(MakeCall(4, CallClass::Interactive, std::chrono::seconds(1)), displaced));
+  LONGS_EQUAL(1, *displaced);
+  LONGS_EQUAL(2, queue.Front()->id_);
+  queue.PopFront();
+  LONGS_EQUAL(4, queue.Front()->id_);
+  LONGS_EQUAL(1, queue.Size());
+}
+
+// Guards against requests that stay in the queue after their deadline or their caller's leaving.
+TEST(ChoiceParts, ExpiredAndCancelledRequestsLeaveTheQueue)
+{
+  AdmissionQueue queue(4);
+  std::optional<std::uint64_t> displaced;
+  queue.Push(MakeCall(1, CallClass::Interactive, std::chrono::seconds(1)), displaced);
+  queue.Push(MakeCall(2, CallClass::Interactive, std::chrono::seconds(3)), displaced);
+  CHECK(queue.EarliestDeadline() == kStart + std::chrono::seconds(1));
+  LONGS_EQUAL(1, queue.TakeExpired(kStart + std::chrono::seconds(2)).at(0));
+  CHECK(queue.Remove(2));
+  CHECK(!queue.Remove(2));
+  LONGS_EQUAL(0, queue.Size());
+}
+
+// Guards against homes that pile up on few upstreams, and instances that disagree.
+TEST(ChoiceParts, HomesAreBalancedAndIndependentOfTheOrderOfInstances)
+{
+  auto instances = MakeInstances(15);
+  std::vector<std::string> names;
+  names.reserve(15);
+  for (int i = 0; i < 15; ++i) {
+    names.push_back("upstream-" + std::to_string(i));
+  }
+  const std::vector<std::string_view> ids(names.begin(), names.end());
+  std::map<std::size_t, int> homes;
+  for (const InstanceId& self : MakeInstances(15)) {
+    const auto own = HomeSubset(self, instances, ids, 2);
+    CHECK(own.size() <= 2);
+    for (const std::size_t home : own) {
+      CHECK(++homes[home] <= 2);
+    }
+    std::reverse(instances.begin(), instances.end());
+    CHECK(own == HomeSubset(self, instances, ids, 2));
+  }
+  CHECK(HomeSubset(InstanceId("unknown"), instances, ids, 2).empty());
+}
+
+// Guards against a choice by position instead of load, and a cycle that leaves upstreams out.
+TEST(ChoiceParts, PoliciesPickByTheirOwnMeasure)
+{
+  Random random(3);
+  const std::vector<Candidate> candidates = { { 0, 2, 1 }, { 1, 1, 5 }, { 2, 3, 4 } };
+  LONGS_EQUAL(1, LeastOutstandingChoice().Pick(candidates, random));
+  LONGS_EQUAL(0, ReportedChoice().Pick(candidates, random));
+  RoundRobinChoice cycle;
+  std::map<std::size_t, int> picks;
+  for (int i = 0; i < 30; ++i) {
+    ++picks[cycle.Pick(candidates, random)];
+    CHECK(PowerOfTwoChoice().Pick(candidates, random) != 2);
+  }
+  LONGS_EQUAL(10, picks[0]);
+  LONGS_EQUAL(10, picks[2]);
+}
+
+// Guards against wrong quantiles, from which time limits and hedges follow.
+TEST(ChoiceParts, LatencyProfileKnowsItsQuantiles)
+{
+  LatencyProfile profile;
+  CHECK(!profile.Ready());
+  for (int i = 1; i <= 1024; ++i) {
+    profile.Add(std::chrono::microseconds(i % 100 * 1000 + 500));
+  }
+  CHECK(profile.Ready());
+  DOUBLES_EQUAL(95, profile.P95Ms(), 8);
+  DOUBLES_EQUAL(99, profile.P99Ms(), 9);
+  CHECK(profile.RemainingFactor(std::chrono::milliseconds(50)) >= 1);
+}
+
+} // namespace boragepier
--- a/boragepier/decision/load_view.cc
+++ b/boragepier/decision/load_view.cc
@@ -170,7 +170,7 @@
   for (const MonotonicTime sent : upstreams_[aIndex].sent_) {
     own += aLatencies.RemainingFactor(aNow - sent);
   }
-  const auto row = std::min(static_cast<std::size_t>(own + 0.5), waitCosts_.size() - 1);
+  const auto row = std::min(static_cast<std::size_t>(std::lround(own)), waitCosts_.size() - 1);
   return Expect(waitCosts_[row], aIndex, aNow);
 }
 
--- a/boragepier/decision/probe_budget.cc
+++ b/boragepier/decision/probe_budget.cc
@@ -6,10 +6,11 @@
 
 namespace {
 
-// Part of the share that is used; the rest covers a list that lacks a third of the instances.
-constexpr double kUsedShare = 2.0 / 3;
-// Lets a few requests in a row use probes.
-constexpr double kMaxSaved = 8;
+// Probes that may be saved for a burst, as a part of those of one second.
+constexpr double kSavedSeconds = 0.05;
+// Part of the share that is used. A third covers a list that lacks a third of the instances; the
+// burst is left out so that no second exceeds the budget.
+constexpr double kUsedShare = 2.0 / 3 * (1 - kSavedSeconds);
 
 } // namespace
 
@@ -26,8 +27,12 @@
   if (perMs_ <= 0) {
     return false;
   }
+  if (last_ == MonotonicTime()) {
+    last_ = aNow;
+  }
   if (aNow > last_) {
-    saved_ = std::min(kMaxSaved, saved_ + ToMilliseconds(aNow - last_) * perMs_);
+    const double limit = std::max(1.0, perMs_ * 1000 * kSavedSeconds);
+    saved_ = std::min(limit, saved_ + ToMilliseconds(aNow - last_) * perMs_);
     last_ = aNow;
   }
   if (saved_ < 1) {
--- a/testing/bench/simulation.cc
+++ b/testing/bench/simulation.cc
@@ -230,9 +230,7 @@
       aReport.failure_ != AttemptFailure::Timeout) {
     attempts_.erase(aAttempt);
   }
-  if (Call& call = calls_.at(callId); true) {
-    std::erase(call.open_, aAttempt);
-  }
+  std::erase(calls_.at(callId).open_, aAttempt);
   if (!scenario_.chooser_.central_) {
     instance.balancer_->OnAttemptEnded(aReport, now_);
   }
