--- a/boragepier/control/control_plane_impl.h
+++ b/boragepier/control/control_plane_impl.h
@@ -23,6 +23,9 @@
 /// Signals of one upstream start within this time are passed on once: an upstream that drains sends
 /// one with each answer.
 inline constexpr Duration kReportInterval = std::chrono::seconds(1);
+/// Upstreams whose signals are remembered for kReportInterval. Twice the upstreams of the two-year
+/// size, so that it is exceeded only by ids that are no longer in use.
+inline constexpr std::size_t kMaxReported = 8800;
 
 template<TableStore Table, InstanceList List, PeerTransport Peers, Scheduler Loop>
 ControlPlane<Table, List, Peers, Loop>::ControlPlane(Loop& aLoop,
@@ -67,6 +70,9 @@
 {
   {
     const std::lock_guard lock(reportedMutex_);
+    if (reported_.size() > kMaxReported) {
+      reported_.clear();
+    }
     auto& [startNumber, time] = reported_[aUpstream];
     const MonotonicTime now = loop_.Now();
     if (startNumber == aStartNumber && now < time + kReportInterval) {
@@ -123,7 +129,9 @@
     status.services_.push_back(
       { name, entry.record_.version_, entry.inForceVersion_, entry.error_ });
   }
-  status.peers_ = state_.Members().Peers(state_.Round());
+  for (const PeerEndpoint* peer : state_.Members().Peers(state_.Round())) {
+    status.peers_.push_back(*peer);
+  }
   status.members_ = state_.Members().Live(state_.Round());
   for (const auto& [name, departure] : state_.Departing().All()) {
     status.departures_.push_back(departure);
--- a/boragepier/peer/http2_session.cc
+++ b/boragepier/peer/http2_session.cc
@@ -1,8 +1,8 @@
 #include "boragepier/peer/http2_session.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstring>
 #include <exception>
 #include <map>
 #include <utility>
@@ -237,7 +237,7 @@
 {
   Stream& stream = streams_[aStream];
   const std::size_t size = std::min(aSize, stream.body_.size() - stream.sent_);
-  std::memcpy(aBuffer, stream.body_.data() + stream.sent_, size);
+  std::copy_n(stream.body_.begin() + static_cast<std::ptrdiff_t>(stream.sent_), size, aBuffer);
   stream.sent_ += size;
   aEnd = stream.sent_ == stream.body_.size();
   return size;
--- a/boragepier/peer/incoming_link.cc
+++ b/boragepier/peer/incoming_link.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Answers that a peer has not read. More means that it sends without reading.
-constexpr std::uint64_t kMaxUnreadOutput = 16 * 1024;
+constexpr std::uint64_t kMaxUnreadOutput = std::uint64_t{ 16 } * 1024;
 
 } // namespace
 
--- a/boragepier/state/fleet_state.cc
+++ b/boragepier/state/fleet_state.cc
@@ -72,7 +72,10 @@
     // The round of the entry can be that of an instance that had just started.
     SignalDeparture(UpstreamId(process.id_), process.startNumber_);
   }
-  ListChanged();
+  changed_ = true;
+  if (aEntry.process_.role_ == kEntryRole) {
+    ListChanged();
+  }
   return true;
 }
 
@@ -90,6 +93,7 @@
     }
   }
   members_.SetListed(instances);
+  membersChanged_ = true;
 }
 
 bool
@@ -114,13 +118,16 @@
 bool
 FleetState::AcceptMember(const MemberEntry& aMember)
 {
-  return members_.Accept(aMember, round_);
+  const bool news = members_.Accept(aMember, round_);
+  membersChanged_ = membersChanged_ || news;
+  return news;
 }
 
 void
 FleetState::PeerUnreachable(const InstanceId& aPeer)
 {
   members_.Unreachable(aPeer, round_);
+  membersChanged_ = true;
 }
 
 void
@@ -129,6 +136,7 @@
   round_ = std::min(round_ + 1, kMaxRound);
   processes_.Expire(round_);
   members_.Expire(round_);
+  membersChanged_ = true;
   const bool ended = departures_.Expire(round_);
   const bool lapsed = std::ranges::any_of(processes_.All(), [&](const auto& aItem) {
     const ProcessEntry& entry = aItem.second;
@@ -163,19 +171,18 @@
   return static_cast<std::size_t>(ahead) < kPollersPerRound;
 }
 
-std::vector<UpstreamEndpoint>
-FleetState::UpstreamsOf(const ServiceName& aService) const
+std::map<std::string_view, std::vector<UpstreamEndpoint>>
+FleetState::UpstreamsByService() const
 {
-  std::vector<UpstreamEndpoint> upstreams;
+  std::map<std::string_view, std::vector<UpstreamEndpoint>> upstreams;
   for (const auto& [key, entry] : processes_.All()) {
     const ListedProcess& process = entry.process_;
-    if (process.role_ != kUpstreamRole || process.service_ != aService.View() ||
-        !ProcessList::Usable(entry, round_)) {
+    if (process.role_ != kUpstreamRole || !ProcessList::Usable(entry, round_)) {
       continue;
     }
     UpstreamEndpoint endpoint = EndpointOf(process);
     endpoint.leaving_ = endpoint.leaving_ || departures_.Holds(process.id_, process.startNumber_);
-    upstreams.push_back(std::move(endpoint));
+    upstreams[process.service_].push_back(std::move(endpoint));
   }
   return upstreams;
 }
@@ -183,6 +190,10 @@
 std::shared_ptr<const RoutingTable>
 FleetState::TakeRouting()
 {
+  if (!changed_ && !membersChanged_) {
+    return nullptr;
+  }
+  membersChanged_ = false;
   std::vector<InstanceId> live = members_.Live(round_);
   if (!changed_ && live == live_) {
     return nullptr;
@@ -191,9 +202,11 @@
   live_ = live;
   auto table = std::make_shared<RoutingTable>();
   table->instances_ = std::move(live);
+  auto upstreams = UpstreamsByService();
   for (const auto& [service, entry] : configs_.All()) {
     if (entry.inForce_) {
-      table->services_.push_back({ *entry.inForce_, entry.inForceVersion_, UpstreamsOf(service) });
+      table->services_.push_back(
+        { *entry.inForce_, entry.inForceVersion_, std::move(upstreams[service.View()]) });
     }
   }
   return table;
--- a/boragepier/state/fleet_state.h
+++ b/boragepier/state/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -69,7 +70,8 @@
   ///         the live view do, so that the loss of one does not delay a change.
   bool IsPoller() const;
 
-  /// @return the routing table if it changed since the last call, else null
+  /// @return the routing table if it changed since the last call, else null. A peer that is reached
+  ///         again is taken up in the next round.
   std::shared_ptr<const RoutingTable> TakeRouting();
 
   std::uint64_t Round() const { return round_; }
@@ -84,7 +86,7 @@
 
 private:
   void ListChanged();
-  std::vector<UpstreamEndpoint> UpstreamsOf(const ServiceName& aService) const;
+  std::map<std::string_view, std::vector<UpstreamEndpoint>> UpstreamsByService() const;
 
   PeerEndpoint self_;
   ConfigRegistry configs_;
@@ -94,6 +96,7 @@
   Membership members_;
   std::uint64_t round_ = 0;
   bool changed_ = false;
+  bool membersChanged_ = true;   ///< may have; see TakeRouting()
   std::vector<InstanceId> live_; ///< as in the last routing table
 };
 
--- a/boragepier/state/gossip.cc
+++ b/boragepier/state/gossip.cc
@@ -376,13 +376,12 @@
 std::vector<PeerEndpoint>
 Gossip::RandomPeers(std::size_t aCount)
 {
-  std::vector<PeerEndpoint> peers = state_.Members().Peers(state_.Round());
-  const std::size_t count = std::min(aCount, peers.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    const std::size_t other = i + random_(static_cast<std::uint32_t>(peers.size() - i));
-    std::swap(peers[i], peers[other]);
+  std::vector<const PeerEndpoint*> all = state_.Members().Peers(state_.Round());
+  std::vector<PeerEndpoint> peers;
+  for (std::size_t i = 0; i < std::min(aCount, all.size()); ++i) {
+    std::swap(all[i], all[i + random_(static_cast<std::uint32_t>(all.size() - i))]);
+    peers.push_back(*all[i]);
   }
-  peers.resize(count);
   return peers;
 }
 
--- a/boragepier/state/membership.cc
+++ b/boragepier/state/membership.cc
@@ -107,20 +107,21 @@
          *unreachable + kRetryPeerRounds <= aRound;
 }
 
-std::vector<PeerEndpoint>
+std::vector<const PeerEndpoint*>
 Membership::Peers(std::uint64_t aRound) const
 {
-  std::vector<PeerEndpoint> peers;
+  std::vector<const PeerEndpoint*> peers;
   for (const auto& item : members_) {
     const Member& member = item.second;
     if (!Reachable(member, aRound)) {
       continue;
     }
-    const bool known = std::ranges::any_of(members_, [&](const auto& aOther) {
-      return !aOther.second.seed_ && SameAddress(aOther.second.endpoint_, member.endpoint_);
-    });
-    if (!member.seed_ || !known) {
-      peers.push_back(member.endpoint_);
+    const bool known =
+      member.seed_ && std::ranges::any_of(members_, [&](const auto& aOther) {
+        return !aOther.second.seed_ && SameAddress(aOther.second.endpoint_, member.endpoint_);
+      });
+    if (!known) {
+      peers.push_back(&member.endpoint_);
     }
   }
   return peers;
@@ -129,14 +130,14 @@
 std::vector<InstanceId>
 Membership::Live(std::uint64_t aRound) const
 {
-  std::vector<InstanceId> live{ self_.id_ };
+  std::vector<InstanceId> live;
   for (const auto& [id, member] : members_) {
     const bool unreachable = !Reachable(member, aRound);
     if (!member.leaving_ && !unreachable && (member.heard_ || member.listed_)) {
       live.push_back(id);
     }
   }
-  std::ranges::sort(live);
+  live.insert(std::ranges::upper_bound(live, self_.id_), self_.id_);
   return live;
 }
 
--- a/boragepier/state/membership.h
+++ b/boragepier/state/membership.h
@@ -36,8 +36,9 @@
   /// Forgets peers that were not heard from for long.
   void Expire(std::uint64_t aRound);
 
-  /// @return peers to send to: all but those that could not be reached lately
-  std::vector<PeerEndpoint> Peers(std::uint64_t aRound) const;
+  /// @return peers to send to: all but those that could not be reached lately. Valid until the
+  ///         next change.
+  std::vector<const PeerEndpoint*> Peers(std::uint64_t aRound) const;
   /// @return instances that are live and not leaving, this one included, ordered by id
   std::vector<InstanceId> Live(std::uint64_t aRound) const;
   /// @return what is worth relaying: the instances heard from
