Send probes when a request waits for them

Cause: the balancer holds a request until probes return; probes were sent on a 10 ms tick and their end released nothing, so a held request would have waited for its timer. Change: QueueDriver sends the probes that a balancer asks for when a request is queued or an attempt ends, and releases requests when a probe returns; stand-in upstreams answer OPTIONS * without taking a slot.

--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -11,6 +11,7 @@
 
 #include "boragepier/entry/call_observer.h"
 #include "boragepier/entry/pipeline_ports.h"
+#include "boragepier/entry/queue_driver.h"
 #include "boragepier/entry/refusal.h"
 #include "boragepier/entry/request_checks.h"
 #include "boragepier/entry/service_directory.h"
@@ -28,17 +29,19 @@
 {
 public:
   using Ports = PipelinePorts<S, R, C>;
-  /// Asks the owner to call ReleaseWaiting() of the service at the time given.
-  using ReleaseTimer = std::function<void(const std::shared_ptr<ServiceEntry>&, MonotonicTime)>;
-
+  /// @param aPorts what the pipeline works with; must outlive this object
+  /// @param aDriver must outlive this object
+  /// @param aExchange the request and the way to answer it
+  /// @param aNumber unique among the requests of the instance
+  /// @param aId returned to the caller
   Call(Ports aPorts,
+       QueueDriver<S, R, C>& aDriver,
        std::shared_ptr<http::Exchange> aExchange,
        std::uint64_t aNumber,
-       RequestId aId,
-       ReleaseTimer aReleaseTimer)
+       RequestId aId)
     : ports_(aPorts)
+    , driver_(aDriver)
     , exchange_(std::move(aExchange))
-    , releaseTimer_(std::move(aReleaseTimer))
   {
     info_.id_ = aNumber;
     info_.arrival_ = exchange_->Arrival();
@@ -197,7 +200,7 @@
           self->GiveUp(RefusalReason::DeadlineExpired);
         }
       });
-    ReleaseWaiting();
+    driver_.Drive(service_);
   }
 
   // Returns false if the request was not queued any more; Follow() then runs or has run.
@@ -218,13 +221,6 @@
     CancelTimer(deadlineTimer_);
   }
 
-  void ReleaseWaiting()
-  {
-    if (const auto next = service_->ReleaseWaiting(Now())) {
-      releaseTimer_(service_, *next);
-    }
-  }
-
   void Follow(const Choice& aChoice)
   {
     EndWait();
@@ -395,7 +391,7 @@
     if (leaving) {
       ports_.observer_.OnUpstreamLeaving(*leaving);
     }
-    ReleaseWaiting();
+    driver_.Drive(service_);
   }
 
   void Retry(const AttemptReport& aReport)
@@ -568,8 +564,8 @@
   }
 
   const Ports ports_;
+  QueueDriver<S, R, C>& driver_;
   const std::shared_ptr<http::Exchange> exchange_;
-  const ReleaseTimer releaseTimer_;
 
   std::shared_ptr<ServiceEntry> service_;
   std::shared_ptr<const ServiceConfig> config_;
--- /dev/null
+++ b/boragepier/entry/queue_driver.h
@@ -0,0 +1,111 @@
+#ifndef BORAGEPIER_ENTRY_QUEUE_DRIVER_H
+#define BORAGEPIER_ENTRY_QUEUE_DRIVER_H
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "boragepier/entry/pipeline_ports.h"
+#include "boragepier/entry/request_checks.h"
+#include "boragepier/entry/service_directory.h"
+
+namespace boragepier {
+
+/// Does for the balancers of one traffic thread what needs time or I/O: sends the probes that they
+/// ask for, and releases queued requests when they are due.
+template<Scheduler S, RequestSender R, ClaimGate C>
+class QueueDriver
+{
+public:
+  /// @param aPorts what the pipeline works with; must outlive this object
+  explicit QueueDriver(PipelinePorts<S, R, C> aPorts)
+    : ports_(aPorts)
+  {
+  }
+
+  /// Called when a request was queued or an attempt ended.
+  void Drive(const std::shared_ptr<ServiceEntry>& aService)
+  {
+    SendProbes(aService);
+    if (const auto next = aService->ReleaseWaiting(ports_.scheduler_.Now())) {
+      ReleaseAt(aService, *next);
+    }
+  }
+
+private:
+  // A probe that takes longer says nothing about the load of now.
+  static constexpr Duration kProbeTimeout = std::chrono::milliseconds(100);
+
+  struct Armed
+  {
+    MonotonicTime time_;
+    net::TimerId timer_ = net::TimerId::None;
+  };
+
+  // One timer per service; an earlier time replaces a later one.
+  void ReleaseAt(const std::shared_ptr<ServiceEntry>& aService, MonotonicTime aTime)
+  {
+    Armed& armed = armed_[aService.get()];
+    if (armed.timer_ != net::TimerId::None) {
+      if (armed.time_ <= aTime) {
+        return;
+      }
+      ports_.scheduler_.Cancel(armed.timer_);
+    }
+    armed.time_ = aTime;
+    armed.timer_ = ports_.scheduler_.After(aTime - ports_.scheduler_.Now(), [this, aService] {
+      armed_.erase(aService.get());
+      Drive(aService);
+    });
+  }
+
+  void SendProbes(const std::shared_ptr<ServiceEntry>& aService)
+  {
+    while (const auto upstream = aService->With([&](ServiceBalancer& aBalancer) {
+      return aBalancer.NextProbe(ports_.scheduler_.Now());
+    })) {
+      SendProbe(aService, *upstream);
+    }
+  }
+
+  void SendProbe(const std::shared_ptr<ServiceEntry>& aService, UpstreamHandle aUpstream)
+  {
+    const auto endpoint =
+      aService->With([&](ServiceBalancer& aBalancer) { return aBalancer.Endpoint(aUpstream); });
+    ports_.observer_.OnProbe(aService->Config()->name_);
+    // "OPTIONS *" asks a server about itself and has no effect on any resource (RFC 7231, 4.3.7).
+    auto request = std::make_shared<http::Request>();
+    request->method_ = "OPTIONS";
+    request->target_ = "*";
+    http::SendOptions options;
+    options.timeout_ = kProbeTimeout;
+    ports_.sender_.Send({ endpoint->address_, endpoint->port_ },
+                        std::move(request),
+                        options,
+                        [this, aService, aUpstream](const http::SendResult& aResult) {
+                          OnProbeEnded(aService, aUpstream, aResult);
+                        });
+  }
+
+  void OnProbeEnded(const std::shared_ptr<ServiceEntry>& aService,
+                    UpstreamHandle aUpstream,
+                    const http::SendResult& aResult)
+  {
+    std::optional<LoadReport> load;
+    if (const auto inFlight = ReportedLoad(aResult.response_.headers_)) {
+      load = LoadReport{ *inFlight };
+    }
+    aService->With([&](ServiceBalancer& aBalancer) {
+      aBalancer.OnProbeEnded(aUpstream, load, aResult.latency_, ports_.scheduler_.Now());
+    });
+    Drive(aService);
+  }
+
+  const PipelinePorts<S, R, C> ports_;
+  std::map<const ServiceEntry*, Armed> armed_;
+};
+
+} // namespace boragepier
+
+#endif
--- a/boragepier/entry/request_pipeline.h
+++ b/boragepier/entry/request_pipeline.h
@@ -1,12 +1,12 @@
 #ifndef BORAGEPIER_ENTRY_REQUEST_PIPELINE_H
 #define BORAGEPIER_ENTRY_REQUEST_PIPELINE_H
 
-#include <map>
 #include <memory>
 #include <string>
 #include <utility>
 
 #include "boragepier/entry/call.h"
+#include "boragepier/entry/queue_driver.h"
 
 namespace boragepier {
 
@@ -24,6 +24,7 @@
     : ports_(aPorts)
     , idPrefix_(std::move(aIdPrefix))
     , nextNumber_(aFirstNumber)
+    , driver_(aPorts)
   {
   }
 
@@ -31,46 +32,16 @@
   void Handle(std::shared_ptr<http::Exchange> aExchange)
   {
     const std::uint64_t number = nextNumber_++;
-    auto call =
-      std::make_shared<Call<S, R, C>>(ports_,
-                                      std::move(aExchange),
-                                      number,
-                                      RequestId(idPrefix_ + std::to_string(number)),
-                                      [this](const std::shared_ptr<ServiceEntry>& aService,
-                                             MonotonicTime aTime) { ReleaseAt(aService, aTime); });
+    const auto call = std::make_shared<Call<S, R, C>>(
+      ports_, driver_, std::move(aExchange), number, RequestId(idPrefix_ + std::to_string(number)));
     call->Start();
   }
 
 private:
-  struct Armed
-  {
-    MonotonicTime time_;
-    net::TimerId timer_ = net::TimerId::None;
-  };
-
-  // One timer per service; an earlier time replaces a later one.
-  void ReleaseAt(const std::shared_ptr<ServiceEntry>& aService, MonotonicTime aTime)
-  {
-    Armed& armed = armed_[aService.get()];
-    if (armed.timer_ != net::TimerId::None) {
-      if (armed.time_ <= aTime) {
-        return;
-      }
-      ports_.scheduler_.Cancel(armed.timer_);
-    }
-    armed.time_ = aTime;
-    armed.timer_ = ports_.scheduler_.After(aTime - ports_.scheduler_.Now(), [this, aService] {
-      armed_.erase(aService.get());
-      if (const auto next = aService->ReleaseWaiting(ports_.scheduler_.Now())) {
-        ReleaseAt(aService, *next);
-      }
-    });
-  }
-
   const Ports ports_;
   const std::string idPrefix_;
   std::uint64_t nextNumber_;
-  std::map<const ServiceEntry*, Armed> armed_;
+  QueueDriver<S, R, C> driver_;
 };
 
 } // namespace boragepier
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -12,8 +12,6 @@
 
 // Claims that wait for the write budget leave with this delay at most.
 constexpr Duration kTickInterval = std::chrono::milliseconds(10);
-// A probe that takes longer says nothing about the load of now.
-constexpr Duration kProbeTimeout = std::chrono::milliseconds(100);
 
 Random
 EntropySeeded()
@@ -56,13 +54,11 @@
                              CallObserver& aObserver,
                              std::string aIdPrefix)
   : settings_(aSettings)
-  , directory_(aDirectory)
-  , observer_(aObserver)
   , client_(loop_)
   , platform_(loop_, client_, PlatformOptionsOf(aSettings))
   , table_(platform_)
   , claims_(table_, aSettings.id_, EntropySeeded())
-  , pipeline_({ loop_, client_, claims_, directory_, observer_, WallNow }, std::move(aIdPrefix), 1)
+  , pipeline_({ loop_, client_, claims_, aDirectory, aObserver, WallNow }, std::move(aIdPrefix), 1)
   , server_(
       loop_,
       LimitsOf(aSettings),
@@ -124,52 +120,9 @@
 TrafficThread::Tick()
 {
   claims_.Advance(loop_.Now());
-  SendProbes();
   connections_ = server_.ConnectionCount();
   idle_ = stopAccepting_ && server_.RequestsInProgress() == 0 && claims_.Settled();
   loop_.After(kTickInterval, [this] { Tick(); });
 }
 
-void
-TrafficThread::SendProbes()
-{
-  const auto services = directory_.All();
-  const MonotonicTime now = loop_.Now();
-  for (const auto& service : *services) {
-    if (service->Config()->probesPerUpstreamSecond_ <= 0) {
-      continue;
-    }
-    while (const auto upstream =
-             service->With([&](ServiceBalancer& aBalancer) { return aBalancer.NextProbe(now); })) {
-      SendProbe(service, *upstream);
-    }
-  }
-}
-
-void
-TrafficThread::SendProbe(const std::shared_ptr<ServiceEntry>& aService, UpstreamHandle aUpstream)
-{
-  const auto endpoint =
-    aService->With([&](ServiceBalancer& aBalancer) { return aBalancer.Endpoint(aUpstream); });
-  observer_.OnProbe(aService->Config()->name_);
-  // "OPTIONS *" asks a server about itself and has no effect on any resource (RFC 7231, 4.3.7).
-  auto request = std::make_shared<http::Request>();
-  request->method_ = "OPTIONS";
-  request->target_ = "*";
-  http::SendOptions options;
-  options.timeout_ = kProbeTimeout;
-  client_.Send({ endpoint->address_, endpoint->port_ },
-               std::move(request),
-               options,
-               [this, aService, aUpstream](const http::SendResult& aResult) {
-                 std::optional<LoadReport> load;
-                 if (const auto inFlight = ReportedLoad(aResult.response_.headers_)) {
-                   load = LoadReport{ *inFlight };
-                 }
-                 aService->With([&](ServiceBalancer& aBalancer) {
-                   aBalancer.OnProbeEnded(aUpstream, load, aResult.latency_, loop_.Now());
-                 });
-               });
-}
-
 } // namespace boragepier
--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -19,7 +19,7 @@
 
 namespace boragepier {
 
-/// Serves callers in one thread of its own: server, client connections, claims, probes.
+/// Serves callers in one thread of its own: server, client connections, claims.
 class TrafficThread
 {
 public:
@@ -59,12 +59,8 @@
   using Pipeline = RequestPipeline<net::EventLoop, http::Client, Claims>;
 
   void Tick();
-  void SendProbes();
-  void SendProbe(const std::shared_ptr<ServiceEntry>& aService, UpstreamHandle aUpstream);
 
   const Settings settings_;
-  ServiceDirectory& directory_;
-  CallObserver& observer_;
   net::EventLoop loop_;
   http::Client client_;
   platform::PlatformClient platform_;
--- a/testing/upstream/upstream.cc
+++ b/testing/upstream/upstream.cc
@@ -81,6 +81,11 @@
     OnControl(aConnection, aRequest);
     return;
   }
+  if (aRequest.method_ == "OPTIONS" && aRequest.target_ == "*") {
+    // A probe: has no effect and takes no slot.
+    aConnection->Respond(MakeResponse(200, ""));
+    return;
+  }
   const MonotonicTime now = loop_.Now();
   if (faults_.failFast_) {
     aConnection->Respond(MakeResponse(500, "failing fast"));
