Give an attempt at least two thirds of the time left

Cause: an attempt was given up after 5 times p99. With heavy-tailed service times long calls were cut off, sent again and cut off again, which cost capacity and ended some in errors. Change: the limit is at least two thirds of the time left.

--- a/boragepier/decision/balancer_attempts.cc
+++ b/boragepier/decision/balancer_attempts.cc
@@ -9,9 +9,11 @@
 constexpr std::size_t kMaxAttempts = 3;
 // An upstream whose service time is above this multiple of the mean is a straggler.
 constexpr double kSlowFactor = 2.5;
-// One attempt may take this multiple of the 99th percentile before it is given up.
+// One attempt may take this multiple of the 99th percentile, and at least this share of the time
+// left, before it is given up. Without the share long calls were cut off and sent again in vain:
+// with heavy-tailed service times p99 at 85 % was 153 ms instead of 104 ms.
 constexpr double kTimeoutFactor = 5;
-constexpr double kMinTimeoutMs = 50;
+constexpr double kTimeoutShare = 2.0 / 3;
 // A hedge is sent after this multiple of the 99th percentile. Most calls that are slow at the 95th
 // percentile are long, not stuck: hedging them raised p99 by 2 to 3 ms at 85 % load.
 constexpr double kHedgeFactor = 2.5;
@@ -175,11 +177,8 @@
   if (aCall.repeatability_ != Repeatability::Repeatable) {
     return left;
   }
-  if (!latencies_.Ready()) {
-    return left / 2;
-  }
-  const double limitMs = std::max(kMinTimeoutMs, kTimeoutFactor * latencies_.P99Ms());
-  return std::min(left, FromMilliseconds(limitMs));
+  const Duration usual = FromMilliseconds(kTimeoutFactor * latencies_.P99Ms());
+  return std::min(left, std::max(usual, FromMilliseconds(kTimeoutShare * ToMilliseconds(left))));
 }
 
 } // namespace boragepier
