--- a/boragepier/decision/admission_queue.h
+++ b/boragepier/decision/admission_queue.h
@@ -13,7 +13,8 @@
 namespace boragepier {
 
 /// Bounded queue of requests that wait in one instance. Interactive requests leave before
-/// background ones; within a class the order is that of arrival.
+/// background ones; within a class the order is that of arrival. Newest first gave a lower median
+/// at 120 % load (538 instead of 828 ms), but a p99.9 of 1,828 instead of 1,036 ms.
 class AdmissionQueue
 {
 public:
--- a/boragepier/decision/balancer_choice.cc
+++ b/boragepier/decision/balancer_choice.cc
@@ -9,8 +9,8 @@
 // A larger service is sampled, which bounds the cost of a choice.
 constexpr std::size_t kScanLimit = 32;
 // An upstream behind whose slots this many turns of requests are expected gets no more of them;
-// they wait in the instance, where they can still go anywhere. With 4 turns requests waited too
-// early when service times are heavy-tailed: p99 at 95 % was 319 ms instead of 225 ms.
+// they wait in the instance, where they can still go anywhere. 4 to 6 turns halve the latency at
+// 120 % load, but cost up to 5 % of the goodput of a service with 8 upstreams in 4 zones.
 constexpr double kMaxWaitTurns = 10;
 // The same for policies that do not use reports, in own requests per slot.
 constexpr unsigned kMaxOwnPerSlot = 4;
