--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -151,26 +151,59 @@
                     { "zone", "a" },
                     { "start_number", 1 },
                     { "leaving", aLeaving } };
-  CheckApplied(client_.Put(platformPort_, "PUT", "/instances/" + aInstance.id_, entry.dump()),
-               "the registration of an instance");
+  PutProcess(aInstance.id_, entry.dump());
+}
+
+void
+Fleet::RegisterUpstream(const std::string& aId, const std::string& aService, std::uint16_t aPort)
+{
+  const json entry{ { "id", aId },           { "role", "upstream" },
+                    { "service", aService }, { "address", "127.0.0.1" },
+                    { "port", aPort },       { "peer_port", 0 },
+                    { "zone", "a" },         { "start_number", 1 },
+                    { "leaving", false } };
+  PutProcess(aId, entry.dump());
+}
+
+void
+Fleet::PutProcess(const std::string& aId, const std::string& aJson)
+{
+  CheckApplied(client_.Put(platformPort_, "PUT", "/instances/" + aId, aJson), "a registration");
+}
+
+bool
+Fleet::ServiceReached(const RunningInstance& aInstance,
+                      const std::string& aService,
+                      const std::string& aField,
+                      std::uint64_t aValue)
+{
+  const json status = json::parse(client_.Get(aInstance.admin_, "/status"), nullptr, false);
+  if (!status.is_object() || !status.contains("services")) {
+    return false;
+  }
+  for (const json& service : status["services"]) {
+    if (service.value("name", "") == aService && service.value(aField, 0U) >= aValue) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+Fleet::WaitForUpstreams(const RunningInstance& aInstance,
+                        const std::string& aService,
+                        std::uint64_t aCount)
+{
+  WaitUntil("upstreams are known",
+            [&] { return ServiceReached(aInstance, aService, "upstreams", aCount); });
 }
 
 void
 Fleet::WaitForVersion(const std::string& aService, std::uint64_t aVersion)
 {
   for (const auto& instance : instances_) {
-    WaitUntil("a version is in force", [&] {
-      const json status = json::parse(client_.Get(instance->admin_, "/status"), nullptr, false);
-      if (status.is_discarded() || !status.contains("services")) {
-        return false;
-      }
-      for (const json& service : status["services"]) {
-        if (service.value("name", "") == aService && service.value("version", 0U) >= aVersion) {
-          return true;
-        }
-      }
-      return false;
-    });
+    WaitUntil("a version is in force",
+              [&] { return ServiceReached(*instance, aService, "version", aVersion); });
   }
 }
 
--- a/testing/e2e/fleet.h
+++ b/testing/e2e/fleet.h
@@ -72,6 +72,13 @@
   /// Puts an instance on the platform's list.
   void Register(const RunningInstance& aInstance, bool aLeaving);
 
+  /// Puts an upstream that the test itself plays on the platform's list.
+  void RegisterUpstream(const std::string& aId, const std::string& aService, std::uint16_t aPort);
+
+  /// Waits until an instance knows so many upstreams of a service.
+  void WaitForUpstreams(const RunningInstance& aInstance,
+                        const std::string& aService,
+                        std::uint64_t aCount);
   /// Waits until every running instance has the service in force in a version of at least aVersion.
   /// @throws ChildProcessError if that does not happen
   void WaitForVersion(const std::string& aService, std::uint64_t aVersion);
@@ -82,6 +89,13 @@
   std::vector<std::pair<std::string, int>> RunsByKey();
 
 private:
+  void PutProcess(const std::string& aId, const std::string& aJson);
+  /// @return whether the status of an instance shows a service whose field is at least aValue
+  bool ServiceReached(const RunningInstance& aInstance,
+                      const std::string& aService,
+                      const std::string& aField,
+                      std::uint64_t aValue);
+
   std::filesystem::path directory_;
   SyncClient client_;
   std::unique_ptr<ChildProcess> platform_;
