--- a/boragepier/decision/balancer_attempts.cc
+++ b/boragepier/decision/balancer_attempts.cc
@@ -8,15 +8,22 @@
 
 constexpr std::size_t kMaxAttempts = 3;
 // An upstream whose service time is above this multiple of the mean is a straggler.
-constexpr double kSlowFactor = 3;
-// One attempt may take this multiple of the 99th percentile before it is given up.
+constexpr double kSlowFactor = 2.5;
+// One attempt may take this multiple of the 99th percentile, and at least this share of the time
+// left, before it is given up. Without the share long calls were cut off and sent again in vain:
+// with heavy-tailed service times p99 at 85 % was 153 ms instead of 104 ms.
 constexpr double kTimeoutFactor = 5;
-constexpr double kMinTimeoutMs = 50;
+constexpr double kTimeoutShare = 2.0 / 3;
 // A hedge is sent after this multiple of the 99th percentile. Most calls that are slow at the 95th
 // percentile are long, not stuck: hedging them raised p99 by 2 to 3 ms at 85 % load.
-constexpr double kHedgeFactor = 1.5;
+constexpr double kHedgeFactor = 2.5;
+// With heavy-tailed service times a call that is slow has probably met a long one, and an earlier
+// hedge lowers p99. The times are heavy-tailed if what remains at the 99th percentile is this
+// multiple of what remains at the start.
+constexpr double kHeavyHedgeFactor = 0.4;
+constexpr double kHeavyRemaining = 1.5;
 // A hedge is worth its cost only where hardly any wait is expected, in service times.
-constexpr double kMaxHedgeWaitTurns = 0.5;
+constexpr double kMaxHedgeWaitTurns = 0.2;
 constexpr double kEndIntervalWeight = 0.05;
 
 std::optional<RetryReason>
@@ -53,7 +60,7 @@
 ServiceBalancer::Impl::JudgeLatency(std::size_t aIndex, Duration aLatency, MonotonicTime aNow)
 {
   const double limit = kSlowFactor * load_.MeanServiceMs();
-  if (load_.ServiceMs(aIndex) > limit && ToMilliseconds(aLatency) > limit) {
+  if (load_.RecentSlowness(aIndex) > kSlowFactor && ToMilliseconds(aLatency) > limit) {
     ejection_.OnSlow(aIndex, aNow, random_);
   } else {
     ejection_.OnSuccess(aIndex);
@@ -131,7 +138,9 @@
   if (!repeatable || config_.hedgeBudget_ <= 0 || !latencies_.Ready()) {
     return std::nullopt;
   }
-  const Duration delay = FromMilliseconds(kHedgeFactor * latencies_.P99Ms());
+  const double p99Ms = latencies_.P99Ms();
+  const bool heavy = latencies_.RemainingFactor(FromMilliseconds(p99Ms)) >= kHeavyRemaining;
+  const Duration delay = FromMilliseconds(p99Ms * (heavy ? kHeavyHedgeFactor : kHedgeFactor));
   if (aNow + delay >= aCall.deadline_) {
     return std::nullopt;
   }
@@ -168,11 +177,8 @@
   if (aCall.repeatability_ != Repeatability::Repeatable) {
     return left;
   }
-  if (!latencies_.Ready()) {
-    return left / 2;
-  }
-  const double limitMs = std::max(kMinTimeoutMs, kTimeoutFactor * latencies_.P99Ms());
-  return std::min(left, FromMilliseconds(limitMs));
+  const Duration usual = FromMilliseconds(kTimeoutFactor * latencies_.P99Ms());
+  return std::min(left, std::max(usual, FromMilliseconds(kTimeoutShare * ToMilliseconds(left))));
 }
 
 } // namespace boragepier
--- a/testing/e2e/path_test.cc
+++ b/testing/e2e/path_test.cc
@@ -16,6 +16,8 @@
 // Short grace: the test takes instances off the callers' list before it ends them.
 const std::string kDrainSettings = "[traffic]\ndrain-grace-ms = 300\ndrain-limit-ms = 20000\n";
 
+const LoadRunner::Paths kPaths = { { "/orders/" }, { "/orders/" } };
+
 http::Request
 Order(const std::string& aKey, const std::string& aBody = "order")
 {
@@ -95,7 +97,7 @@
 TEST(Path, LookupsAndOrdersPassThroughAllInstances)
 {
   Prepare(4, 3);
-  LoadRunner load(8, "/orders/", "/orders/");
+  LoadRunner load("load", 8, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(1000);
@@ -113,8 +115,8 @@
     std::vector<std::future<http::SendResult>> copies;
     for (int copy = 0; copy < 6; ++copy) {
       const std::uint16_t port = fleet_.Instance(static_cast<std::size_t>(copy % 3)).caller_;
-      copies.push_back(std::async(
-        std::launch::async, [&, port] { return fleet_.Client().Send(port, Order(key)); }));
+      copies.push_back(std::async(std::launch::async,
+                                  [&, port] { return fleet_.Client().Send(port, Order(key)); }));
     }
     int answered = 0;
     for (auto& copy : copies) {
@@ -124,7 +126,6 @@
     }
     CHECK(answered >= 1);
     const http::SendResult repeat = fleet_.Client().Send(fleet_.Instance(0).caller_, Order(key));
-    CHECK_EQUAL(1, answered >= 1 ? 1 : 0);
     CHECK_TEXT(OutcomeOf(repeat) == "answered" || OutcomeOf(repeat) == "unknown", key.c_str());
     const auto other = fleet_.Client().Send(fleet_.Instance(1).caller_, Order(key, "another"));
     CHECK_EQUAL(422, other.response_.status_);
@@ -138,7 +139,7 @@
 TEST(Path, ADrainingUpstreamCausesNoError)
 {
   Prepare(5, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(200);
@@ -153,7 +154,7 @@
 TEST(Path, RollingReplacementOfAllInstancesCausesNoError)
 {
   Prepare(5, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   for (std::size_t i = 0; i < 3; ++i) {
@@ -179,7 +180,7 @@
 TEST(Path, PublishingUnderLoadCausesNoError)
 {
   Prepare(4, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   for (int version = 2; version <= 6; ++version) {
@@ -230,7 +231,7 @@
 TEST(Path, APausedInstanceDoesNotRunAnOrderTwice)
 {
   Prepare(4, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(100);
@@ -268,7 +269,7 @@
 TEST(Path, AKilledInstanceLosesOnlyItsOwnConnections)
 {
   Prepare(4, 3);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(200);
@@ -288,7 +289,7 @@
 TEST(Path, FaultyUpstreamsAreSurvived)
 {
   Prepare(6, 2);
-  LoadRunner load(6, "/orders/", "/orders/");
+  LoadRunner load("load", 6, kPaths);
   load.SetTargets(CallerPorts(fleet_));
   load.Start();
   load.WaitForRequests(200);
