Test probes, combined outages and a publish to 15 instances end to end

Cause: probes, a platform outage together with faulty upstreams, and a store that fails right after a publish had no proof with real processes. Change: three end-to-end tests.

--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -215,6 +215,17 @@
   });
 }
 
+int
+Fleet::TotalRuns()
+{
+  int total = 0;
+  for (const auto& upstream : upstreams_) {
+    const json counted = json::parse(client_.Get(upstream->port_, "/control/runs"), nullptr, false);
+    total += counted.is_object() ? counted.value("total", 0) : 0;
+  }
+  return total;
+}
+
 std::vector<std::pair<std::string, int>>
 Fleet::RunsByKey()
 {
--- a/testing/e2e/fleet.h
+++ b/testing/e2e/fleet.h
@@ -85,6 +85,8 @@
   /// Waits until an instance answers the request with the status.
   void WaitForStatus(const RunningInstance& aInstance, const std::string& aTarget, int aStatus);
 
+  /// @return all runs of all upstreams
+  int TotalRuns();
   /// @return runs by key, as all upstreams counted them
   std::vector<std::pair<std::string, int>> RunsByKey();
 
--- a/testing/e2e/path_test.cc
+++ b/testing/e2e/path_test.cc
@@ -1,5 +1,6 @@
 #include <signal.h>
 
+#include <cstdio>
 #include <future>
 #include <map>
 
@@ -285,6 +286,68 @@
   CHECK(result.lost_ <= 12);
 }
 
+// Guards against probes that run as requests, and against a budget that is never used.
+TEST(Path, ProbesTakeNoSlotAndRunNothing)
+{
+  for (int i = 0; i < 3; ++i) {
+    fleet_.AddUpstream("shop", { "--service-time-ms", "5" });
+  }
+  fleet_.AddInstance(kDrainSettings);
+  const std::string budget =
+    "[budget]\nprobes-per-upstream-second = 200\nretries = 0\nhedges = 0\n";
+  CHECK_EQUAL(0, fleet_.Publish("shop", ServiceText("shop", "/orders/", budget)));
+  fleet_.WaitForVersion("shop", 1);
+  fleet_.WaitForStatus(fleet_.Instance(0), "/orders/0", 200);
+  const int before = fleet_.TotalRuns();
+  LoadRunner load("load", 12, { { "/orders/" }, {} });
+  load.SetTargets(CallerPorts(fleet_));
+  load.Start();
+  load.WaitForRequests(600);
+  const LoadResult result = load.Stop();
+  CheckNoErrors(result);
+  CHECK_EQUAL(result.sent_, fleet_.TotalRuns() - before);
+  const std::string metrics = fleet_.Client().Get(fleet_.Instance(0).admin_, "/metrics");
+  const std::string name = "boragepier_probes_total{service=\"shop\"} ";
+  const std::size_t position = metrics.find(name);
+  CHECK(position != std::string::npos);
+  CHECK(std::stoul(metrics.substr(position + name.size())) > 0);
+}
+
+// Guards against a platform and upstreams that fail at the same time.
+TEST(Path, AnOutageTogetherWithFaultyUpstreamsDoublesNothing)
+{
+  Prepare(6, 2);
+  LoadRunner load("load", 6, kPaths);
+  load.SetTargets(CallerPorts(fleet_));
+  load.Start();
+  load.WaitForRequests(200);
+  fleet_.ControlPlatform(R"({"lose_next_write_answers":20,"slow_ms":20})");
+  fleet_.ControlUpstream(fleet_.Upstream(0), R"({"mode":"fail-fast"})");
+  load.WaitForRequests(300);
+  fleet_.ControlPlatform(R"({"slow_ms":0,"table_down":true})");
+  fleet_.ControlUpstream(fleet_.Upstream(1), R"({"mode":"silent-after-run"})");
+  load.WaitForRequests(300);
+  fleet_.ControlPlatform(R"({"table_down":false})");
+  load.WaitForRequests(300);
+  const LoadResult result = load.Stop();
+  CheckOrders(result, fleet_);
+  CHECK_EQUAL(0, result.lost_);
+  CHECK_EQUAL(0, result.wrong_);
+}
+
+// Guards against a publish that does not reach every instance when the store fails right after it.
+TEST(Path, FifteenInstancesTakeOverAPublishAlthoughTheStoreFails)
+{
+  Prepare(2, 15);
+  const std::string text = ServiceText("shop", "/orders/", "[deadline]\ndefault-ms = 1900\n");
+  CHECK_EQUAL(0, fleet_.Publish("shop", text));
+  fleet_.ControlPlatform(R"({"table_down":true,"list_down":true})");
+  const auto start = std::chrono::steady_clock::now();
+  fleet_.WaitForVersion("shop", 2);
+  const Duration spent = std::chrono::steady_clock::now() - start;
+  std::printf("in force at 15 instances after %.0f ms\n", ToMilliseconds(spent));
+}
+
 // Guards against faults of upstreams that reach callers of lookups, or that double an order.
 TEST(Path, FaultyUpstreamsAreSurvived)
 {
