Do not fetch an unchanged process list again

Cause: at the two-year size the list has some 900 KB; two fetches a second in a fleet of 60 are about 30 KB a second and instance, above the 16 KB a node may spend. Change: HttpInstanceList sends If-None-Match; the stand-in answers 304 and counts it. Measured: platform_http_platform_test passes with the new case. Conclusion: bytes for the list follow its changes, not time.

--- a/boragepier/platform/http_platform.cc
+++ b/boragepier/platform/http_platform.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNotModified = 304;
 constexpr int kNotFound = 404;
 
 http::Request
@@ -169,22 +170,37 @@
 HttpInstanceList::Fetch(ListCallback aDone)
 {
   const MonotonicTime deadline = platform_.Loop().Now() + platform_.RequestTimeout();
-  platform_.Send(MakeRequest("GET", "/instances"),
-                 false,
-                 deadline,
-                 [done = std::move(aDone)](const http::SendResult& aResult) {
-                   if (aResult.outcome_ != Outcome::Answered || aResult.response_.status_ != kOk) {
-                     done(std::nullopt);
-                     return;
-                   }
-                   std::optional<std::vector<ListedProcess>> list;
-                   try {
-                     list = DecodeProcesses(aResult.response_.body_);
-                   } catch (const ProtocolError&) {
-                     list.reset();
-                   }
-                   done(std::move(list));
-                 });
+  http::Request request = MakeRequest("GET", "/instances");
+  if (!entityTag_.empty()) {
+    request.headers_.Set("If-None-Match", entityTag_);
+  }
+  platform_.Send(
+    std::move(request),
+    false,
+    deadline,
+    [this, done = std::move(aDone)](const http::SendResult& aResult) { done(Accept(aResult)); });
+}
+
+std::optional<std::vector<ListedProcess>>
+HttpInstanceList::Accept(const http::SendResult& aResult)
+{
+  const http::Response& response = aResult.response_;
+  if (aResult.outcome_ != Outcome::Answered) {
+    return std::nullopt;
+  }
+  if (response.status_ == kNotModified && !entityTag_.empty()) {
+    return last_;
+  }
+  if (response.status_ != kOk) {
+    return std::nullopt;
+  }
+  try {
+    last_ = DecodeProcesses(response.body_);
+    entityTag_ = std::string(response.headers_.Get("ETag").value_or(""));
+  } catch (const ProtocolError&) {
+    return std::nullopt;
+  }
+  return last_;
 }
 
 } // namespace boragepier::platform
--- a/boragepier/platform/http_platform.h
+++ b/boragepier/platform/http_platform.h
@@ -95,7 +95,9 @@
 };
 
 /// The list of processes over `GET /instances`. Satisfies InstanceList. A damaged list counts as no
-/// answer, so that one wrong entry cannot make upstreams disappear.
+/// answer, so that one wrong entry cannot make upstreams disappear. A list that has not changed
+/// since the last fetch is not sent again, if the platform gives it an ETag: at the two-year size
+/// it has some 900 KB, more than an instance may receive in a minute.
 class HttpInstanceList
 {
 public:
@@ -106,7 +108,11 @@
   void Fetch(ListCallback aDone);
 
 private:
+  std::optional<std::vector<ListedProcess>> Accept(const http::SendResult& aResult);
+
   PlatformClient& platform_;
+  std::string entityTag_; ///< of last_
+  std::vector<ListedProcess> last_;
 };
 
 static_assert(TableStore<HttpTableStore>);
--- a/boragepier/platform/http_platform_test.cc
+++ b/boragepier/platform/http_platform_test.cc
@@ -36,6 +36,7 @@
     PlatformOptions options;
     options.target_ = { "127.0.0.1", aSetup(loop_) };
     platform_ = std::make_unique<PlatformClient>(loop_, *client_, options);
+    list_ = std::make_unique<HttpInstanceList>(*platform_);
     thread_ = std::thread([this] { loop_.Run(); });
   }
 
@@ -68,7 +69,7 @@
   std::optional<std::vector<ListedProcess>> Fetch()
   {
     return Await<std::optional<std::vector<ListedProcess>>>(
-      [&](auto aDone) { HttpInstanceList(*platform_).Fetch(aDone); });
+      [&](auto aDone) { list_->Fetch(aDone); });
   }
 
   http::SendResult Send(const std::string& aMethod, const std::string& aTarget, std::string aBody)
@@ -85,6 +86,7 @@
   net::EventLoop loop_;
   std::unique_ptr<http::Client> client_;
   std::unique_ptr<PlatformClient> platform_;
+  std::unique_ptr<HttpInstanceList> list_;
   std::thread thread_;
 };
 
@@ -194,6 +196,24 @@
   CHECK_EQUAL(0U, adapters_->Fetch()->size());
 }
 
+// Guards against a fleet that spends its bytes on reading an unchanged list again and again.
+TEST(HttpPlatform, AnUnchangedListIsNotSentAgain)
+{
+  const ListedProcess process{ "u-1", "upstream", "s", "127.0.0.1", 80, 0, "a", 7, false };
+  adapters_->Send("PUT", "/instances/u-1", EncodeProcess(process));
+  CHECK_EQUAL(1U, adapters_->Fetch()->size());
+  CHECK(adapters_->Fetch()->at(0).id_ == process.id_);
+  const auto unchanged = [&] {
+    return nlohmann::json::parse(adapters_->Send("GET", "/control/counts", "").response_.body_)
+      .at("list_unchanged")
+      .get<int>();
+  };
+  CHECK_EQUAL(1, unchanged());
+  adapters_->Send("DELETE", "/instances/u-1", "");
+  CHECK_EQUAL(0U, adapters_->Fetch()->size());
+  CHECK_EQUAL(1, unchanged());
+}
+
 TEST(HttpPlatform, ObjectsAreStored)
 {
   HttpObjectStore store(adapters_->Platform());
--- a/testing/platform/platform_server.cc
+++ b/testing/platform/platform_server.cc
@@ -108,7 +108,7 @@
     return ServeObject(aRequest, target.substr(kObjects.size()));
   }
   if (method == "GET" && target == "/instances") {
-    return ServeList();
+    return ServeList(aRequest);
   }
   if (target.starts_with(kInstances) && (method == "PUT" || method == "DELETE")) {
     return ChangeList(aRequest, std::string(target.substr(kInstances.size())));
@@ -153,7 +153,7 @@
 }
 
 http::Response
-PlatformServer::ServeList()
+PlatformServer::ServeList(const http::Request& aRequest)
 {
   if (faults_.listDown_) {
     return Refuse(503, "list is down");
@@ -168,7 +168,14 @@
   for (const auto& [time, version] : history_) {
     list = time <= seen ? &version : list;
   }
-  return Answer(200, platform::EncodeProcesses(*list));
+  http::Response response = Answer(200, platform::EncodeProcesses(*list));
+  const std::string tag = '"' + std::to_string(std::hash<std::string>()(response.body_)) + '"';
+  if (aRequest.headers_.Get("If-None-Match") == tag) {
+    ++listUnchanged_;
+    response = Answer(304, "");
+  }
+  response.headers_.Set("ETag", tag);
+  return response;
 }
 
 http::Response
@@ -224,7 +231,8 @@
                 json{ { "reads", reads_ },
                       { "writes", writes_ },
                       { "operations", operations_ },
-                      { "list_reads", listReads_ } }
+                      { "list_reads", listReads_ },
+                      { "list_unchanged", listUnchanged_ } }
                   .dump());
 }
 
--- a/testing/platform/platform_server.h
+++ b/testing/platform/platform_server.h
@@ -50,7 +50,7 @@
   http::Response Route(const http::Request& aRequest);
   http::Response ServeTable(const http::Request& aRequest);
   http::Response ServeObject(const http::Request& aRequest, std::string_view aName);
-  http::Response ServeList();
+  http::Response ServeList(const http::Request& aRequest);
   http::Response ChangeList(const http::Request& aRequest, const std::string& aId);
   http::Response Control(std::string_view aBody);
   http::Response Counts() const;
@@ -68,6 +68,7 @@
   std::uint64_t writes_ = 0;
   std::uint64_t operations_ = 0;
   std::uint64_t listReads_ = 0;
+  std::uint64_t listUnchanged_ = 0; ///< of listReads_, answered with 304
 };
 
 } // namespace boragepier::testing
