Limit attempts to a share of the time left only with heavy tails

Cause: TargetFaultPairs failed: with fail-fast and silent connections 11 calls waited two thirds of their time on a silent connection and then met another one. Change: the share of the time left applies only if the learned latencies are heavy-tailed, or before any are known.

--- a/boragepier/decision/balancer_attempts.cc
+++ b/boragepier/decision/balancer_attempts.cc
@@ -9,11 +9,15 @@
 constexpr std::size_t kMaxAttempts = 3;
 // An upstream whose service time is above this multiple of the mean is a straggler.
 constexpr double kSlowFactor = 2.5;
-// One attempt may take this multiple of the 99th percentile, and at least this share of the time
-// left, before it is given up. Without the share long calls were cut off and sent again in vain:
-// with heavy-tailed service times p99 at 85 % was 153 ms instead of 104 ms.
+// One attempt may take this multiple of the 99th percentile before it is given up; with
+// heavy-tailed service times also this share of the time left. Without the share long calls were
+// cut off and sent again in vain: p99 at 85 % was 153 ms instead of 104 ms. Without heavy tails the
+// share is left out, so that a call that meets silent connections twice still has time for another
+// attempt.
 constexpr double kTimeoutFactor = 5;
 constexpr double kTimeoutShare = 2.0 / 3;
+// Lower limits would mostly cut off scheduling delays of fast services.
+constexpr double kMinTimeoutMs = 50;
 // A hedge is sent after this multiple of the 99th percentile. Most calls that are slow at the 95th
 // percentile are long, not stuck: hedging them raised p99 by 2 to 3 ms at 85 % load.
 constexpr double kHedgeFactor = 2.5;
@@ -131,6 +135,13 @@
   return { true, *reason };
 }
 
+bool
+ServiceBalancer::Impl::HasHeavyTail() const
+{
+  const Duration p99 = FromMilliseconds(latencies_.P99Ms());
+  return latencies_.RemainingFactor(p99) >= kHeavyRemaining;
+}
+
 std::optional<Duration>
 ServiceBalancer::Impl::HedgeDelay(const CallInfo& aCall, MonotonicTime aNow) const
 {
@@ -138,9 +149,8 @@
   if (!repeatable || config_.hedgeBudget_ <= 0 || !latencies_.Ready()) {
     return std::nullopt;
   }
-  const double p99Ms = latencies_.P99Ms();
-  const bool heavy = latencies_.RemainingFactor(FromMilliseconds(p99Ms)) >= kHeavyRemaining;
-  const Duration delay = FromMilliseconds(p99Ms * (heavy ? kHeavyHedgeFactor : kHedgeFactor));
+  const double factor = HasHeavyTail() ? kHeavyHedgeFactor : kHedgeFactor;
+  const Duration delay = FromMilliseconds(factor * latencies_.P99Ms());
   if (aNow + delay >= aCall.deadline_) {
     return std::nullopt;
   }
@@ -177,8 +187,13 @@
   if (aCall.repeatability_ != Repeatability::Repeatable) {
     return left;
   }
-  const Duration usual = FromMilliseconds(kTimeoutFactor * latencies_.P99Ms());
-  return std::min(left, std::max(usual, FromMilliseconds(kTimeoutShare * ToMilliseconds(left))));
+  const Duration share = FromMilliseconds(kTimeoutShare * ToMilliseconds(left));
+  if (!latencies_.Ready()) {
+    return share;
+  }
+  const Duration usual =
+    FromMilliseconds(std::max(kMinTimeoutMs, kTimeoutFactor * latencies_.P99Ms()));
+  return std::min(left, HasHeavyTail() ? std::max(usual, share) : usual);
 }
 
 } // namespace boragepier
--- a/boragepier/decision/balancer_impl.h
+++ b/boragepier/decision/balancer_impl.h
@@ -87,6 +87,8 @@
   Choice Enqueue(const CallInfo& aCall, const Picked& aPicked, MonotonicTime aNow);
   Choice Dispatch(std::size_t aIndex, MonotonicTime aNow);
   void JudgeAttempt(std::size_t aIndex, const AttemptReport& aReport, MonotonicTime aNow);
+  /// @return whether a request that is out for long is likely to stay out for much longer
+  bool HasHeavyTail() const;
   void JudgeLatency(std::size_t aIndex, Duration aLatency, MonotonicTime aNow);
   void RefreshDerived();
 
--- a/boragepier/decision/service_balancer_test.cc
+++ b/boragepier/decision/service_balancer_test.cc
@@ -98,6 +98,19 @@
   CHECK(!balancer.MayRetry(call, report, call.deadline_).allowed_);
 }
 
+// Guards against attempts that are given up at once while no latency is known yet, and against time
+// limits beyond the deadline.
+TEST(ServiceBalancer, AttemptTimeoutLeavesTimeBeforeAnyAnswer)
+{
+  ServiceBalancer balancer(config_, ZoneName("a"), 7);
+  CallInfo call = MakeCall(1, kStart);
+  CHECK(balancer.AttemptTimeout(call, kStart) >= std::chrono::seconds(1));
+  CHECK(balancer.AttemptTimeout(call, kStart) < std::chrono::seconds(2));
+  call.repeatability_ = Repeatability::AtMostOnce;
+  CHECK(balancer.AttemptTimeout(call, kStart) == std::chrono::seconds(2));
+  CHECK(balancer.AttemptTimeout(call, call.deadline_) == Duration(0));
+}
+
 // Guards against a retry that returns to the upstream that has just failed.
 TEST(ServiceBalancer, FurtherAttemptAvoidsTriedUpstreams)
 {
