--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -273,9 +273,9 @@
 // Guards against requests that wait for ever when every slot is taken and no answer comes.
 TEST(Call, EveryRequestIsAnsweredByItsDeadline)
 {
-  std::vector<std::shared_ptr<FakeExchange>> exchanges;
-  for (int i = 0; i < 300; ++i) {
-    exchanges.push_back(Send("GET"));
+  std::vector<std::shared_ptr<FakeExchange>> exchanges(300);
+  for (auto& exchange : exchanges) {
+    exchange = Send("GET");
   }
   for (int i = 0; i < 60; ++i) {
     scheduler_.Advance(std::chrono::milliseconds(100));
--- a/testing/e2e/child_process.h
+++ b/testing/e2e/child_process.h
@@ -42,6 +42,7 @@
   std::uint16_t ReadPort(std::string_view aName);
 
   void Signal(int aSignal) const;
+  pid_t Pid() const { return pid_; }
 
   /// Waits for the end of the program.
   /// @return the exit status, or 128 plus the number of the signal that ended it
--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -14,6 +14,7 @@
 
 using nlohmann::json;
 
+constexpr const char* kServiceFolder = "services";
 constexpr auto kPollInterval = std::chrono::milliseconds(20);
 
 std::filesystem::path
@@ -110,10 +111,22 @@
 int
 Fleet::Publish(const std::string& aService, const std::string& aText)
 {
-  const auto folder = directory_ / "services";
+  WriteServiceFile(aService, aText);
+  return PublishServiceFiles();
+}
+
+void
+Fleet::WriteServiceFile(const std::string& aService, const std::string& aText)
+{
+  const auto folder = directory_ / kServiceFolder;
   std::filesystem::create_directories(folder);
   WriteFile(folder / (aService + ".service.ini"), aText);
-  return PublishDirectory(folder);
+}
+
+int
+Fleet::PublishServiceFiles()
+{
+  return PublishDirectory(directory_ / kServiceFolder);
 }
 
 int
--- a/testing/e2e/fleet.h
+++ b/testing/e2e/fleet.h
@@ -61,6 +61,11 @@
   /// @return exit status of boragepierctl
   int Publish(const std::string& aService, const std::string& aText);
 
+  /// Writes a service file without publishing it.
+  void WriteServiceFile(const std::string& aService, const std::string& aText);
+  /// Publishes all service files written so far.
+  /// @return exit status of boragepierctl
+  int PublishServiceFiles();
   /// Publishes the service files below a directory with boragepierctl.
   /// @return exit status of boragepierctl
   int PublishDirectory(const std::filesystem::path& aDirectory);
