Make three wire tests independent of delays of the test machine

Cause: LateAnswerReachesNobody counted connecting against its 100 ms, and ProvenAliveOnly needed two threads to act within 1 s; a stalled machine could fail either. The idle time-out test allowed 100 ms between connecting and the first byte.

Change: the late answer is awaited on an open connection, the second proven-alive request is sent inside the first one's callback (which also covers sending from a callback), and the idle time-out is 300 ms. What is checked is unchanged.

Conclusion: remaining time limits only fail a test that hangs, except the 300 ms in which a caller must send its first byte in IdleConnectionIsClosedAfterTheIdleTimeout.

--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -44,7 +44,10 @@
     request->method_ = aMethod;
     request->target_ = "/x";
     request->body_ = aBody;
-    lastSend_ = client_.Send(target_, request, options_, [done](SendResult aResult) {
+    lastSend_ = client_.Send(target_, request, options_, [this, done](SendResult aResult) {
+      if (const auto next = std::exchange(next_, nullptr)) {
+        next();
+      }
       done->set_value(std::move(aResult));
     });
     return done->get_future();
@@ -92,6 +95,7 @@
   Target target_{ "127.0.0.1", listener_.Port() };
   SendOptions options_;
   SendId lastSend_{};
+  std::function<void()> next_; // runs inside the next callback
   net::EventLoop loop_;
   Client client_;
 
@@ -257,9 +261,9 @@
 TEST(Client, LateAnswerReachesNobody)
 {
   TestClient client;
+  RawSocket peer = client.OpenIdle();
   client.options_.timeout_ = milliseconds(100);
   auto result = client.Send();
-  RawSocket peer = client.listener_.Accept();
   peer.ReadMessage();
   CheckFailure(Await(std::move(result)), Outcome::Unknown, AttemptFailure::Timeout);
   STRCMP_EQUAL("", peer.ReadToEnd().c_str());
@@ -407,8 +411,9 @@
   TestClient client;
   client.options_.provenAliveOnly_ = true;
   client.options_.maxConnections_ = 1;
+  std::future<SendResult> recent;
+  client.next_ = [&] { recent = client.SendInLoop("POST", "order"); };
   RawSocket peer = client.OpenIdle();
-  auto recent = client.Send();
   TestClient::AnswerOk(peer);
   CHECK(!Await(std::move(recent)).newConnection_);
   std::promise<void> passed;
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -338,7 +338,7 @@
 TEST(Server, IdleConnectionIsClosedAfterTheIdleTimeout)
 {
   ServerLimits limits;
-  limits.idleTimeout_ = milliseconds(100);
+  limits.idleTimeout_ = milliseconds(300);
   const TestServer server(limits);
   STRCMP_EQUAL("", server.Connect().ReadToEnd().c_str());
   // After an answer the time-out starts anew.
