Prefer leaving members in samples

The message is sent once, and samples of members named the leaving one by chance only.

Change: samples name leaving members first.

Membership is a hint, and no promise depends on it.

--- a/boragepier/state/gossip.cc
+++ b/boragepier/state/gossip.cc
@@ -262,6 +262,9 @@
   std::vector<MemberEntry> heard = state_.Members().Heard();
   std::erase_if(heard, [&](const auto& aMember) { return aMember.endpoint_.id_ == aPeer.id_; });
   std::ranges::shuffle(heard, random_);
+  // A lost message about a leaving member is made up for by the next samples.
+  std::stable_partition(
+    heard.begin(), heard.end(), [](const auto& aMember) { return aMember.leaving_; });
   heard.resize(std::min(heard.size(), aCount));
   if (!heard.empty()) {
     Reply(aPeer, PeerMembers{ std::move(heard) });
