Report outages, peers and ejections, and drop the setting without effect

Cause: 24 catalogued events were never written, four metrics stayed 0, and traffic.threads was accepted without effect. Conclusion: what operators are told to alert on is now written.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -61,13 +61,24 @@
   sigset_t signals_{};
 };
 
+InstancePorts
+Start(EntryInstance& aInstance)
+{
+  try {
+    return aInstance.Start();
+  } catch (const Error& error) {
+    Log(EventId::StartFailed, { { "error", error.what() } });
+    throw;
+  }
+}
+
 int
 Serve(const Settings& aSettings)
 {
   const StopSignals stop;
   ConfigureLog(aSettings.logLevel_, aSettings.logFile_);
   EntryInstance instance(aSettings);
-  const InstancePorts ports = instance.Start();
+  const InstancePorts ports = Start(instance);
   std::cout << "listening " << ports.caller_ << "\npeer " << ports.peer_ << "\nadmin "
             << ports.admin_ << std::endl;
   stop.Wait();
--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -101,15 +101,6 @@
     [](Settings& aSettings, const KeyValue& aValue) {
       aSettings.seeds_ = ParseEndpointList(aValue.text_).value();
     } },
-  Key<Settings>{
-    { .section_ = "traffic",
-      .name_ = "threads",
-      .type_ = KeyType::Integer,
-      .minimum_ = 1,
-      .maximum_ = 64,
-      .default_ = "1",
-      .meaning_ = "traffic threads; this release starts one whatever the value" },
-    [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.threads_, aValue); } },
   Key<Settings>{
     { .section_ = "traffic",
       .name_ = "drain-grace-ms",
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -29,7 +29,6 @@
   Endpoint platform_;           ///< table, object store and instance list
   std::vector<Endpoint> seeds_; ///< peers that are contacted at the start
 
-  unsigned threads_ = 1; ///< traffic threads
   Duration drainGrace_ = std::chrono::seconds(5);
   Duration drainLimit_ = std::chrono::seconds(30);
   std::size_t maxConnections_ = 4096;     ///< from callers
--- a/boragepier/entry/control_thread.cc
+++ b/boragepier/entry/control_thread.cc
@@ -52,10 +52,12 @@
 
 ControlThread::ControlThread(const Settings& aSettings,
                              Metrics& aMetrics,
-                             RoutingCallback aOnRouting)
+                             RoutingCallback aOnRouting,
+                             std::function<void()> aOnSecond)
   : settings_(aSettings)
   , metrics_(aMetrics)
   , onRouting_(std::move(aOnRouting))
+  , onSecond_(std::move(aOnSecond))
   , client_(loop_)
   , platform_(loop_, client_, PlatformOptionsOf(aSettings))
   , table_(platform_)
@@ -86,6 +88,7 @@
   loop_.Post([this] {
     plane_->Start();
     Tick();
+    EverySecond();
   });
   thread_ = std::thread([this] { loop_.Run(); });
   return port;
@@ -134,6 +137,18 @@
   loop_.After(kTickInterval, [this] { Tick(); });
 }
 
+void
+ControlThread::EverySecond()
+{
+  const ControlStatus status = plane_->Status();
+  metrics_.SetPeers(status.peers_.size());
+  for (const EventId event : watch_.Observe(status)) {
+    Log(event, { { "instance", settings_.id_ } });
+  }
+  onSecond_();
+  loop_.After(std::chrono::seconds(1), [this] { EverySecond(); });
+}
+
 template<typename Function>
 auto
 ControlThread::Ask(Function aFunction)
--- a/boragepier/entry/control_thread.h
+++ b/boragepier/entry/control_thread.h
@@ -10,6 +10,7 @@
 
 #include "boragepier/config/settings.h"
 #include "boragepier/control/control_plane.h"
+#include "boragepier/entry/control_watch.h"
 #include "boragepier/http/client.h"
 #include "boragepier/net/event_loop.h"
 #include "boragepier/peer/peer_node.h"
@@ -29,7 +30,11 @@
   /// @param aSettings settings of the instance
   /// @param aMetrics outlives this object
   /// @param aOnRouting receives each new routing table, in the control thread
-  ControlThread(const Settings& aSettings, Metrics& aMetrics, RoutingCallback aOnRouting);
+  /// @param aOnSecond runs about once a second in the control thread
+  ControlThread(const Settings& aSettings,
+                Metrics& aMetrics,
+                RoutingCallback aOnRouting,
+                std::function<void()> aOnSecond);
   ~ControlThread();
   ControlThread(const ControlThread&) = delete;
   ControlThread& operator=(const ControlThread&) = delete;
@@ -61,10 +66,13 @@
   auto Ask(Function aFunction);
   void OnRouting(std::shared_ptr<const RoutingTable> aTable);
   void Tick();
+  void EverySecond();
 
   const Settings settings_;
   Metrics& metrics_;
   const RoutingCallback onRouting_;
+  const std::function<void()> onSecond_;
+  ControlWatch watch_;
   net::EventLoop loop_;
   http::Client client_;
   platform::PlatformClient platform_;
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -37,7 +37,11 @@
                [this](const UpstreamEndpoint& aUpstream) {
                  control_.ReportLeaving(aUpstream.id_, aUpstream.startNumber_);
                })
-  , control_(aSettings, metrics_, [this](const auto& aTable) { OnRouting(aTable); })
+  , control_(
+      aSettings,
+      metrics_,
+      [this](const auto& aTable) { OnRouting(aTable); },
+      [this] { OnSecond(); })
   , traffic_(aSettings, directory_, telemetry_, RequestIdPrefix(aSettings.id_))
 {
 }
@@ -73,13 +77,37 @@
 EntryInstance::OnRouting(const std::shared_ptr<const RoutingTable>& aTable)
 {
   directory_.Apply(*aTable, std::chrono::steady_clock::now());
-  traffic_.SetFleetSize(aTable->instances_.size());
+  instances_ = aTable->instances_.size();
+  traffic_.SetFleetSize(instances_);
   if (!aTable->services_.empty() && !configured_.exchange(true)) {
     metrics_.SetReady(!draining_);
     Log(EventId::InstanceReady, { { "services", aTable->services_.size() } });
   }
 }
 
+void
+EntryInstance::OnSecond()
+{
+  metrics_.SetConnections(traffic_.Connections());
+  const auto services = directory_.All();
+  for (const auto& service : *services) {
+    const auto config = service->Config();
+    const auto upstreams = service->With([](ServiceBalancer& aBalancer) {
+      return aBalancer.Candidates(std::chrono::steady_clock::now());
+    });
+    ServiceMetrics& metrics = metrics_.Service(config->name_);
+    metrics.SetProbeBudget(config->probesPerUpstreamSecond_ *
+                           static_cast<double>(upstreams.size()) /
+                           static_cast<double>(std::max<std::size_t>(instances_, 1)));
+    for (const auto& [event, upstream] : upstreamWatch_.Observe(config->name_, upstreams)) {
+      if (event == EventId::UpstreamEjected) {
+        metrics.OnEjection();
+      }
+      Log(event, { { "service", config->name_ }, { "upstream", upstream } });
+    }
+  }
+}
+
 InstanceStatus
 EntryInstance::Status()
 {
--- a/boragepier/entry/entry_instance.h
+++ b/boragepier/entry/entry_instance.h
@@ -11,6 +11,7 @@
 #include "boragepier/entry/control_thread.h"
 #include "boragepier/entry/service_directory.h"
 #include "boragepier/entry/traffic_thread.h"
+#include "boragepier/entry/upstream_watch.h"
 #include "boragepier/telemetry/explain.h"
 #include "boragepier/telemetry/metrics.h"
 
@@ -49,6 +50,7 @@
 
 private:
   void OnRouting(const std::shared_ptr<const RoutingTable>& aTable);
+  void OnSecond();
   AdminHooks MakeHooks();
   InstanceStatus Status();
 
@@ -58,6 +60,8 @@
   std::atomic<bool> configured_ = false;
   std::atomic<bool> draining_ = false;
   ServiceDirectory directory_;
+  std::size_t instances_ = 1;   ///< live instances; control thread only
+  UpstreamWatch upstreamWatch_; ///< control thread only
   CallTelemetry telemetry_;
   ControlThread control_;
   TrafficThread traffic_;
