--- /dev/null
+++ b/boragepier/entry/attempt_reports.h
@@ -0,0 +1,27 @@
+#ifndef BORAGEPIER_ENTRY_ATTEMPT_REPORTS_H
+#define BORAGEPIER_ENTRY_ATTEMPT_REPORTS_H
+
+#include "boragepier/base/outcome.h"
+#include "boragepier/decision/service_balancer.h"
+#include "boragepier/http/client.h"
+
+namespace boragepier {
+
+/// Reads from the end of an attempt what the balancer needs to know: outcome, load report, whether
+/// the upstream is leaving.
+/// @param aUpstream where the attempt was sent
+/// @param aResult how it ended; an answer of 400 and above with "Boragepier-Not-Run: true"
+/// certifies
+///   that the request was not run
+AttemptReport
+ReportOf(UpstreamHandle aUpstream, const http::SendResult& aResult);
+
+/// @param aFailure how the last attempt failed
+/// @param aExpired whether the deadline of the request has passed
+/// @return the reason that the caller is told when no further attempt is made
+RefusalReason
+ReasonOf(AttemptFailure aFailure, bool aExpired);
+
+} // namespace boragepier
+
+#endif
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "boragepier/entry/attempt_reports.h"
 #include "boragepier/entry/call_observer.h"
 #include "boragepier/entry/pipeline_ports.h"
 #include "boragepier/entry/queue_driver.h"
@@ -81,6 +82,7 @@
   };
 
   MonotonicTime Now() const { return ports_.scheduler_.Now(); }
+  bool Expired() const { return Now() >= info_.deadline_; }
 
   void Check()
   {
@@ -317,7 +319,7 @@
   void OnSendEnded(std::size_t aIndex, http::SendResult aResult)
   {
     attempts_[aIndex].active_ = false;
-    const AttemptReport report = ReportOf(aIndex, aResult);
+    const AttemptReport report = ReportOf(attempts_[aIndex].upstream_, aResult);
     RecordAttempt(aIndex, report);
     Report(report);
     if (finished_) {
@@ -337,33 +339,6 @@
     }
   }
 
-  static AttemptReport ReportFor(UpstreamHandle aUpstream, const http::SendResult& aResult)
-  {
-    AttemptReport report;
-    report.upstream_ = aUpstream;
-    report.outcome_ = aResult.outcome_;
-    report.failure_ = aResult.failure_;
-    report.latency_ = aResult.latency_;
-    if (aResult.outcome_ == Outcome::Answered) {
-      const http::Headers& headers = aResult.response_.headers_;
-      report.status_ = aResult.response_.status_;
-      if (const auto inFlight = ReportedLoad(headers)) {
-        report.load_ = LoadReport{ *inFlight };
-      }
-      report.draining_ = headers.Get(kDrainingHeader) == "true";
-      if (headers.Get(kNotRunHeader) == "true" && report.status_ >= 400) {
-        report.outcome_ = Outcome::NotRun;
-        report.failure_ = AttemptFailure::Refused;
-      }
-    }
-    return report;
-  }
-
-  AttemptReport ReportOf(std::size_t aIndex, const http::SendResult& aResult) const
-  {
-    return ReportFor(attempts_[aIndex].upstream_, aResult);
-  }
-
   // Settles a choice that was made but not followed.
   void ReportUnsent(UpstreamHandle aUpstream)
   {
@@ -404,7 +379,7 @@
         [&](ServiceBalancer& aBalancer) { return aBalancer.MayRetry(info_, aReport, now); });
     }
     if (!verdict.allowed_) {
-      GiveUp(ReasonOf(aReport.failure_));
+      GiveUp(ReasonOf(aReport.failure_, Expired()));
       return;
     }
     nextReason_ = verdict.reason_;
@@ -412,30 +387,6 @@
     Submit();
   }
 
-  RefusalReason ReasonOf(AttemptFailure aFailure) const
-  {
-    switch (aFailure) {
-      case AttemptFailure::ConnectFailed:
-      case AttemptFailure::NothingWritten:
-        return RefusalReason::NoUpstream;
-      case AttemptFailure::Refused:
-        return RefusalReason::Overloaded;
-      case AttemptFailure::Timeout:
-        return Now() >= info_.deadline_ ? RefusalReason::DeadlineExpired
-                                        : RefusalReason::UpstreamTimeout;
-      case AttemptFailure::Truncated:
-      case AttemptFailure::MalformedResponse:
-        return RefusalReason::UpstreamTruncated;
-      case AttemptFailure::ResponseTooLarge:
-        return RefusalReason::ResponseTooLarge;
-      case AttemptFailure::None:
-      case AttemptFailure::ConnectionLost:
-      case AttemptFailure::Cancelled:
-        break;
-    }
-    return RefusalReason::UpstreamLost;
-  }
-
   // Ends the request when no further attempt is possible. A 5xx answer of an upstream goes before a
   // refusal of our own; otherwise the way the last attempt failed says more than the choice.
   void GiveUp(RefusalReason aReason)
@@ -446,7 +397,7 @@
     if (serverError_) {
       Answer(std::move(*serverError_));
     } else if (mayHaveRun_) {
-      Refuse(ReasonOf(lastFailure_), Outcome::Unknown);
+      Refuse(ReasonOf(lastFailure_, Expired()), Outcome::Unknown);
     } else {
       Refuse(aReason, Outcome::NotRun);
     }
--- a/testing/e2e/path_test.cc
+++ b/testing/e2e/path_test.cc
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <future>
 #include <map>
+#include <memory>
 
 #include "boragepier/entry/request_checks.h"
 #include "testing/e2e/fleet.h"
@@ -93,16 +94,22 @@
       fleet_.WaitForStatus(fleet_.Instance(static_cast<std::size_t>(i)), "/orders/0", 200);
     }
   }
+
+  std::unique_ptr<LoadRunner> StartLoad(int aCallers)
+  {
+    auto load = std::make_unique<LoadRunner>("load", aCallers, kPaths);
+    load->SetTargets(CallerPorts(fleet_));
+    load->Start();
+    return load;
+  }
 };
 
 TEST(Path, LookupsAndOrdersPassThroughAllInstances)
 {
   Prepare(4, 3);
-  LoadRunner load("load", 8, kPaths);
-  load.SetTargets(CallerPorts(fleet_));
-  load.Start();
-  load.WaitForRequests(1000);
-  const LoadResult result = load.Stop();
+  const auto load = StartLoad(8);
+  load->WaitForRequests(1000);
+  const LoadResult result = load->Stop();
   CheckNoErrors(result);
   CheckOrders(result, fleet_);
 }
@@ -140,13 +147,11 @@
 TEST(Path, ADrainingUpstreamCausesNoError)
 {
   Prepare(5, 3);
-  LoadRunner load("load", 6, kPaths);
-  load.SetTargets(CallerPorts(fleet_));
-  load.Start();
-  load.WaitForRequests(200);
+  const auto load = StartLoad(6);
+  load->WaitForRequests(200);
   fleet_.ControlUpstream(fleet_.Upstream(0), R"({"mode":"drain","forMs":200})");
-  load.WaitForRequests(1500);
-  const LoadResult result = load.Stop();
+  load->WaitForRequests(1500);
+  const LoadResult result = load->Stop();
   CheckNoErrors(result);
   CheckOrders(result, fleet_);
 }
@@ -155,11 +160,9 @@
 TEST(Path, RollingReplacementOfAllInstancesCausesNoError)
 {
   Prepare(5, 3);
-  LoadRunner load("load", 6, kPaths);
-  load.SetTargets(CallerPorts(fleet_));
-  load.Start();
+  const auto load = StartLoad(6);
   for (std::size_t i = 0; i < 3; ++i) {
-    load.WaitForRequests(200);
+    load->WaitForRequests(200);
     RunningInstance& fresh = fleet_.AddInstance(kDrainSettings);
     fleet_.WaitForStatus(fresh, "/orders/0", 200);
     RunningInstance& old = fleet_.Instance(i);
@@ -168,11 +171,11 @@
     // The platform's balancer learns of it while the old instance still accepts.
     std::vector<std::uint16_t> ports = CallerPorts(fleet_);
     ports.erase(ports.begin(), ports.begin() + static_cast<std::ptrdiff_t>(i) + 1);
-    load.SetTargets(ports);
+    load->SetTargets(ports);
     CHECK_EQUAL(0, old.process_->WaitForExit());
   }
-  load.WaitForRequests(300);
-  const LoadResult result = load.Stop();
+  load->WaitForRequests(300);
+  const LoadResult result = load->Stop();
   CheckNoErrors(result);
   CheckOrders(result, fleet_);
 }
@@ -181,18 +184,16 @@
 TEST(Path, PublishingUnderLoadCausesNoError)
 {
   Prepare(4, 3);
-  LoadRunner load("load", 6, kPaths);
-  load.SetTargets(CallerPorts(fleet_));
-  load.Start();
+  const auto load = StartLoad(6);
   for (int version = 2; version <= 6; ++version) {
-    load.WaitForRequests(100);
+    load->WaitForRequests(100);
     const std::string deadline = std::to_string(2000 + version);
     const std::string text =
       ServiceText("shop", "/orders/", "[deadline]\ndefault-ms = " + deadline + "\n");
     CHECK_EQUAL(0, fleet_.Publish("shop", text));
     fleet_.WaitForVersion("shop", static_cast<std::uint64_t>(version));
   }
-  const LoadResult result = load.Stop();
+  const LoadResult result = load->Stop();
   CheckNoErrors(result);
   CheckOrders(result, fleet_);
 }
@@ -232,10 +233,8 @@
 TEST(Path, APausedInstanceDoesNotRunAnOrderTwice)
 {
   Prepare(4, 3);
-  LoadRunner load("load", 6, kPaths);
-  load.SetTargets(CallerPorts(fleet_));
-  load.Start();
-  load.WaitForRequests(100);
+  const auto load = StartLoad(6);
+  load->WaitForRequests(100);
   std::vector<std::future<http::SendResult>> paused;
   paused.reserve(10);
   fleet_.Instance(0).process_->Signal(SIGSTOP);
@@ -244,7 +243,7 @@
       return fleet_.Client().Send(fleet_.Instance(0).caller_, Order("paused-" + std::to_string(i)));
     }));
   }
-  load.SetTargets({ fleet_.Instance(1).caller_, fleet_.Instance(2).caller_ });
+  load->SetTargets({ fleet_.Instance(1).caller_, fleet_.Instance(2).caller_ });
   std::map<std::string, std::string> outcomes;
   for (int i = 0; i < 10; ++i) {
     const std::string key = "paused-" + std::to_string(i);
@@ -254,7 +253,7 @@
   for (auto& result : paused) {
     result.wait();
   }
-  const LoadResult result = load.Stop();
+  const LoadResult result = load->Stop();
   CheckOrders(result, fleet_);
   CHECK_EQUAL(0, result.wrong_);
   std::map<std::string, int> runs;
@@ -271,14 +270,12 @@
 TEST(Path, AKilledInstanceLosesOnlyItsOwnConnections)
 {
   Prepare(4, 3);
-  LoadRunner load("load", 6, kPaths);
-  load.SetTargets(CallerPorts(fleet_));
-  load.Start();
-  load.WaitForRequests(200);
+  const auto load = StartLoad(6);
+  load->WaitForRequests(200);
   fleet_.Instance(0).process_->Signal(SIGKILL);
-  load.SetTargets({ fleet_.Instance(1).caller_, fleet_.Instance(2).caller_ });
-  load.WaitForRequests(500);
-  const LoadResult result = load.Stop();
+  load->SetTargets({ fleet_.Instance(1).caller_, fleet_.Instance(2).caller_ });
+  load->WaitForRequests(500);
+  const LoadResult result = load->Stop();
   CheckOrders(result, fleet_);
   CHECK_EQUAL(0, result.wrong_);
   CHECK_EQUAL(0, result.serverErrors_);
@@ -318,19 +315,17 @@
 TEST(Path, AnOutageTogetherWithFaultyUpstreamsDoublesNothing)
 {
   Prepare(6, 2);
-  LoadRunner load("load", 6, kPaths);
-  load.SetTargets(CallerPorts(fleet_));
-  load.Start();
-  load.WaitForRequests(200);
+  const auto load = StartLoad(6);
+  load->WaitForRequests(200);
   fleet_.ControlPlatform(R"({"lose_next_write_answers":20,"slow_ms":20})");
   fleet_.ControlUpstream(fleet_.Upstream(0), R"({"mode":"fail-fast"})");
-  load.WaitForRequests(300);
+  load->WaitForRequests(300);
   fleet_.ControlPlatform(R"({"slow_ms":0,"table_down":true})");
   fleet_.ControlUpstream(fleet_.Upstream(1), R"({"mode":"silent-after-run"})");
-  load.WaitForRequests(300);
+  load->WaitForRequests(300);
   fleet_.ControlPlatform(R"({"table_down":false})");
-  load.WaitForRequests(300);
-  const LoadResult result = load.Stop();
+  load->WaitForRequests(300);
+  const LoadResult result = load->Stop();
   CheckOrders(result, fleet_);
   CHECK_EQUAL(0, result.lost_);
   CHECK_EQUAL(0, result.wrong_);
@@ -353,15 +348,13 @@
 TEST(Path, FaultyUpstreamsAreSurvived)
 {
   Prepare(6, 2);
-  LoadRunner load("load", 6, kPaths);
-  load.SetTargets(CallerPorts(fleet_));
-  load.Start();
-  load.WaitForRequests(200);
+  const auto load = StartLoad(6);
+  load->WaitForRequests(200);
   fleet_.ControlUpstream(fleet_.Upstream(0), R"({"mode":"fail-fast"})");
   fleet_.ControlUpstream(fleet_.Upstream(1), R"({"mode":"silent"})");
   fleet_.ControlUpstream(fleet_.Upstream(2), R"({"mode":"truncate"})");
-  load.WaitForRequests(1500);
-  const LoadResult result = load.Stop();
+  load->WaitForRequests(1500);
+  const LoadResult result = load->Stop();
   CheckOrders(result, fleet_);
   CHECK_EQUAL(0, result.lost_);
   CHECK_EQUAL(0, result.wrong_);
