--- a/boragepier/entry/queue_driver.h
+++ b/boragepier/entry/queue_driver.h
@@ -28,7 +28,9 @@
   void Drive(const std::shared_ptr<ServiceEntry>& aService)
   {
     SendProbes(aService);
-    if (const auto next = aService->ReleaseWaiting(ports_.scheduler_.Now())) {
+    const auto next = aService->ReleaseWaiting(ports_.scheduler_.Now());
+    SendProbes(aService);
+    if (next) {
       ReleaseAt(aService, *next);
     }
   }
