Wait until a paused instance has stopped in the pause test

Cause: SIGSTOP takes effect a moment after it is sent. A thread of the instance could still claim an order; its repeat elsewhere was then refused as in-progress (unknown), which is true and allowed. Change: ChildProcess::Pause() waits for the stop (WUNTRACED); the checks are unchanged. Measured: the test passes 15 of 15 times, e2e_path_test passes. Conclusion: the order of events is fixed by an event, not by luck.

--- a/testing/e2e/child_process.cc
+++ b/testing/e2e/child_process.cc
@@ -95,6 +95,16 @@
   kill(pid_, aSignal);
 }
 
+void
+ChildProcess::Pause() const
+{
+  kill(pid_, SIGSTOP);
+  int status = 0;
+  if (waitpid(pid_, &status, WUNTRACED) != pid_ || !WIFSTOPPED(status)) {
+    throw ChildProcessError("a program did not stop");
+  }
+}
+
 int
 ChildProcess::WaitForExit()
 {
--- a/testing/e2e/child_process.h
+++ b/testing/e2e/child_process.h
@@ -42,6 +42,8 @@
   std::uint16_t ReadPort(std::string_view aName);
 
   void Signal(int aSignal) const;
+  /// Stops the program and waits until all its threads have stopped.
+  void Pause() const;
   pid_t Pid() const { return pid_; }
 
   /// Waits for the end of the program.
--- a/testing/e2e/path_test.cc
+++ b/testing/e2e/path_test.cc
@@ -237,7 +237,7 @@
   load->WaitForRequests(100);
   std::vector<std::future<http::SendResult>> paused;
   paused.reserve(10);
-  fleet_.Instance(0).process_->Signal(SIGSTOP);
+  fleet_.Instance(0).process_->Pause();
   for (int i = 0; i < 10; ++i) {
     paused.push_back(std::async(std::launch::async, [&, i] {
       return fleet_.Client().Send(fleet_.Instance(0).caller_, Order("paused-" + std::to_string(i)));
