Share the platform options and the civil clock of the threads

Cause: PlatformOptionsOf() and WallNow() stood twice, in the traffic thread and in the control thread. Change: both are in boragepier/entry/process_environment; behaviour stays. Conclusion: one place decides how an instance reaches the platform.

--- a/boragepier/entry/control_thread.cc
+++ b/boragepier/entry/control_thread.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "boragepier/config/service_file.h"
+#include "boragepier/entry/process_environment.h"
 #include "boragepier/telemetry/log.h"
 
 namespace boragepier {
@@ -16,14 +17,6 @@
 // A question of the admin surface waits at most this long for the control thread.
 constexpr auto kAskTimeout = std::chrono::seconds(5);
 
-platform::PlatformOptions
-PlatformOptionsOf(const Settings& aSettings)
-{
-  platform::PlatformOptions options;
-  options.target_ = { aSettings.platform_.address_, aSettings.platform_.port_ };
-  return options;
-}
-
 std::vector<PeerEndpoint>
 SeedsOf(const Settings& aSettings)
 {
@@ -42,12 +35,6 @@
   return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
 }
 
-WallTime
-WallNow()
-{
-  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-}
-
 } // namespace
 
 ControlThread::ControlThread(const Settings& aSettings,
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -3,6 +3,7 @@
 #include <random>
 #include <utility>
 
+#include "boragepier/entry/process_environment.h"
 #include "boragepier/entry/refusal.h"
 #include "boragepier/entry/request_checks.h"
 
@@ -21,14 +22,6 @@
   return Random(word(), word());
 }
 
-platform::PlatformOptions
-PlatformOptionsOf(const Settings& aSettings)
-{
-  platform::PlatformOptions options;
-  options.target_ = { aSettings.platform_.address_, aSettings.platform_.port_ };
-  return options;
-}
-
 http::ServerLimits
 LimitsOf(const Settings& aSettings)
 {
@@ -41,12 +34,6 @@
   return limits;
 }
 
-WallTime
-WallNow()
-{
-  return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-}
-
 } // namespace
 
 TrafficThread::TrafficThread(const Settings& aSettings,
