--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -1,8 +1,11 @@
 #include <signal.h>
 
+#include <chrono>
 #include <cstdlib>
+#include <ctime>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <string>
 
@@ -12,6 +15,7 @@
 #include "boragepier/config/settings.h"
 #include "boragepier/entry/entry_instance.h"
 #include "boragepier/telemetry/log.h"
+#include "platform/installation.h"
 
 namespace {
 
@@ -24,10 +28,15 @@
 constexpr int kExitSettings = 3;
 constexpr int kExitDrainLimit = 4;
 
+// Environment variable that holds the path of the settings file if --settings is not given.
+constexpr const char* kSettingsVariable = "BORAGEPIER_SETTINGS";
+// Between two looks at the settings file, which may change without a signal.
+constexpr std::chrono::milliseconds kSettingsCheckInterval{ 1000 };
+
 constexpr const char* kVersion = "0.1.0";
 
-Settings
-ReadSettings(const std::string& aFile)
+std::string
+ReadText(const std::string& aFile)
 {
   std::ifstream file(aFile);
   if (!file) {
@@ -35,7 +44,18 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  return ParseSettings(text.str(), aFile);
+  return text.str();
+}
+
+// The option goes before the environment.
+std::string
+SettingsFile(const cxxopts::ParseResult& aArguments)
+{
+  if (aArguments.count("settings") != 0) {
+    return aArguments["settings"].as<std::string>();
+  }
+  const char* const file = std::getenv(kSettingsVariable);
+  return file == nullptr ? std::string() : file;
 }
 
 // Blocks the signals in this thread and those that it starts, so that only Wait() receives them.
@@ -47,14 +67,18 @@
     sigemptyset(&signals_);
     sigaddset(&signals_, SIGTERM);
     sigaddset(&signals_, SIGINT);
+    sigaddset(&signals_, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
     signal(SIGPIPE, SIG_IGN);
   }
 
-  void Wait() const
+  /// Waits for a signal for a limited time.
+  /// @return the signal, or nothing after the time
+  std::optional<int> Wait(std::chrono::milliseconds aLimit) const
   {
-    int received = 0;
-    sigwait(&signals_, &received);
+    const std::timespec limit{ aLimit.count() / 1000, aLimit.count() % 1000 * 1'000'000 };
+    const int received = sigtimedwait(&signals_, nullptr, &limit);
+    return received > 0 ? std::optional(received) : std::nullopt;
   }
 
 private:
@@ -72,16 +96,65 @@
   }
 }
 
+Installation
+InstallationOf(const Settings& aSettings)
+{
+  return aSettings.store_.port_ != 0 ? metastore::PlatformInstallation() : OwnInstallation();
+}
+
+// Reads the settings file again when it has changed or a signal asks for it.
+class SettingsWatch
+{
+public:
+  explicit SettingsWatch(std::string aFile)
+    : file_(std::move(aFile))
+    , text_(ReadText(file_))
+  {
+  }
+
+  void Check(EntryInstance& aInstance, bool aForced)
+  {
+    try {
+      std::string text = ReadText(file_);
+      if (text == text_ && !aForced) {
+        return;
+      }
+      text_ = std::move(text);
+      aInstance.Reload(ParseSettings(text_, file_));
+    } catch (const ConfigError& error) {
+      Log(EventId::SettingsRejected, { { "error", error.what() } });
+    }
+  }
+
+private:
+  const std::string file_;
+  std::string text_;
+};
+
+// Serves until a signal asks to stop.
+void
+WaitForStop(const StopSignals& aSignals, SettingsWatch& aWatch, EntryInstance& aInstance)
+{
+  for (;;) {
+    const auto received = aSignals.Wait(kSettingsCheckInterval);
+    if (received && *received != SIGHUP) {
+      return;
+    }
+    aWatch.Check(aInstance, received.has_value());
+  }
+}
+
 int
-Serve(const Settings& aSettings)
+Serve(const Settings& aSettings, const std::string& aFile)
 {
   const StopSignals stop;
   ConfigureLog(aSettings.logLevel_, aSettings.logFile_);
-  EntryInstance instance(aSettings);
+  SettingsWatch watch(aFile);
+  EntryInstance instance(aSettings, InstallationOf(aSettings));
   const InstancePorts ports = Start(instance);
   std::cout << "listening " << ports.caller_ << "\npeer " << ports.peer_ << "\nadmin "
             << ports.admin_ << std::endl;
-  stop.Wait();
+  WaitForStop(stop, watch, instance);
   return instance.Drain() ? kExitOk : kExitDrainLimit;
 }
 
@@ -94,7 +167,7 @@
                            "  boragepier --settings /etc/boragepier/instance.ini\n"
                            "  boragepier --settings instance.ini --check\n");
   options.add_options()(
-    "settings", "settings file (docs/configuration.md)", cxxopts::value<std::string>(), "FILE");
+    "settings", "settings file (docs/configuration.md); default: $BORAGEPIER_SETTINGS", cxxopts::value<std::string>(), "FILE");
   options.add_options()("check", "check the settings file and exit");
   options.add_options()("version", "print the version and exit");
   options.add_options()("help", "print this help and exit");
@@ -114,16 +187,17 @@
     std::cout << "boragepier " << kVersion << "\n";
     return kExitOk;
   }
-  if (arguments.count("settings") == 0) {
+  const std::string file = SettingsFile(arguments);
+  if (file.empty()) {
     std::cerr << "boragepier: --settings FILE is missing; see boragepier --help\n";
     return kExitUsage;
   }
-  const Settings settings = ReadSettings(arguments["settings"].as<std::string>());
+  const Settings settings = ParseSettings(ReadText(file), file);
   if (arguments.count("check") != 0) {
     std::cout << "settings are valid\n";
     return kExitOk;
   }
-  return Serve(settings);
+  return Serve(settings, file);
 }
 
 } // namespace
--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -24,7 +24,7 @@
   { "no-upstream", 503 },        { "deadline-expired", 504 },
   { "upstream-lost", 502 },      { "upstream-timeout", 504 },
   { "upstream-truncated", 502 }, { "response-too-large", 502 },
-  { "shutting-down", 503 },
+  { "shutting-down", 503 },      { "not-configured", 503 },
 } };
 
 // In the order of RetryReason.
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -37,8 +37,9 @@
   UpstreamTruncated,
   ResponseTooLarge,
   ShuttingDown,
+  NotConfigured, ///< the instance does not know any configuration yet
 };
-inline constexpr int kRefusalReasonCount = 19;
+inline constexpr int kRefusalReasonCount = 20;
 
 /// How an attempt failed to bring a complete answer.
 enum class AttemptFailure : std::uint8_t
--- a/boragepier/config/key_table.cc
+++ b/boragepier/config/key_table.cc
@@ -98,6 +98,8 @@
       return ReadNumber(aInfo, aValue);
     case KeyType::Address:
       return IsIpAddress(aValue.text_);
+    case KeyType::Endpoint:
+      return ParseEndpoint(aValue.text_).has_value();
     case KeyType::AddressList:
       return ParseEndpointList(aValue.text_).has_value();
     case KeyType::FileName:
@@ -126,10 +128,10 @@
 std::string_view
 TypeName(KeyType aType)
 {
-  constexpr std::array<std::string_view, 10> kNames = { "name",     "path",    "rule",
-                                                        "choice",   "flag",    "integer",
-                                                        "number",   "address", "address list",
-                                                        "file name" };
+  constexpr std::array<std::string_view, 11> kNames = {
+    "name",   "path",    "rule",     "choice",       "flag",      "integer",
+    "number", "address", "endpoint", "address list", "file name",
+  };
   return kNames.at(static_cast<std::size_t>(aType));
 }
 
@@ -151,6 +153,8 @@
       return NumberText(aInfo.minimum_) + " to " + NumberText(aInfo.maximum_);
     case KeyType::Address:
       return "IPv4 or IPv6 address";
+    case KeyType::Endpoint:
+      return "ADDRESS:PORT, an IPv6 address in brackets";
     case KeyType::AddressList:
       return "ADDRESS:PORT separated by commas, IPv6 addresses in brackets";
     case KeyType::FileName:
@@ -185,7 +189,8 @@
 {
   KeyValue value{ .text_ = aText };
   if (!ReadValue(aInfo, value)) {
-    const std::string unit = aInfo.unit_.empty() ? "" : " " + std::string(aInfo.unit_);
+    const std::string unit =
+      aInfo.unit_.empty() ? std::string() : std::string(" ").append(aInfo.unit_);
     throw ConfigError(std::string(aFileName),
                       aLine,
                       FullName(aInfo),
--- a/boragepier/config/key_table.h
+++ b/boragepier/config/key_table.h
@@ -25,6 +25,7 @@
   Integer,     ///< from KeyInfo::minimum_ to KeyInfo::maximum_
   Number,      ///< as Integer, with fractions
   Address,     ///< IPv4 or IPv6 address
+  Endpoint,    ///< address:port
   AddressList, ///< address:port, separated by commas
   FileName,    ///< path of a file
 };
--- a/boragepier/config/service_config.h
+++ b/boragepier/config/service_config.h
@@ -34,6 +34,7 @@
   PowerOfTwo,
   Reported,       ///< own count plus the aged report of the others' count
   ReportedSubset, ///< Reported, with a home subset that is tried first while idle
+  FreshProbes,    ///< several upstreams are probed for each request just before it is sent
 };
 
 /// A rule that assigns a repeatability to requests.
@@ -64,7 +65,11 @@
   Duration zoneTrip_ = std::chrono::microseconds(1500); ///< one way between availability zones
 
   double probesPerUpstreamSecond_ = 200; ///< budget of the whole fleet; 0 turns probes off
+  std::string probePath_; ///< path of a GET that reports load and health; empty for "OPTIONS *"
   double retryBudget_ = 0.10;            ///< extra attempts per request
+  double retrySlack_ = 0;                ///< extra attempts of the whole fleet in a window, whatever
+                                         ///< the number of requests; FreshProbes only
+  Duration retryWindow_ = std::chrono::seconds(10); ///< FreshProbes only
   double hedgeBudget_ = 0.05;            ///< hedges per request, part of the retry budget
   double maxEjectedShare_ = 0.3;         ///< of the upstreams of the service
   std::size_t queueLimit_ = 64;          ///< requests that wait in one instance
--- a/boragepier/config/service_file.cc
+++ b/boragepier/config/service_file.cc
@@ -13,7 +13,7 @@
 {
   std::string place(aFile);
   if (aLine > 0) {
-    place += ":" + std::to_string(aLine);
+    place.append(":").append(std::to_string(aLine));
   }
   if (!aKey.empty()) {
     place.append(": ").append(aKey);
--- a/boragepier/config/service_keys.cc
+++ b/boragepier/config/service_keys.cc
@@ -10,8 +10,9 @@
 
 // Each in the order of its enumeration.
 constexpr std::array<std::string_view, 2> kClasses = { "interactive", "background" };
-constexpr std::array<std::string_view, 6> kPolicies = {
-  "random", "round-robin", "least-outstanding", "power-of-two", "reported", "reported-subset",
+constexpr std::array<std::string_view, 7> kPolicies = {
+  "random",   "round-robin",     "least-outstanding", "power-of-two",
+  "reported", "reported-subset", "fresh-probes",
 };
 
 constexpr std::array kKeys = {
--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -74,12 +74,26 @@
       .default_ = "0",
       .meaning_ = "port of the admin surface; 0 lets the system choose" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.admin_.port_, aValue); } },
+  Key<Settings>{ { .section_ = "listen",
+                   .name_ = "caller",
+                   .type_ = KeyType::Endpoint,
+                   .meaning_ = "caller-address and caller-port in one value" },
+                 [](Settings& aSettings, const KeyValue& aValue) {
+                   aSettings.caller_ = ParseEndpoint(aValue.text_).value();
+                 } },
+  Key<Settings>{ { .section_ = "listen",
+                   .name_ = "admin",
+                   .type_ = KeyType::Endpoint,
+                   .meaning_ = "admin-address and admin-port in one value" },
+                 [](Settings& aSettings, const KeyValue& aValue) {
+                   aSettings.admin_ = ParseEndpoint(aValue.text_).value();
+                 } },
   Key<Settings>{
     { .section_ = "platform",
       .name_ = "address",
       .type_ = KeyType::Address,
-      .required_ = true,
-      .meaning_ = "address of the platform's table service, object store and instance list" },
+      .meaning_ = "address of the platform's table service, object store and instance list; "
+                  "needed unless store.address is given" },
     [](Settings& aSettings, const KeyValue& aValue) {
       Assign(aSettings.platform_.address_, aValue);
     } },
@@ -88,11 +102,56 @@
                    .type_ = KeyType::Integer,
                    .minimum_ = 1,
                    .maximum_ = 65535,
-                   .required_ = true,
                    .meaning_ = "port of the platform" },
                  [](Settings& aSettings, const KeyValue& aValue) {
                    Assign(aSettings.platform_.port_, aValue);
                  } },
+  Key<Settings>{ { .section_ = "store",
+                   .name_ = "address",
+                   .type_ = KeyType::Endpoint,
+                   .meaning_ = "store that keeps configuration, upstreams and instances; replaces "
+                               "the platform and the exchange with other instances" },
+                 [](Settings& aSettings, const KeyValue& aValue) {
+                   aSettings.store_ = ParseEndpoint(aValue.text_).value();
+                 } },
+  Key<Settings>{
+    { .section_ = "fleet",
+      .name_ = "retry-ratio",
+      .type_ = KeyType::Number,
+      .minimum_ = 0,
+      .maximum_ = 10,
+      .default_ = "0.1",
+      .meaning_ = "extra attempts per request; with store.address only, like this whole section" },
+    [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.retryRatio_, aValue); } },
+  Key<Settings>{
+    { .section_ = "fleet",
+      .name_ = "retry-slack",
+      .type_ = KeyType::Number,
+      .minimum_ = 0,
+      .maximum_ = 1000000,
+      .default_ = "0",
+      .meaning_ = "further extra attempts to a service in a window, of all instances together" },
+    [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.retrySlack_, aValue); } },
+  Key<Settings>{
+    { .section_ = "fleet",
+      .name_ = "retry-window-s",
+      .type_ = KeyType::Number,
+      .unit_ = "s",
+      .minimum_ = 0.1,
+      .maximum_ = 3600,
+      .default_ = "10",
+      .meaning_ = "length of the window in which extra attempts are counted" },
+    [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.retryWindow_, aValue); } },
+  Key<Settings>{ { .section_ = "fleet",
+                   .name_ = "probes-per-upstream-s",
+                   .type_ = KeyType::Number,
+                   .minimum_ = 0,
+                   .maximum_ = 100000,
+                   .default_ = "20",
+                   .meaning_ = "probes to one upstream in a second, of all instances together" },
+                 [](Settings& aSettings, const KeyValue& aValue) {
+                   Assign(aSettings.probesPerUpstreamSecond_, aValue);
+                 } },
   Key<Settings>{
     { .section_ = "peers",
       .name_ = "seeds",
@@ -122,6 +181,16 @@
       .meaning_ =
         "time after SIGTERM at which the process exits at the latest; at least drain-grace-ms" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.drainLimit_, aValue); } },
+  Key<Settings>{
+    { .section_ = "traffic",
+      .name_ = "drain-margin-ms",
+      .type_ = KeyType::Integer,
+      .unit_ = "ms",
+      .minimum_ = 0,
+      .maximum_ = 600000,
+      .default_ = "0",
+      .meaning_ = "the process exits this much before drain-limit-ms" },
+    [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.drainMargin_, aValue); } },
   Key<Settings>{ { .section_ = "traffic",
                    .name_ = "max-connections",
                    .type_ = KeyType::Integer,
@@ -212,6 +281,13 @@
                       "traffic.drain-limit-ms",
                       "must be at least traffic.drain-grace-ms");
   }
+  if (settings.store_.port_ == 0 &&
+      (settings.platform_.port_ == 0 || settings.platform_.address_.empty())) {
+    throw ConfigError(std::string(aFileName),
+                      0,
+                      "platform.address",
+                      "platform.address and platform.port, or store.address, must be given");
+  }
   return settings;
 }
 
--- a/boragepier/config/upstream_endpoint.h
+++ b/boragepier/config/upstream_endpoint.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "boragepier/base/ids.h"
+#include "boragepier/base/time.h"
 
 namespace boragepier {
 
@@ -17,6 +18,8 @@
   ZoneName zone_;
   std::uint64_t startNumber_ = 0; ///< rises with every start of the upstream
   bool leaving_ = false;          ///< receives no new work
+  unsigned slots_ = 0;            ///< requests that it runs at a time; 0 for those of the service
+  MonotonicTime warmAt_{};        ///< until then it is slow after its start
 
   friend bool operator==(const UpstreamEndpoint&, const UpstreamEndpoint&) = default;
 };
--- a/boragepier/decision/choice_policy.cc
+++ b/boragepier/decision/choice_policy.cc
@@ -92,6 +92,7 @@
     case PolicyKind::Reported:
       return ReportedChoice();
     case PolicyKind::ReportedSubset:
+    case PolicyKind::FreshProbes: // FreshBalancer decides instead
       break;
   }
   return ReportedSubsetChoice();
--- /dev/null
+++ b/boragepier/decision/fresh_balancer.cc
@@ -0,0 +1,276 @@
+#include "boragepier/decision/fresh_balancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragepier {
+
+namespace {
+
+// Without a fresh sign, a sign of leaving is dropped after this time.
+constexpr Duration kLeavingLifetime = std::chrono::seconds(60);
+// A request that is given up after this multiple of its expected time counts against the upstream.
+constexpr double kSlowOutcomeFactor = 3;
+constexpr double kSlowOutcomeWeight = 0.5;
+// The limit on probes holds over longer times, so that a burst of requests may use what was saved.
+constexpr double kProbeBurstSeconds = 1;
+// Work that is assumed for an unknown class, as a share of the time to its latency target.
+constexpr double kUnknownWorkShare = 0.35;
+
+bool
+IsUpstreamFault(const AttemptReport& aReport)
+{
+  switch (aReport.failure_) {
+    case AttemptFailure::None:
+      return aReport.status_ >= 500;
+    case AttemptFailure::Refused:
+    case AttemptFailure::Cancelled:
+    case AttemptFailure::ResponseTooLarge:
+      return false;
+    default:
+      return true;
+  }
+}
+
+std::optional<RetryReason>
+ReasonFor(const AttemptReport& aReport)
+{
+  switch (aReport.failure_) {
+    case AttemptFailure::ConnectFailed:
+    case AttemptFailure::NothingWritten:
+      return RetryReason::ConnectFailed;
+    case AttemptFailure::Refused:
+      return RetryReason::Refused;
+    case AttemptFailure::ConnectionLost:
+      return RetryReason::ConnectionLost;
+    case AttemptFailure::Timeout:
+      return RetryReason::AttemptTimeout;
+    case AttemptFailure::Truncated:
+    case AttemptFailure::MalformedResponse:
+      return RetryReason::TruncatedResponse;
+    case AttemptFailure::ResponseTooLarge:
+    case AttemptFailure::Cancelled:
+      return std::nullopt;
+    case AttemptFailure::None:
+      break;
+  }
+  return aReport.status_ >= 500 ? std::optional(RetryReason::ServerError) : std::nullopt;
+}
+
+} // namespace
+
+FreshBalancer::FreshBalancer(ServiceConfig aConfig, ZoneName aLocalZone, std::uint64_t aSeed)
+  : config_(std::move(aConfig))
+  , localZone_(std::move(aLocalZone))
+  , random_(aSeed)
+{
+  RefreshDerived();
+}
+
+void
+FreshBalancer::SetConfig(ServiceConfig aConfig, MonotonicTime)
+{
+  config_ = std::move(aConfig);
+  RefreshDerived();
+}
+
+void
+FreshBalancer::SetUpstreams(std::span<const UpstreamEndpoint> aUpstreams, MonotonicTime)
+{
+  for (const std::uint32_t index : present_) {
+    upstreams_[index].present_ = false;
+  }
+  present_.clear();
+  for (const UpstreamEndpoint& endpoint : aUpstreams) {
+    const auto [known, isNew] =
+      byId_.try_emplace(endpoint.id_, static_cast<std::uint32_t>(upstreams_.size()));
+    const std::uint32_t index = known->second;
+    if (isNew) {
+      upstreams_.emplace_back();
+    }
+    Upstream& upstream = upstreams_[index];
+    if (!isNew && endpoint.startNumber_ > upstream.endpoint_->startNumber_) {
+      upstream.belief_.Reset();
+      upstream.leavingUntil_ = MonotonicTime();
+    }
+    if (isNew || *upstream.endpoint_ != endpoint) {
+      upstream.endpoint_ = std::make_shared<const UpstreamEndpoint>(endpoint);
+    }
+    upstream.present_ = true;
+    present_.push_back(index);
+  }
+  RefreshDerived();
+}
+
+void
+FreshBalancer::SetFleet(const InstanceId&, std::span<const InstanceId> aInstances, MonotonicTime)
+{
+  instances_ = std::max<std::size_t>(1, aInstances.size());
+  RefreshDerived();
+}
+
+void
+FreshBalancer::RefreshDerived()
+{
+  for (const std::uint32_t index : present_) {
+    upstreams_[index].local_ = upstreams_[index].endpoint_->zone_ == localZone_;
+  }
+  probeBudget_.SetRate(
+    config_.probesPerUpstreamSecond_, present_.size(), instances_, kProbeBurstSeconds);
+  retryBudget_.SetTerms(config_.retryBudget_, config_.retrySlack_, config_.retryWindow_);
+  retryBudget_.SetInstances(instances_);
+}
+
+void
+FreshBalancer::MarkLeaving(UpstreamHandle aUpstream, MonotonicTime aNow)
+{
+  upstreams_.at(static_cast<std::size_t>(aUpstream)).leavingUntil_ = aNow + kLeavingLifetime;
+}
+
+bool
+FreshBalancer::TakesWork(const Upstream& aUpstream, MonotonicTime aNow) const
+{
+  return aUpstream.present_ && !aUpstream.endpoint_->leaving_ && aUpstream.leavingUntil_ <= aNow;
+}
+
+unsigned
+FreshBalancer::SlotsOf(const Upstream& aUpstream) const
+{
+  if (const auto& report = aUpstream.belief_.Report(); report && report->slots_ > 0) {
+    return report->slots_;
+  }
+  return aUpstream.endpoint_->slots_ > 0 ? aUpstream.endpoint_->slots_ : config_.slots_;
+}
+
+double
+FreshBalancer::WorkMs(const CallInfo& aCall) const
+{
+  const double target = ToMilliseconds(aCall.target_ - aCall.arrival_);
+  return work_.MeanMs(aCall.workClass_, kUnknownWorkShare * std::max(0.0, target));
+}
+
+void
+FreshBalancer::LearnFrom(const AttemptReport& aReport, MonotonicTime aNow)
+{
+  const auto index = static_cast<std::uint32_t>(aReport.upstream_);
+  const MonotonicTime sentAt = aNow - aReport.latency_;
+  auto nearest = sent_.end();
+  for (auto one = sent_.begin(); one != sent_.end(); ++one) {
+    if (one->index_ == index &&
+        (nearest == sent_.end() ||
+         std::chrono::abs(one->at_ - sentAt) < std::chrono::abs(nearest->at_ - sentAt))) {
+      nearest = one;
+    }
+  }
+  if (nearest == sent_.end()) {
+    return;
+  }
+  const Sent sent = *nearest;
+  sent_.erase(nearest);
+  UpstreamBelief& belief = upstreams_[index].belief_;
+  const double latencyMs = ToMilliseconds(aReport.latency_);
+  if (IsUpstreamFault(aReport)) {
+    belief.OnOutcome(true, 1, aNow);
+  } else if (aReport.failure_ == AttemptFailure::None) {
+    belief.OnOutcome(false, 1, aNow);
+    work_.Add(sent.workClass_, pace_.WorkMs(latencyMs, sent.slowness_));
+  } else if (aReport.failure_ == AttemptFailure::Cancelled &&
+             latencyMs > kSlowOutcomeFactor * sent.expectedMs_) {
+    // An upstream that hangs shows only in requests that were given up.
+    belief.OnOutcome(true, kSlowOutcomeWeight, aNow);
+  }
+}
+
+void
+FreshBalancer::OnAttemptEnded(const AttemptReport& aReport, MonotonicTime aNow)
+{
+  Upstream& upstream = upstreams_.at(static_cast<std::size_t>(aReport.upstream_));
+  upstream.belief_.OnEnded(aReport.latency_, aNow);
+  LearnFrom(aReport, aNow);
+  if (aReport.draining_) {
+    MarkLeaving(aReport.upstream_, aNow);
+  }
+  if (aReport.failure_ == AttemptFailure::Refused) {
+    upstream.belief_.OnFull(SlotsOf(upstream), aNow);
+  } else if (aReport.load_) {
+    LoadReport load = *aReport.load_;
+    load.inFlight_ -= std::min<std::uint32_t>(load.inFlight_, 1);
+    load.healthy_ = true;
+    pace_.OnReport(load.slowness_);
+    upstream.belief_.OnReport(load,
+                              aNow - FromMilliseconds(upstream.belief_.RoundTripMs() / 2));
+  }
+}
+
+bool
+FreshBalancer::CancelQueued(std::uint64_t aCallId, MonotonicTime)
+{
+  return std::erase_if(waiting_, [&](const Waiting& aWaiting) {
+           return aWaiting.call_.id_ == aCallId;
+         }) > 0;
+}
+
+RetryVerdict
+FreshBalancer::MayRetry(const CallInfo& aCall, const AttemptReport& aReport, MonotonicTime aNow)
+{
+  const auto reason = ReasonFor(aReport);
+  const bool harmless =
+    aCall.repeatability_ == Repeatability::Repeatable || aReport.outcome_ == Outcome::NotRun;
+  if (!reason || !harmless || aNow >= aCall.deadline_ ||
+      aCall.tried_.size() >= aCall.maxAttempts_ || !retryBudget_.TryTake(aNow)) {
+    return {};
+  }
+  return { true, *reason };
+}
+
+Duration
+FreshBalancer::AttemptTimeout(const CallInfo& aCall, MonotonicTime aNow) const
+{
+  return std::max(Duration(0), aCall.deadline_ - aNow);
+}
+
+std::shared_ptr<const UpstreamEndpoint>
+FreshBalancer::Endpoint(UpstreamHandle aUpstream) const
+{
+  return upstreams_.at(static_cast<std::size_t>(aUpstream)).endpoint_;
+}
+
+std::optional<UpstreamHandle>
+FreshBalancer::Find(const UpstreamId& aId) const
+{
+  const auto found = byId_.find(aId);
+  if (found == byId_.end() || !upstreams_[found->second].present_) {
+    return std::nullopt;
+  }
+  return UpstreamHandle{ found->second };
+}
+
+unsigned
+FreshBalancer::ConnectionLimit() const
+{
+  return std::max(2U, config_.connectionsPerUpstream_ / static_cast<unsigned>(instances_));
+}
+
+std::vector<CandidateInfo>
+FreshBalancer::Candidates(MonotonicTime aNow) const
+{
+  std::vector<CandidateInfo> candidates;
+  for (const std::uint32_t index : present_) {
+    const Upstream& upstream = upstreams_[index];
+    const UpstreamBelief& belief = upstream.belief_;
+    CandidateInfo& info = candidates.emplace_back();
+    info.id_ = upstream.endpoint_->id_;
+    info.zone_ = upstream.endpoint_->zone_;
+    info.ownOutstanding_ = belief.Own();
+    info.othersEstimate_ = belief.InFlight() - belief.Own();
+    info.standing_ = 1 - belief.FailureShare(aNow);
+    info.leaving_ = !TakesWork(upstream, aNow);
+    if (const auto age = belief.Age(aNow)) {
+      info.slowness_ = belief.Report()->slowness_;
+      info.reportAge_ = *age;
+    }
+  }
+  return candidates;
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/decision/fresh_choice.cc
@@ -0,0 +1,469 @@
+#include <algorithm>
+#include <cmath>
+
+#include "boragepier/decision/fresh_balancer.h"
+
+namespace boragepier {
+
+namespace {
+
+// A younger report describes the present load well enough to send a request.
+constexpr Duration kFreshAge = std::chrono::milliseconds(40);
+// A younger report is not asked for again.
+constexpr Duration kProbeAgainAge = std::chrono::milliseconds(8);
+// Upstreams of the own zone, and of the others, that are probed for one request.
+constexpr std::size_t kLocalProbes = 4;
+constexpr std::size_t kRemoteProbes = 4;
+// Probes are waited for this multiple of the mean round trip, within the limits below.
+constexpr double kPatience = 3;
+constexpr double kMinPatienceMs = 5;
+constexpr double kMaxPatienceMs = 40;
+// Waiting requests look for free slots again after this time.
+constexpr Duration kPollInterval = std::chrono::milliseconds(25);
+// A machine up to this slowness serves at its usual pace.
+constexpr double kUsualSlowness = 1.6;
+// Pace of an upstream that has just started, as a multiple of the usual duration.
+constexpr double kColdSlowness = 2;
+// An upstream whose requests fail with a higher probability is not taken before the others are
+// known.
+constexpr double kSoundFailureShare = 0.1;
+// What speaks against an upstream, as shares of the time to the latency target: another zone, each
+// megabyte of the request that is sent there, certain failure, and an upstream that calls itself
+// unhealthy.
+constexpr double kAwayCost = 0.1;
+constexpr double kAwayCostPerMegabyte = 8;
+constexpr double kMaxAwayCost = 0.9;
+constexpr double kFailureCost = 3;
+constexpr double kUnhealthyCost = 0.5;
+constexpr double kFailedProbeCost = 2;
+// Random part of the cost, as a share of the work, that spreads instances over equal upstreams.
+constexpr double kJitter = 0.1;
+// A hedge is considered after this multiple of the expected time.
+constexpr double kHedgeFactor = 1.4;
+// A hedge is sent only if it is expected to answer in this share of what the first attempt still
+// needs.
+constexpr double kHedgeGain = 0.7;
+constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(10);
+// Time between two looks at a request whose probes are out.
+constexpr Duration kHedgeLookAgain = std::chrono::milliseconds(15);
+constexpr double kIntervalWeight = 0.2;
+// Limits of the time that a refused caller is told to wait.
+constexpr double kMinRetryAfterMs = 100;
+constexpr double kMaxRetryAfterMs = 5000;
+
+bool
+Contains(std::span<const UpstreamHandle> aHandles, std::uint32_t aIndex)
+{
+  return std::find(aHandles.begin(), aHandles.end(), UpstreamHandle{ aIndex }) != aHandles.end();
+}
+
+double
+TargetMs(const CallInfo& aCall)
+{
+  return std::max(1.0, ToMilliseconds(aCall.target_ - aCall.arrival_));
+}
+
+} // namespace
+
+FreshBalancer::Prospect
+FreshBalancer::ProspectOf(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow)
+{
+  const Upstream& upstream = upstreams_[aIndex];
+  const UpstreamBelief& belief = upstream.belief_;
+  const unsigned slots = std::max(1U, SlotsOf(upstream));
+  const unsigned inFlight = belief.InFlight();
+  const auto age = belief.Age(aNow);
+
+  double slowness = pace_.MeanSlowness();
+  if (age) {
+    // The older the report, the more likely the pace has changed.
+    const double weight = std::exp(-ToMilliseconds(*age) / (2 * MachinePace::kHoldMs));
+    slowness = weight * belief.Report()->slowness_ + (1 - weight) * slowness;
+  }
+  if (upstream.endpoint_->warmAt_ > aNow) {
+    slowness *= kColdSlowness;
+  }
+  const double work = WorkMs(aCall);
+  const double service = pace_.DurationMs(work, slowness);
+  const double ahead = inFlight >= slots ? inFlight - slots + 1 : 0;
+
+  Prospect prospect;
+  prospect.index_ = aIndex;
+  prospect.fresh_ = age && *age <= kFreshAge;
+  prospect.freeSlot_ = inFlight < slots;
+  prospect.mayQueue_ = inFlight <= slots;
+  prospect.local_ = upstream.local_;
+  const double failures = belief.FailureShare(aNow);
+  const bool healthy = !age || belief.Report()->healthy_;
+  prospect.usualPace_ = slowness <= kUsualSlowness && failures <= kSoundFailureShare && healthy;
+  prospect.answerMs_ = belief.RoundTripMs() + ahead * service / slots + service;
+  double against = kFailureCost * failures + (healthy ? 0 : kUnhealthyCost) +
+                   kFailedProbeCost * std::min(belief.FailedProbes(), 2U);
+  if (!upstream.local_) {
+    const double megabytes = static_cast<double>(aCall.bodyBytes_) / 1e6;
+    against += std::min(kMaxAwayCost, kAwayCost + kAwayCostPerMegabyte * megabytes);
+  }
+  const double jitter = kJitter * work * static_cast<double>(random_(1000)) / 1000;
+  prospect.cost_ = prospect.answerMs_ + against * TargetMs(aCall) + jitter;
+  return prospect;
+}
+
+std::vector<FreshBalancer::Prospect>
+FreshBalancer::Prospects(const CallInfo& aCall, MonotonicTime aNow)
+{
+  std::vector<Prospect> prospects;
+  const auto collect = [&](bool aTriedToo) {
+    for (const std::uint32_t index : present_) {
+      if (TakesWork(upstreams_[index], aNow) && (aTriedToo || !Contains(aCall.tried_, index))) {
+        prospects.push_back(ProspectOf(index, aCall, aNow));
+      }
+    }
+  };
+  collect(false);
+  if (prospects.empty()) {
+    collect(true);
+  }
+  std::sort(prospects.begin(), prospects.end(), [](const Prospect& aLeft, const Prospect& aRight) {
+    return aLeft.cost_ < aRight.cost_;
+  });
+  return prospects;
+}
+
+std::vector<std::uint32_t>
+FreshBalancer::ProbeTargets(const CallInfo& aCall, bool aLocal, MonotonicTime aNow)
+{
+  std::vector<std::uint32_t> targets;
+  const std::size_t limit = aLocal ? kLocalProbes : kRemoteProbes;
+  for (const Prospect& prospect : Prospects(aCall, aNow)) {
+    if (prospect.local_ == aLocal && targets.size() < limit) {
+      targets.push_back(prospect.index_);
+    }
+  }
+  return targets;
+}
+
+void
+FreshBalancer::RequestProbe(std::uint32_t aIndex, MonotonicTime aNow)
+{
+  const UpstreamBelief& belief = upstreams_[aIndex].belief_;
+  const auto age = belief.Age(aNow);
+  const bool wanted =
+    std::find(wantedProbes_.begin(), wantedProbes_.end(), aIndex) != wantedProbes_.end();
+  if (!wanted && !belief.ProbeInFlight() && (!age || *age > kProbeAgainAge) &&
+      probeBudget_.TryTake(aNow)) {
+    wantedProbes_.push_back(aIndex);
+  }
+}
+
+void
+FreshBalancer::BeginStage(Waiting& aWaiting, MonotonicTime aNow)
+{
+  const bool local = aWaiting.stage_ == Stage::New;
+  aWaiting.awaited_.clear();
+  double patienceMs = kMinPatienceMs;
+  for (const std::uint32_t index : ProbeTargets(aWaiting.call_, local, aNow)) {
+    RequestProbe(index, aNow);
+    const UpstreamBelief& belief = upstreams_[index].belief_;
+    const bool wanted =
+      std::find(wantedProbes_.begin(), wantedProbes_.end(), index) != wantedProbes_.end();
+    if ((wanted || belief.ProbeInFlight()) && belief.FailedProbes() == 0) {
+      aWaiting.awaited_.push_back(index);
+      patienceMs = std::max(patienceMs, kPatience * belief.RoundTripMs());
+    }
+  }
+  aWaiting.stage_ = local ? Stage::LocalProbed : Stage::AllProbed;
+  aWaiting.stageEnds_ =
+    aWaiting.awaited_.empty() ? aNow : aNow + FromMilliseconds(std::min(patienceMs, kMaxPatienceMs));
+}
+
+bool
+FreshBalancer::StageEnded(const Waiting& aWaiting, MonotonicTime aNow) const
+{
+  return aWaiting.awaited_.empty() || aNow >= aWaiting.stageEnds_;
+}
+
+std::optional<std::uint32_t>
+FreshBalancer::Pick(const Waiting& aWaiting,
+                    std::span<const Prospect> aProspects,
+                    MonotonicTime aNow) const
+{
+  const bool allKnown = aWaiting.stage_ == Stage::AllProbed && StageEnded(aWaiting, aNow);
+  const bool localKnown = allKnown || (aWaiting.stage_ != Stage::New && StageEnded(aWaiting, aNow));
+  for (const Prospect& prospect : aProspects) {
+    if (prospect.fresh_ && prospect.freeSlot_ && prospect.usualPace_ &&
+        (prospect.local_ || localKnown)) {
+      return prospect.index_;
+    }
+  }
+  if (!allKnown) {
+    return std::nullopt;
+  }
+  for (const Prospect& prospect : aProspects) {
+    if (prospect.freeSlot_ || prospect.mayQueue_) {
+      return prospect.index_;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Duration>
+FreshBalancer::ExpectedWait(const CallInfo& aCall) const
+{
+  if (dispatchIntervalMs_ <= 0) {
+    return std::nullopt;
+  }
+  const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const Waiting& aWaiting) {
+    return aWaiting.call_.rank_ <= aCall.rank_;
+  });
+  return FromMilliseconds(dispatchIntervalMs_ * static_cast<double>(ahead));
+}
+
+Choice
+FreshBalancer::Refuse(RefusalReason aReason, Duration aRetryAfter)
+{
+  // Spread, so that callers refused together do not return together.
+  const double spread = 0.75 + static_cast<double>(random_(500)) / 1000;
+  const double ms =
+    std::clamp(ToMilliseconds(aRetryAfter) * spread, kMinRetryAfterMs, kMaxRetryAfterMs);
+  return { Choice::Kind::Refuse, {}, aReason, FromMilliseconds(ms) };
+}
+
+Choice
+FreshBalancer::Dispatch(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow)
+{
+  const Prospect prospect = ProspectOf(aIndex, aCall, aNow);
+  UpstreamBelief& belief = upstreams_[aIndex].belief_;
+  const double slowness =
+    belief.Report() ? belief.Report()->slowness_ : pace_.MeanSlowness();
+  sent_.push_back({ aIndex, aCall.workClass_, slowness, prospect.answerMs_, aNow });
+  belief.OnDispatch(aNow);
+  return { Choice::Kind::Dispatch, UpstreamHandle{ aIndex }, {}, {} };
+}
+
+void
+FreshBalancer::Insert(Waiting aWaiting)
+{
+  const auto place =
+    std::find_if(waiting_.begin(), waiting_.end(), [&](const Waiting& aOther) {
+      return aOther.call_.rank_ > aWaiting.call_.rank_;
+    });
+  waiting_.insert(place, std::move(aWaiting));
+}
+
+Choice
+FreshBalancer::Submit(const CallInfo& aCall, MonotonicTime aNow)
+{
+  const bool first = aCall.tried_.empty();
+  if (first) {
+    retryBudget_.OnRequest(aNow);
+  }
+  if (aCall.deadline_ <= aNow) {
+    return Refuse(RefusalReason::DeadlineExpired, {});
+  }
+  const bool any = std::any_of(present_.begin(), present_.end(), [&](std::uint32_t aIndex) {
+    return TakesWork(upstreams_[aIndex], aNow);
+  });
+  if (!any) {
+    return Refuse(RefusalReason::NoUpstream, std::chrono::milliseconds(500));
+  }
+  if (const auto wait = ExpectedWait(aCall); first && wait && *wait > Duration(0)) {
+    const double usual = pace_.DurationMs(WorkMs(aCall), 1);
+    if (aNow + *wait + FromMilliseconds(usual) > aCall.target_) {
+      return Refuse(RefusalReason::Overloaded, *wait);
+    }
+  }
+  Waiting waiting{ aCall, aNow, Stage::New, aNow, {} };
+  if (const auto choice = Decide(waiting, aNow)) {
+    return *choice;
+  }
+  Insert(std::move(waiting));
+  return { Choice::Kind::Queued, {}, {}, {} };
+}
+
+std::optional<Choice>
+FreshBalancer::Decide(Waiting& aWaiting, MonotonicTime aNow)
+{
+  if (aWaiting.call_.deadline_ <= aNow) {
+    return Refuse(RefusalReason::QueueTimeout, {});
+  }
+  const auto prospects = Prospects(aWaiting.call_, aNow);
+  if (prospects.empty()) {
+    return Refuse(RefusalReason::NoUpstream, std::chrono::milliseconds(500));
+  }
+  if (const auto picked = Pick(aWaiting, prospects, aNow)) {
+    return Dispatch(*picked, aWaiting.call_, aNow);
+  }
+  while (StageEnded(aWaiting, aNow) && aWaiting.stage_ != Stage::AllProbed) {
+    BeginStage(aWaiting, aNow);
+    if (const auto picked = Pick(aWaiting, prospects, aNow)) {
+      return Dispatch(*picked, aWaiting.call_, aNow);
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<ReleasedCall>
+FreshBalancer::Release(MonotonicTime aNow)
+{
+  std::vector<ReleasedCall> released;
+  for (std::size_t i = 0; i < waiting_.size();) {
+    Waiting& waiting = waiting_[i];
+    const bool congested = waiting.stage_ == Stage::AllProbed && StageEnded(waiting, aNow);
+    auto choice = Decide(waiting, aNow);
+    if (!choice && congested) {
+      // All slots are taken. A request that would now be late even at once gives way to others.
+      const double usual = pace_.DurationMs(WorkMs(waiting.call_), 1);
+      if (waiting_.size() > 1 && aNow + FromMilliseconds(usual) > waiting.call_.target_ &&
+          waiting.call_.tried_.empty()) {
+        choice = Refuse(RefusalReason::Overloaded, ExpectedWait(waiting.call_).value_or(Duration()));
+      } else if (aNow >= waiting.stageEnds_ + kPollInterval) {
+        waiting.stage_ = Stage::New;
+        waiting.awaited_.clear();
+        choice = Decide(waiting, aNow);
+      }
+    }
+    if (!choice) {
+      ++i;
+      continue;
+    }
+    if (choice->kind_ == Choice::Kind::Dispatch && congested) {
+      if (lastCongestedDispatch_ != MonotonicTime()) {
+        const double interval = ToMilliseconds(aNow - lastCongestedDispatch_);
+        dispatchIntervalMs_ += kIntervalWeight * (interval - dispatchIntervalMs_);
+      }
+      lastCongestedDispatch_ = aNow;
+    }
+    released.push_back({ waiting.call_.id_, *choice });
+    waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  if (waiting_.empty()) {
+    lastCongestedDispatch_ = MonotonicTime();
+    dispatchIntervalMs_ = 0;
+  }
+  return released;
+}
+
+std::optional<MonotonicTime>
+FreshBalancer::NextRelease() const
+{
+  std::optional<MonotonicTime> next;
+  for (const Waiting& waiting : waiting_) {
+    const bool polls = waiting.stage_ == Stage::AllProbed && waiting.awaited_.empty();
+    const MonotonicTime due = polls ? waiting.stageEnds_ + kPollInterval : waiting.stageEnds_;
+    next = std::min(next.value_or(waiting.call_.deadline_), std::min(due, waiting.call_.deadline_));
+  }
+  return next;
+}
+
+std::optional<Duration>
+FreshBalancer::HedgeDelay(const CallInfo& aCall, MonotonicTime aNow) const
+{
+  if (aCall.repeatability_ != Repeatability::Repeatable || aCall.tried_.empty() ||
+      aCall.tried_.size() >= aCall.maxAttempts_) {
+    return std::nullopt;
+  }
+  const auto index = static_cast<std::uint32_t>(aCall.tried_.back());
+  const auto sent = std::find_if(sent_.rbegin(), sent_.rend(), [&](const Sent& aSent) {
+    return aSent.index_ == index && aSent.workClass_ == aCall.workClass_;
+  });
+  if (sent == sent_.rend()) {
+    return std::nullopt;
+  }
+  const MonotonicTime late = sent->at_ + FromMilliseconds(kHedgeFactor * sent->expectedMs_);
+  // The last moment at which a second attempt at the usual pace is in time.
+  const MonotonicTime last = aCall.target_ - FromMilliseconds(kHedgeFactor * WorkMs(aCall));
+  const MonotonicTime look = std::min(late, std::max(last, sent->at_ + kMinHedgeDelay));
+  const Duration delay = look > aNow ? look - aNow : kHedgeLookAgain;
+  if (aNow + delay >= aCall.deadline_) {
+    return std::nullopt;
+  }
+  return delay;
+}
+
+std::optional<UpstreamHandle>
+FreshBalancer::Hedge(const CallInfo& aCall, MonotonicTime aNow)
+{
+  if (aCall.repeatability_ != Repeatability::Repeatable || aNow >= aCall.deadline_ ||
+      aCall.tried_.size() >= aCall.maxAttempts_ || !retryBudget_.CanTake(aNow)) {
+    return std::nullopt;
+  }
+  const auto running = static_cast<std::uint32_t>(aCall.tried_.back());
+  const auto sent = std::find_if(sent_.rbegin(), sent_.rend(), [&](const Sent& aSent) {
+    return aSent.index_ == running && aSent.workClass_ == aCall.workClass_;
+  });
+  if (sent == sent_.rend()) {
+    return std::nullopt;
+  }
+  const UpstreamBelief& belief = upstreams_[running].belief_;
+  const auto age = belief.Age(aNow);
+  const double slowness = age && *age <= kFreshAge ? belief.Report()->slowness_ : 0;
+  const double elapsed = ToMilliseconds(aNow - sent->at_);
+  // Work that is left, if the work is average and the pace was that of the start.
+  const double left =
+    std::max(0.3 * WorkMs(aCall), WorkMs(aCall) - pace_.WorkMs(elapsed, sent->slowness_));
+  const double remaining = slowness > 0 ? pace_.DurationMs(left, slowness) : 0;
+  const auto prospects = Prospects(aCall, aNow);
+  for (const Prospect& prospect : prospects) {
+    if (prospect.index_ == running || !prospect.fresh_ || !prospect.freeSlot_ ||
+        !prospect.usualPace_) {
+      continue;
+    }
+    if (slowness == 0 && belief.FailedProbes() == 0) {
+      break;
+    }
+    const bool silent = belief.FailedProbes() > 0 || elapsed > 2 * sent->expectedMs_;
+    if (!silent && prospect.answerMs_ > kHedgeGain * remaining) {
+      return std::nullopt;
+    }
+    if (!retryBudget_.TryTake(aNow)) {
+      return std::nullopt;
+    }
+    return Dispatch(prospect.index_, aCall, aNow).upstream_;
+  }
+  RequestProbe(running, aNow);
+  std::size_t asked = 0;
+  for (const Prospect& prospect : prospects) {
+    if (asked < kLocalProbes && prospect.index_ != running) {
+      RequestProbe(prospect.index_, aNow);
+      ++asked;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<UpstreamHandle>
+FreshBalancer::NextProbe(MonotonicTime aNow)
+{
+  while (!wantedProbes_.empty()) {
+    const std::uint32_t index = wantedProbes_.front();
+    wantedProbes_.pop_front();
+    if (reportsLoad_ && TakesWork(upstreams_[index], aNow)) {
+      upstreams_[index].belief_.OnProbeSent(aNow);
+      return UpstreamHandle{ index };
+    }
+  }
+  return std::nullopt;
+}
+
+void
+FreshBalancer::OnProbeEnded(UpstreamHandle aUpstream,
+                            std::optional<LoadReport> aLoad,
+                            Duration aRoundTrip,
+                            MonotonicTime aNow)
+{
+  const auto index = static_cast<std::uint32_t>(aUpstream);
+  UpstreamBelief& belief = upstreams_.at(index).belief_;
+  belief.OnProbeEnded(aLoad.has_value(), aRoundTrip);
+  if (aLoad) {
+    pace_.OnReport(aLoad->slowness_);
+    belief.OnReport(*aLoad, aNow - aRoundTrip / 2);
+  }
+  for (Waiting& waiting : waiting_) {
+    std::erase(waiting.awaited_, index);
+    if (waiting.awaited_.empty()) {
+      waiting.stageEnds_ = std::min(waiting.stageEnds_, aNow);
+    }
+  }
+}
+
+} // namespace boragepier
--- a/boragepier/decision/probe_budget.cc
+++ b/boragepier/decision/probe_budget.cc
@@ -6,17 +6,19 @@
 
 namespace {
 
-// Probes that may be saved for a burst, as a part of those of one second.
-constexpr double kSavedSeconds = 0.05;
 // Part of the share that is used. A third covers a list that lacks a third of the instances; the
 // burst is left out so that no second exceeds the budget.
-constexpr double kUsedShare = 2.0 / 3 * (1 - kSavedSeconds);
+constexpr double kUsedShare = 2.0 / 3 * 0.95;
 
 } // namespace
 
 void
-ProbeBudget::SetRate(double aPerUpstreamSecond, std::size_t aUpstreams, std::size_t aInstances)
+ProbeBudget::SetRate(double aPerUpstreamSecond,
+                     std::size_t aUpstreams,
+                     std::size_t aInstances,
+                     double aSavedSeconds)
 {
+  savedSeconds_ = aSavedSeconds;
   const double fleet = aPerUpstreamSecond * static_cast<double>(aUpstreams);
   perMs_ = kUsedShare * fleet / static_cast<double>(std::max<std::size_t>(1, aInstances)) / 1000;
 }
@@ -31,7 +33,7 @@
     last_ = aNow;
   }
   if (aNow > last_) {
-    const double limit = std::max(1.0, perMs_ * 1000 * kSavedSeconds);
+    const double limit = std::max(1.0, perMs_ * 1000 * savedSeconds_);
     saved_ = std::min(limit, saved_ + ToMilliseconds(aNow - last_) * perMs_);
     last_ = aNow;
   }
--- a/boragepier/decision/probe_budget.h
+++ b/boragepier/decision/probe_budget.h
@@ -16,14 +16,21 @@
 {
 public:
   /// @param aPerUpstreamSecond probes per upstream and second of the whole fleet
-  void SetRate(double aPerUpstreamSecond, std::size_t aUpstreams, std::size_t aInstances);
+  /// @param aSavedSeconds unused probes of this time may be saved for a burst
+  void SetRate(double aPerUpstreamSecond,
+               std::size_t aUpstreams,
+               std::size_t aInstances,
+               double aSavedSeconds = kSavedSeconds);
 
   /// Takes one probe.
   /// @return false if the share is used up
   bool TryTake(MonotonicTime aNow);
 
 private:
+  static constexpr double kSavedSeconds = 0.05;
+
   double perMs_ = 0;
+  double savedSeconds_ = kSavedSeconds;
   double saved_ = 0;
   MonotonicTime last_;
 };
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -29,6 +29,11 @@
   MonotonicTime deadline_;
   Repeatability repeatability_ = Repeatability::Repeatable;
   CallClass callClass_ = CallClass::Interactive;
+  MonotonicTime target_;    ///< an answer after it is of little use; used by FreshBalancer
+  unsigned rank_ = 0;       ///< 0 is the most urgent; used by FreshBalancer
+  unsigned maxAttempts_ = 3; ///< upstreams that the request may be sent to; used by FreshBalancer
+  std::uint64_t workClass_ = 0; ///< requests of one class need similar work; used by FreshBalancer
+  std::size_t bodyBytes_ = 0;   ///< of the request; used by FreshBalancer
   std::vector<UpstreamHandle> tried_; ///< upstreams of earlier attempts, avoided while others exist
 };
 
@@ -44,6 +49,7 @@
   Kind kind_ = Kind::Refuse;
   UpstreamHandle upstream_{};
   RefusalReason reason_ = RefusalReason::NoUpstream;
+  Duration retryAfter_{}; ///< of Refuse: when room is expected; zero if unknown
 };
 
 /// A request that left the queue.
@@ -58,6 +64,9 @@
 {
   std::uint32_t inFlight_ = 0; ///< requests running and queued there when the answer was written,
                                ///< including the one answered
+  std::uint32_t slots_ = 0;    ///< requests that it runs at a time; 0 if not reported
+  double slowness_ = 1;        ///< present duration of work as a multiple of the usual one
+  bool healthy_ = true;        ///< what the upstream says of itself
 };
 
 /// How an attempt ended.
@@ -89,6 +98,8 @@
   double expectedWaitMs_ = 0;
   double standing_ = 1; ///< 1 for a healthy upstream, 0 for an ejected one
   bool leaving_ = false;
+  double slowness_ = 0;   ///< as reported; 0 without a report
+  Duration reportAge_{};  ///< valid when slowness_ is not 0
 };
 
 /// All decisions about the requests of one service in one instance: which upstream, when to queue
@@ -103,6 +114,9 @@
 class ServiceBalancer
 {
 public:
+  /// Whether a request for which Hedge() returned nothing is looked at again.
+  static constexpr bool kLooksAgain = false;
+
   /// @param aConfig configuration of the service
   /// @param aLocalZone availability zone of this instance
   /// @param aSeed seed of all random choices
--- /dev/null
+++ b/boragepier/directory/directory_state.cc
@@ -0,0 +1,230 @@
+#include "boragepier/directory/directory_state.h"
+
+#include <algorithm>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace boragepier {
+
+DirectoryState::DirectoryState(InstanceId aSelf, const FleetTerms& aTerms)
+  : self_(std::move(aSelf))
+  , terms_(aTerms)
+{
+}
+
+void
+DirectoryState::SetTerms(const FleetTerms& aTerms)
+{
+  terms_ = aTerms;
+  ++termsVersion_;
+  changed_ = true;
+}
+
+void
+DirectoryState::OnSnapshot(FeedTopic aTopic, std::span<const FeedItem> aItems, MonotonicTime aNow)
+{
+  OnChanges(aTopic, aItems, aNow);
+  if (aTopic != FeedTopic::Upstreams) {
+    return;
+  }
+  std::set<std::string_view> listed;
+  for (const FeedItem& item : aItems) {
+    listed.insert(item.key_);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, upstream] : upstreams_) {
+    if (!listed.contains(key)) {
+      missing.push_back(key);
+    }
+  }
+  for (const std::string& key : missing) {
+    RemoveUpstream(key, aNow);
+  }
+}
+
+void
+DirectoryState::OnChanges(FeedTopic, std::span<const FeedItem> aItems, MonotonicTime aNow)
+{
+  for (const FeedItem& item : aItems) {
+    OnItem(item, aNow);
+  }
+}
+
+void
+DirectoryState::OnItem(const FeedItem& aItem, MonotonicTime aNow)
+{
+  std::visit([&](const auto& aValue) { OnValue(aItem.key_, aValue, aNow); }, aItem.value_);
+}
+
+void
+DirectoryState::OnValue(const std::string&, const FleetConfig& aConfig, MonotonicTime)
+{
+  const std::string version = std::to_string(aConfig.version_);
+  if (aConfig.version_ <= ConfigVersion()) {
+    if (aConfig.version_ < ConfigVersion()) {
+      events_.push_back({ DirectoryChange::ConfigOutdated, version, {} });
+    }
+    return;
+  }
+  config_ = std::make_shared<const FleetConfig>(aConfig);
+  changed_ = true;
+  events_.push_back({ DirectoryChange::ConfigAccepted, version, {} });
+}
+
+void
+DirectoryState::OnValue(const std::string& aKey, const UpstreamEntry& aEntry, MonotonicTime)
+{
+  auto [place, isNew] = upstreams_.try_emplace(aKey);
+  Upstream& upstream = place->second;
+  const bool wasLeaving = !isNew && upstream.entry_.endpoint_.leaving_;
+  const bool same = !isNew && upstream.entry_.service_ == aEntry.service_ &&
+                    upstream.entry_.endpoint_ == aEntry.endpoint_;
+  upstream.removeAt_.reset();
+  if (same) {
+    return;
+  }
+  upstream.entry_ = aEntry;
+  changed_ = true;
+  if (isNew) {
+    events_.push_back({ DirectoryChange::UpstreamAdded, aKey, aEntry.service_.Text() });
+  }
+  if (aEntry.endpoint_.leaving_ && !wasLeaving) {
+    events_.push_back({ DirectoryChange::UpstreamLeaving, aKey, aEntry.service_.Text() });
+  }
+}
+
+void
+DirectoryState::OnValue(const std::string& aKey, const InstanceEntry& aEntry, MonotonicTime)
+{
+  if (instances_.insert_or_assign(aKey, aEntry.id_).second) {
+    changed_ = true;
+    events_.push_back({ DirectoryChange::InstanceAdded, aKey, {} });
+  }
+}
+
+void
+DirectoryState::OnValue(const std::string& aKey, const UnreadableEntry& aEntry, MonotonicTime aNow)
+{
+  events_.push_back({ DirectoryChange::EntryUnreadable, aKey, aEntry.error_ });
+  RemoveUpstream(aKey, aNow);
+}
+
+void
+DirectoryState::OnValue(const std::string& aKey, const RemovedEntry&, MonotonicTime aNow)
+{
+  changed_ = instances_.erase(aKey) > 0 || changed_;
+  RemoveUpstream(aKey, aNow);
+}
+
+void
+DirectoryState::RemoveUpstream(const std::string& aKey, MonotonicTime aNow)
+{
+  const auto found = upstreams_.find(aKey);
+  if (found == upstreams_.end() || found->second.removeAt_) {
+    return;
+  }
+  // An upstream that was leaving does not come back.
+  if (InGrace(aNow) && !found->second.entry_.endpoint_.leaving_) {
+    found->second.removeAt_ = troubleEnded_.value_or(aNow) + kReturnGrace;
+    events_.push_back({ DirectoryChange::UpstreamDoubtful, aKey, {} });
+    return;
+  }
+  events_.push_back({ DirectoryChange::UpstreamRemoved, aKey, {} });
+  upstreams_.erase(found);
+  changed_ = true;
+}
+
+bool
+DirectoryState::InGrace(MonotonicTime aNow) const
+{
+  return inTrouble_ || (troubleEnded_ && aNow < *troubleEnded_ + kReturnGrace);
+}
+
+void
+DirectoryState::OnTrouble(MonotonicTime)
+{
+  inTrouble_ = true;
+}
+
+void
+DirectoryState::OnContact(MonotonicTime aNow)
+{
+  if (std::exchange(inTrouble_, false)) {
+    troubleEnded_ = aNow;
+  }
+}
+
+void
+DirectoryState::Advance(MonotonicTime aNow)
+{
+  std::vector<std::string> expired;
+  for (const auto& [key, upstream] : upstreams_) {
+    if (upstream.removeAt_ && *upstream.removeAt_ <= aNow) {
+      expired.push_back(key);
+    }
+  }
+  for (const std::string& key : expired) {
+    events_.push_back({ DirectoryChange::UpstreamRemoved, key, "missing after trouble" });
+    upstreams_.erase(key);
+    changed_ = true;
+  }
+}
+
+std::optional<MonotonicTime>
+DirectoryState::NextAdvance() const
+{
+  std::optional<MonotonicTime> next;
+  for (const auto& [key, upstream] : upstreams_) {
+    if (upstream.removeAt_) {
+      next = std::min(next.value_or(*upstream.removeAt_), *upstream.removeAt_);
+    }
+  }
+  return next;
+}
+
+bool
+DirectoryState::TakeChanged()
+{
+  return std::exchange(changed_, false);
+}
+
+std::vector<DirectoryEvent>
+DirectoryState::TakeEvents()
+{
+  return std::exchange(events_, {});
+}
+
+std::shared_ptr<const RoutingTable>
+DirectoryState::Table() const
+{
+  auto table = std::make_shared<RoutingTable>();
+  table->instances_.push_back(self_);
+  for (const auto& [key, id] : instances_) {
+    if (id != self_) {
+      table->instances_.push_back(id);
+    }
+  }
+  if (!config_) {
+    return table;
+  }
+  table->version_ = config_->version_;
+  table->routes_ = config_->routes_;
+  table->limits_ = config_->limits_;
+  std::unordered_map<ServiceName, std::vector<UpstreamEndpoint>> byService;
+  for (const auto& [key, upstream] : upstreams_) {
+    byService[upstream.entry_.service_].push_back(upstream.entry_.endpoint_);
+  }
+  for (ServiceConfig service : config_->services_) {
+    service.retryBudget_ = terms_.retryRatio_;
+    service.retrySlack_ = terms_.retrySlack_;
+    service.retryWindow_ = terms_.retryWindow_;
+    service.probesPerUpstreamSecond_ = terms_.probesPerUpstreamSecond_;
+    auto& upstreams = byService[service.name_];
+    table->services_.push_back(
+      { std::move(service), config_->version_, std::move(upstreams), termsVersion_ });
+  }
+  return table;
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/directory/directory_state.h
@@ -0,0 +1,115 @@
+#ifndef BORAGEPIER_DIRECTORY_DIRECTORY_STATE_H
+#define BORAGEPIER_DIRECTORY_DIRECTORY_STATE_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "boragepier/ports/directory_feed.h"
+#include "boragepier/state/routing_table.h"
+
+namespace boragepier {
+
+/// Limits on all instances together that the settings give and the configuration leaves open.
+struct FleetTerms
+{
+  double retryRatio_ = 0.1; ///< extra attempts per request to a service
+  double retrySlack_ = 0;   ///< further extra attempts to a service in a window
+  Duration retryWindow_ = std::chrono::seconds(10);
+  double probesPerUpstreamSecond_ = 20;
+};
+
+/// What changed in the state, for logs.
+enum class DirectoryChange : std::uint8_t
+{
+  ConfigAccepted,
+  ConfigOutdated, ///< a version that is not above the one in force was ignored
+  UpstreamAdded,
+  UpstreamLeaving,
+  UpstreamRemoved,
+  UpstreamDoubtful, ///< its entry is missing after trouble with the store; kept for now
+  EntryUnreadable,
+  InstanceAdded,
+};
+
+/// One change with what it concerns.
+struct DirectoryEvent
+{
+  DirectoryChange change_;
+  std::string subject_; ///< id of the upstream or instance, or the version
+  std::string detail_;
+};
+
+/// Configuration, upstreams and instances as read from a store. Reads no clock and does no I/O.
+///
+/// The version of the configuration only rises. Entries of upstreams may vanish while the store is
+/// in trouble although the upstreams live; they come back soon after. So an entry that is missing
+/// within kReturnGrace of the end of the trouble is kept until that time has passed.
+class DirectoryState
+{
+public:
+  /// Time after the return of the store in which lapsed entries are registered again.
+  static constexpr Duration kReturnGrace = std::chrono::milliseconds(2500);
+
+  /// @param aSelf this instance, always a member
+  DirectoryState(InstanceId aSelf, const FleetTerms& aTerms);
+
+  /// Changes the limits, as after a reload of the settings.
+  void SetTerms(const FleetTerms& aTerms);
+
+  /// Takes in all entries of a topic.
+  void OnSnapshot(FeedTopic aTopic, std::span<const FeedItem> aItems, MonotonicTime aNow);
+  /// Takes in changed entries of a topic.
+  void OnChanges(FeedTopic aTopic, std::span<const FeedItem> aItems, MonotonicTime aNow);
+  /// The store did not answer, or refused this instance.
+  void OnTrouble(MonotonicTime aNow);
+  /// The store answered.
+  void OnContact(MonotonicTime aNow);
+  /// Removes the upstreams whose time has run out.
+  void Advance(MonotonicTime aNow);
+  /// @return when Advance() must be called, if there is a reason
+  std::optional<MonotonicTime> NextAdvance() const;
+
+  /// @return whether something relevant for routing changed since the last call
+  bool TakeChanged();
+  /// @return what happened since the last call
+  std::vector<DirectoryEvent> TakeEvents();
+  /// @return the routing table; without services while no configuration is known
+  std::shared_ptr<const RoutingTable> Table() const;
+  std::uint64_t ConfigVersion() const { return config_ ? config_->version_ : 0; }
+
+private:
+  struct Upstream
+  {
+    UpstreamEntry entry_;
+    std::optional<MonotonicTime> removeAt_; ///< its entry is missing
+  };
+
+  void OnItem(const FeedItem& aItem, MonotonicTime aNow);
+  void OnValue(const std::string& aKey, const FleetConfig& aConfig, MonotonicTime aNow);
+  void OnValue(const std::string& aKey, const UpstreamEntry& aEntry, MonotonicTime aNow);
+  void OnValue(const std::string& aKey, const InstanceEntry& aEntry, MonotonicTime aNow);
+  void OnValue(const std::string& aKey, const UnreadableEntry& aEntry, MonotonicTime aNow);
+  void OnValue(const std::string& aKey, const RemovedEntry& aEntry, MonotonicTime aNow);
+  void RemoveUpstream(const std::string& aKey, MonotonicTime aNow);
+  bool InGrace(MonotonicTime aNow) const;
+
+  const InstanceId self_;
+  FleetTerms terms_;
+  std::uint64_t termsVersion_ = 0; ///< rises with each change of terms_
+  std::shared_ptr<const FleetConfig> config_;
+  std::map<std::string, Upstream> upstreams_;
+  std::map<std::string, InstanceId> instances_;
+  bool inTrouble_ = false;
+  std::optional<MonotonicTime> troubleEnded_;
+  bool changed_ = false;
+  std::vector<DirectoryEvent> events_;
+};
+
+} // namespace boragepier
+
+#endif
--- a/boragepier/entry/attempt_reports.cc
+++ b/boragepier/entry/attempt_reports.cc
@@ -1,11 +1,11 @@
 #include "boragepier/entry/attempt_reports.h"
 
-#include "boragepier/entry/request_checks.h"
+#include <utility>
 
 namespace boragepier {
 
 AttemptReport
-ReportOf(UpstreamHandle aUpstream, const http::SendResult& aResult)
+ReportOf(UpstreamHandle aUpstream, const http::SendResult& aResult, const WireDialect& aDialect)
 {
   AttemptReport report;
   report.upstream_ = aUpstream;
@@ -15,19 +15,36 @@
   if (aResult.outcome_ != Outcome::Answered) {
     return report;
   }
-  const http::Headers& headers = aResult.response_.headers_;
   report.status_ = aResult.response_.status_;
-  report.draining_ = headers.Get(kDrainingHeader) == "true";
-  if (const auto inFlight = ReportedLoad(headers)) {
-    report.load_ = LoadReport{ *inFlight };
-  }
-  if (headers.Get(kNotRunHeader) == "true" && report.status_ >= 400) {
+  const UpstreamSigns signs = aDialect.readSigns_(aResult.response_);
+  report.load_ = signs.load_;
+  report.draining_ = signs.draining_;
+  if (signs.notRun_) {
     report.outcome_ = Outcome::NotRun;
     report.failure_ = AttemptFailure::Refused;
   }
   return report;
 }
 
+http::SendResult
+CheckAnswer(http::SendResult aResult, const RequestId& aRequestId, const WireDialect& aDialect)
+{
+  if (aResult.outcome_ != Outcome::Answered) {
+    return aResult;
+  }
+  const http::Response& response = aResult.response_;
+  const bool foreign = aDialect.callerNamesRequests_ && !aRequestId.Empty() &&
+                       response.headers_.Get(aDialect.requestIdField_) != aRequestId.View();
+  const bool unsigned2xx = !aDialect.signatureField_.empty() && response.status_ < 300 &&
+                           !response.headers_.Get(aDialect.signatureField_);
+  if (foreign || unsigned2xx) {
+    aResult.outcome_ = Outcome::Unknown;
+    aResult.failure_ = AttemptFailure::MalformedResponse;
+    aResult.response_ = {};
+  }
+  return aResult;
+}
+
 RefusalReason
 ReasonOf(AttemptFailure aFailure, bool aExpired)
 {
--- a/boragepier/entry/attempt_reports.h
+++ b/boragepier/entry/attempt_reports.h
@@ -3,6 +3,7 @@
 
 #include "boragepier/base/outcome.h"
 #include "boragepier/decision/service_balancer.h"
+#include "boragepier/entry/wire_dialect.h"
 #include "boragepier/http/client.h"
 
 namespace boragepier {
@@ -10,11 +11,16 @@
 /// Reads from the end of an attempt what the balancer needs to know: outcome, load report, whether
 /// the upstream is leaving.
 /// @param aUpstream where the attempt was sent
-/// @param aResult how it ended; an answer of 400 and above with "Boragepier-Not-Run: true"
-/// certifies
-///   that the request was not run
+/// @param aResult how it ended; the dialect tells which answers certify that the request was
+///   not run
 AttemptReport
-ReportOf(UpstreamHandle aUpstream, const http::SendResult& aResult);
+ReportOf(UpstreamHandle aUpstream, const http::SendResult& aResult, const WireDialect& aDialect);
+
+/// Checks that an answer is one to the request and whole as far as the dialect can tell.
+/// @param aRequestId what the caller named the request, if the dialect has that
+/// @return the result, turned into a MalformedResponse of unknown outcome if a check fails
+http::SendResult
+CheckAnswer(http::SendResult aResult, const RequestId& aRequestId, const WireDialect& aDialect);
 
 /// @param aFailure how the last attempt failed
 /// @param aExpired whether the deadline of the request has passed
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -47,6 +47,13 @@
     info_.id_ = aNumber;
     info_.arrival_ = exchange_->Arrival();
     record_.id_ = std::move(aId);
+    if (ports_.dialect_.callerNamesRequests_) {
+      const auto name = exchange_->GetRequest().headers_.Get(ports_.dialect_.requestIdField_);
+      if (name) {
+        callerName_ = RequestId(std::string(*name));
+        record_.id_ = callerName_;
+      }
+    }
     record_.arrival_ = ports_.wallNow_();
     record_.method_ = exchange_->GetRequest().method_;
   }
@@ -89,15 +96,30 @@
     const http::Request& request = exchange_->GetRequest();
     const std::string_view path = PathOf(request.target_);
     record_.path_ = std::string(path);
-    service_ = ports_.directory_.Match(path);
+    if (!ports_.directory_.Configured()) {
+      throw RequestRefused(RefusalReason::NotConfigured);
+    }
+    const RouteMatch match =
+      ports_.directory_.Match(request.headers_.Get("Host").value_or(""), path);
+    service_ = match.service_;
     if (!service_) {
-      throw RequestRefused(RefusalReason::NoRoute);
+      throw RequestRefused(match.route_ ? RefusalReason::NoUpstream : RefusalReason::NoRoute);
     }
     config_ = service_->Config();
     record_.service_ = config_->name_;
-    terms_ = CheckTerms(request, path, *config_);
+    if (match.route_) {
+      const RouteConfig& route = match.route_->Config();
+      terms_ = CheckTerms(request, route, ports_.dialect_);
+      info_.maxAttempts_ = route.maxAttempts_;
+      info_.rank_ = route.rank_;
+      info_.workClass_ = match.route_->WorkClass();
+    } else {
+      terms_ = CheckTerms(request, path, *config_, ports_.dialect_);
+    }
     record_.deadline_ = terms_.timeLimit_;
     info_.deadline_ = info_.arrival_ + terms_.timeLimit_;
+    info_.target_ = info_.arrival_ + terms_.latencyTarget_;
+    info_.bodyBytes_ = request.body_.size();
     info_.repeatability_ = terms_.repeatability_;
     info_.callClass_ = config_->callClass_;
     if (Now() >= info_.deadline_) {
@@ -228,6 +250,7 @@
     EndWait();
     if (aChoice.kind_ != Choice::Kind::Dispatch) {
       record_.refusedCandidates_ = Candidates();
+      retryAfter_ = aChoice.retryAfter_;
       GiveUp(aChoice.reason_);
       return;
     }
@@ -245,7 +268,7 @@
     info_.tried_.push_back(aUpstream);
     http::SendOptions options;
     std::shared_ptr<const UpstreamEndpoint> endpoint;
-    service_->With([&](ServiceBalancer& aBalancer) {
+    service_->With([&](auto& aBalancer) {
       endpoint = aBalancer.Endpoint(aUpstream);
       options.timeout_ = aBalancer.AttemptTimeout(info_, now);
       options.maxConnections_ = aBalancer.ConnectionLimit();
@@ -263,25 +286,35 @@
     record_.attempts_.push_back(std::move(attempt));
     attempts_[index].sendId_ =
       ports_.sender_.Send({ endpoint->address_, endpoint->port_ },
-                          RequestForUpstream(now),
+                          RequestForUpstream(*endpoint, now),
                           options,
                           [self = this->shared_from_this(), index](http::SendResult aResult) {
-                            self->OnSendEnded(index, std::move(aResult));
+                            self->OnSendEnded(index,
+                                              CheckAnswer(std::move(aResult),
+                                                          self->callerName_,
+                                                          self->ports_.dialect_));
                           });
     if (!hedged_) {
       ArmHedge(now);
     }
   }
 
-  std::shared_ptr<const http::Request> RequestForUpstream(MonotonicTime aNow) const
+  std::shared_ptr<const http::Request> RequestForUpstream(const UpstreamEndpoint& aUpstream,
+                                                          MonotonicTime aNow) const
   {
+    const WireDialect& dialect = ports_.dialect_;
     auto request = std::make_shared<http::Request>(exchange_->GetRequest());
     http::RemoveHopByHop(request->headers_);
     RemoveReservedFields(request->headers_);
     const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(info_.deadline_ - aNow).count();
-    request->headers_.Add(kDeadlineHeader, std::to_string(std::max<std::int64_t>(left, 1)));
-    request->headers_.Add(kRequestIdHeader, record_.id_.View());
+    request->headers_.Set(dialect.deadlineField_, std::to_string(std::max<std::int64_t>(left, 1)));
+    if (!dialect.callerNamesRequests_) {
+      request->headers_.Add(dialect.requestIdField_, record_.id_.View());
+    }
+    if (!dialect.expectedUpstreamField_.empty()) {
+      request->headers_.Set(dialect.expectedUpstreamField_, aUpstream.id_.View());
+    }
     return request;
   }
 
@@ -289,7 +322,7 @@
   {
     CancelTimer(hedgeTimer_);
     const auto delay =
-      service_->With([&](ServiceBalancer& aBalancer) { return aBalancer.HedgeDelay(info_, aNow); });
+      service_->With([&](auto& aBalancer) { return aBalancer.HedgeDelay(info_, aNow); });
     if (!delay) {
       return;
     }
@@ -307,19 +340,26 @@
     if (finished_ || ActiveAttempts() != 1 || now >= info_.deadline_) {
       return;
     }
-    const auto upstream =
-      service_->With([&](ServiceBalancer& aBalancer) { return aBalancer.Hedge(info_, now); });
+    bool looksAgain = false;
+    const auto upstream = service_->With([&](auto& aBalancer) {
+      looksAgain = aBalancer.kLooksAgain;
+      return aBalancer.Hedge(info_, now);
+    });
     if (upstream) {
       hedged_ = true;
       ports_.observer_.OnRetry(config_->name_, RetryReason::Hedge);
       Dispatch(*upstream, RetryReason::Hedge);
+    } else if (looksAgain) {
+      driver_.Drive(service_);
+      ArmHedge(now);
     }
   }
 
   void OnSendEnded(std::size_t aIndex, http::SendResult aResult)
   {
     attempts_[aIndex].active_ = false;
-    const AttemptReport report = ReportOf(attempts_[aIndex].upstream_, aResult);
+    const AttemptReport report =
+      ReportOf(attempts_[aIndex].upstream_, aResult, ports_.dialect_);
     RecordAttempt(aIndex, report);
     Report(report);
     if (finished_) {
@@ -354,9 +394,10 @@
     const MonotonicTime now = Now();
     if (aReport.outcome_ == Outcome::Unknown) {
       mayHaveRun_ = true;
+      unknownFailure_ = aReport.failure_;
     }
     std::shared_ptr<const UpstreamEndpoint> leaving;
-    service_->With([&](ServiceBalancer& aBalancer) {
+    service_->With([&](auto& aBalancer) {
       aBalancer.OnAttemptEnded(aReport, now);
       if (aReport.draining_) {
         aBalancer.MarkLeaving(aReport.upstream_, now);
@@ -371,12 +412,11 @@
 
   void Retry(const AttemptReport& aReport)
   {
-    lastFailure_ = aReport.failure_;
     const MonotonicTime now = Now();
     RetryVerdict verdict;
     if (now < info_.deadline_ && !abandoned_) {
       verdict = service_->With(
-        [&](ServiceBalancer& aBalancer) { return aBalancer.MayRetry(info_, aReport, now); });
+        [&](auto& aBalancer) { return aBalancer.MayRetry(info_, aReport, now); });
     }
     if (!verdict.allowed_) {
       GiveUp(ReasonOf(aReport.failure_, Expired()));
@@ -397,7 +437,7 @@
     if (serverError_) {
       Answer(std::move(*serverError_));
     } else if (mayHaveRun_) {
-      Refuse(ReasonOf(lastFailure_, Expired()), Outcome::Unknown);
+      Refuse(ReasonOf(unknownFailure_, Expired()), Outcome::Unknown);
     } else {
       Refuse(aReason, Outcome::NotRun);
     }
@@ -432,7 +472,7 @@
   void Refuse(RefusalReason aReason, Outcome aOutcome)
   {
     record_.refusal_ = aReason;
-    exchange_->Respond(MakeRefusal(aReason, aOutcome, record_.id_));
+    exchange_->Respond(MakeRefusal(aReason, aOutcome, record_.id_, retryAfter_));
     Finish(aOutcome);
   }
 
@@ -502,7 +542,7 @@
 
   std::vector<CandidateInfo> Candidates()
   {
-    return service_->With([&](ServiceBalancer& aBalancer) { return aBalancer.Candidates(Now()); });
+    return service_->With([&](auto& aBalancer) { return aBalancer.Candidates(Now()); });
   }
 
   void RecordAttempt(std::size_t aIndex, const AttemptReport& aReport)
@@ -522,13 +562,15 @@
   std::shared_ptr<const ServiceConfig> config_;
   CallTerms terms_;
   CallInfo info_;
+  RequestId callerName_; ///< empty if callers do not name requests
+  Duration retryAfter_{}; ///< of a refusal; zero if unknown
   ExplainRecord record_;
 
   std::optional<ClaimHandle> claim_; ///< held until the answer is recorded or the key released
   std::vector<Attempt> attempts_;
   std::optional<RetryReason> nextReason_;
   std::optional<http::Response> serverError_; ///< last 5xx answer of a repeatable request
-  AttemptFailure lastFailure_ = AttemptFailure::None;
+  AttemptFailure unknownFailure_ = AttemptFailure::None; ///< of the last attempt that may have run
   net::TimerId deadlineTimer_ = net::TimerId::None;
   net::TimerId hedgeTimer_ = net::TimerId::None;
   bool mayHaveRun_ = false; ///< some attempt ended in Unknown
--- a/boragepier/entry/control_thread.cc
+++ b/boragepier/entry/control_thread.cc
@@ -1,7 +1,6 @@
 #include "boragepier/entry/control_thread.h"
 
 #include <ctime>
-#include <future>
 #include <random>
 #include <utility>
 
@@ -14,9 +13,6 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
-// A question of the admin surface waits at most this long for the control thread.
-constexpr auto kAskTimeout = std::chrono::seconds(5);
-
 std::vector<PeerEndpoint>
 SeedsOf(const Settings& aSettings)
 {
@@ -136,20 +132,6 @@
   loop_.After(std::chrono::seconds(1), [this] { EverySecond(); });
 }
 
-template<typename Function>
-auto
-ControlThread::Ask(Function aFunction)
-{
-  using Result = decltype(aFunction());
-  auto task = std::make_shared<std::packaged_task<Result()>>(std::move(aFunction));
-  auto future = task->get_future();
-  loop_.Post([task] { (*task)(); });
-  if (future.wait_for(kAskTimeout) != std::future_status::ready) {
-    throw Error("the control thread does not answer");
-  }
-  return future.get();
-}
-
 void
 ControlThread::ReportLeaving(const UpstreamId& aUpstream, std::uint64_t aStartNumber)
 {
@@ -159,7 +141,7 @@
 bool
 ControlThread::Announce(ConfigRecord aRecord)
 {
-  return Ask([this, record = std::move(aRecord)] { return plane_->Announce(record); });
+  return Ask(loop_, [this, record = std::move(aRecord)] { return plane_->Announce(record); });
 }
 
 void
@@ -171,7 +153,7 @@
 ControlStatus
 ControlThread::Status()
 {
-  return Ask([this] { return plane_->Status(); });
+  return Ask(loop_, [this] { return plane_->Status(); });
 }
 
 } // namespace boragepier
--- a/boragepier/entry/control_thread.h
+++ b/boragepier/entry/control_thread.h
@@ -10,6 +10,7 @@
 
 #include "boragepier/config/settings.h"
 #include "boragepier/control/control_plane.h"
+#include "boragepier/entry/control_role.h"
 #include "boragepier/entry/control_watch.h"
 #include "boragepier/http/client.h"
 #include "boragepier/net/event_loop.h"
@@ -22,11 +23,9 @@
 
 /// Owns the control state of the instance in one thread: configuration, members, departures, peers,
 /// removal of old claims.
-class ControlThread
+class ControlThread : public ControlRole
 {
 public:
-  using RoutingCallback = std::function<void(std::shared_ptr<const RoutingTable>)>;
-
   /// @param aSettings settings of the instance
   /// @param aMetrics outlives this object
   /// @param aOnRouting receives each new routing table, in the control thread
@@ -35,35 +34,21 @@
                 Metrics& aMetrics,
                 RoutingCallback aOnRouting,
                 std::function<void()> aOnSecond);
-  ~ControlThread();
+  ~ControlThread() override;
   ControlThread(const ControlThread&) = delete;
   ControlThread& operator=(const ControlThread&) = delete;
 
-  /// Opens the address for other instances and starts the thread.
-  /// @return the port for other instances
-  /// @throws net::ListenError if the address cannot be used
-  std::uint16_t Start();
-  void Stop();
-
-  /// See ControlPlane. Any thread.
-  void ReportLeaving(const UpstreamId& aUpstream, std::uint64_t aStartNumber);
-  /// Waits for the control thread to take over a record.
-  /// @return whether it was newer than the one held
-  /// @throws Error if it cannot be put in force, or the control thread does not answer in time
-  bool Announce(ConfigRecord aRecord);
-  void BeginShutdown();
-  /// @return whether the control thread has made progress in the last seconds
-  bool Responsive() const;
-  /// Waits for the control thread to describe its state.
-  /// @throws Error if it does not answer in time
-  ControlStatus Status();
+  std::uint16_t Start() override;
+  void Stop() override;
+  void ReportLeaving(const UpstreamId& aUpstream, std::uint64_t aStartNumber) override;
+  bool Announce(ConfigRecord aRecord) override;
+  void BeginShutdown() override;
+  bool Responsive() const override;
+  ControlStatus Status() override;
 
 private:
   using Plane = ControlPlane<platform::HttpTableStore, platform::HttpInstanceList, peer::PeerNode>;
 
-  /// Runs aFunction in the control thread and returns its result.
-  template<typename Function>
-  auto Ask(Function aFunction);
   void OnRouting(std::shared_ptr<const RoutingTable> aTable);
   void Tick();
   void EverySecond();
--- /dev/null
+++ b/boragepier/entry/directory_events.cc
@@ -0,0 +1,49 @@
+#include "boragepier/entry/directory_thread.h"
+
+namespace boragepier {
+
+namespace {
+
+EventId
+EventOf(DirectoryChange aChange)
+{
+  switch (aChange) {
+    case DirectoryChange::ConfigAccepted:
+      return EventId::ConfigAccepted;
+    case DirectoryChange::ConfigOutdated:
+      return EventId::ConfigOutdated;
+    case DirectoryChange::UpstreamAdded:
+      return EventId::UpstreamAdded;
+    case DirectoryChange::UpstreamLeaving:
+      return EventId::UpstreamLeaving;
+    case DirectoryChange::UpstreamRemoved:
+      return EventId::UpstreamRemoved;
+    case DirectoryChange::UpstreamDoubtful:
+      return EventId::UpstreamDoubtful;
+    case DirectoryChange::EntryUnreadable:
+      return EventId::EntryUnreadable;
+    case DirectoryChange::InstanceAdded:
+      break;
+  }
+  return EventId::InstanceAdded;
+}
+
+} // namespace
+
+FleetTerms
+TermsOf(const Settings& aSettings)
+{
+  return { aSettings.retryRatio_,
+           aSettings.retrySlack_,
+           aSettings.retryWindow_,
+           aSettings.probesPerUpstreamSecond_ };
+}
+
+void
+LogDirectoryEvent(const DirectoryEvent& aEvent)
+{
+  Log(EventOf(aEvent.change_),
+      { { "subject", aEvent.subject_ }, { "detail", aEvent.detail_ }, { "source", "store" } });
+}
+
+} // namespace boragepier
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -29,20 +29,24 @@
 
 } // namespace
 
-EntryInstance::EntryInstance(const Settings& aSettings)
+EntryInstance::EntryInstance(const Settings& aSettings, const Installation& aInstallation)
   : settings_(aSettings)
   , directory_(aSettings.id_, aSettings.zone_, std::random_device()())
   , telemetry_(metrics_,
                explain_,
                [this](const UpstreamEndpoint& aUpstream) {
-                 control_.ReportLeaving(aUpstream.id_, aUpstream.startNumber_);
+                 control_->ReportLeaving(aUpstream.id_, aUpstream.startNumber_);
                })
-  , control_(
+  , control_(aInstallation.makeControl_(
       aSettings,
       metrics_,
       [this](const auto& aTable) { OnRouting(aTable); },
-      [this] { OnSecond(); })
-  , traffic_(aSettings, directory_, telemetry_, RequestIdPrefix(aSettings.id_))
+      [this] { OnSecond(); }))
+  , traffic_(aSettings,
+             directory_,
+             telemetry_,
+             RequestIdPrefix(aSettings.id_),
+             aInstallation.dialect_)
 {
 }
 
@@ -50,7 +54,7 @@
 {
   // The admin surface asks the control thread, which hands routing tables to the traffic thread.
   admin_.reset();
-  control_.Stop();
+  control_->Stop();
   traffic_.Stop();
 }
 
@@ -59,7 +63,7 @@
 {
   InstancePorts ports;
   ports.caller_ = traffic_.Listen();
-  ports.peer_ = control_.Start();
+  ports.peer_ = control_->Start();
   traffic_.Start();
   admin_ =
     std::make_unique<AdminServer>(settings_.admin_.address_, settings_.admin_.port_, MakeHooks());
@@ -79,6 +83,9 @@
   directory_.Apply(*aTable, std::chrono::steady_clock::now());
   instances_ = aTable->instances_.size();
   traffic_.SetFleetSize(instances_);
+  if (aTable->limits_) {
+    traffic_.SetCallerLimits(*aTable->limits_);
+  }
   if (!aTable->services_.empty() && !configured_.exchange(true)) {
     metrics_.SetReady(!draining_);
     Log(EventId::InstanceReady, { { "services", aTable->services_.size() } });
@@ -92,7 +99,7 @@
   const auto services = directory_.All();
   for (const auto& service : *services) {
     const auto config = service->Config();
-    const auto upstreams = service->With([](ServiceBalancer& aBalancer) {
+    const auto upstreams = service->With([](auto& aBalancer) {
       return aBalancer.Candidates(std::chrono::steady_clock::now());
     });
     ServiceMetrics& metrics = metrics_.Service(config->name_);
@@ -111,7 +118,7 @@
 InstanceStatus
 EntryInstance::Status()
 {
-  const ControlStatus control = control_.Status();
+  const ControlStatus control = control_->Status();
   InstanceStatus status;
   status.id_ = settings_.id_;
   status.zone_ = settings_.zone_;
@@ -127,7 +134,7 @@
     ServiceStatus entry;
     entry.name_ = service->Config()->name_;
     entry.version_ = service->Version();
-    const auto candidates = service->With([](ServiceBalancer& aBalancer) {
+    const auto candidates = service->With([](auto& aBalancer) {
       return aBalancer.Candidates(std::chrono::steady_clock::now());
     });
     entry.upstreams_ = candidates.size();
@@ -142,10 +149,10 @@
 EntryInstance::MakeHooks()
 {
   return AdminHooksBuilder()
-    .WithLive([this] { return control_.Responsive(); })
+    .WithLive([this] { return control_->Responsive(); })
     .WithStatus([this] { return Status(); })
     .WithAnnounce([this](ConfigRecord aRecord) {
-      return control_.Announce(std::move(aRecord)) ? AnnounceResult::Accepted
+      return control_->Announce(std::move(aRecord)) ? AnnounceResult::Accepted
                                                    : AnnounceResult::Outdated;
     })
     .WithMetrics(metrics_)
@@ -153,15 +160,23 @@
     .Build();
 }
 
+void
+EntryInstance::Reload(const Settings& aSettings)
+{
+  control_->Reload(aSettings);
+  Log(EventId::SettingsReloaded, { { "instance", settings_.id_ } });
+}
+
 bool
 EntryInstance::Drain()
 {
-  const auto limit = std::chrono::steady_clock::now() + settings_.drainLimit_;
+  const auto limit =
+    std::chrono::steady_clock::now() + settings_.drainLimit_ - settings_.drainMargin_;
   draining_ = true;
   metrics_.SetReady(false);
   metrics_.SetDraining(true);
   Log(EventId::DrainStarted, { { "instance", settings_.id_ } });
-  control_.BeginShutdown();
+  control_->BeginShutdown();
   traffic_.BeginDrain();
   std::this_thread::sleep_for(settings_.drainGrace_);
 
--- a/boragepier/entry/entry_instance.h
+++ b/boragepier/entry/entry_instance.h
@@ -8,7 +8,8 @@
 #include "boragepier/admin/admin_server.h"
 #include "boragepier/config/settings.h"
 #include "boragepier/entry/call_telemetry.h"
-#include "boragepier/entry/control_thread.h"
+#include "boragepier/entry/installation.h"
+#include "boragepier/entry/control_role.h"
 #include "boragepier/entry/service_directory.h"
 #include "boragepier/entry/traffic_thread.h"
 #include "boragepier/entry/upstream_watch.h"
@@ -34,7 +35,8 @@
 class EntryInstance
 {
 public:
-  explicit EntryInstance(const Settings& aSettings);
+  /// @param aInstallation what depends on where the instance runs
+  EntryInstance(const Settings& aSettings, const Installation& aInstallation);
   ~EntryInstance();
   EntryInstance(const EntryInstance&) = delete;
   EntryInstance& operator=(const EntryInstance&) = delete;
@@ -43,6 +45,9 @@
   /// @throws net::ListenError if an address cannot be used
   InstancePorts Start();
 
+  /// Puts what may change while running from changed settings into force: the limits of the fleet.
+  void Reload(const Settings& aSettings);
+
   /// Leaves without cutting off a request: reports not ready, goes on accepting for the drain grace
   /// while lists lag, then stops accepting and waits for the requests in progress.
   /// @return false if the drain limit passed before the last request ended
@@ -63,7 +68,7 @@
   std::size_t instances_ = 1;   ///< live instances; control thread only
   UpstreamWatch upstreamWatch_; ///< control thread only
   CallTelemetry telemetry_;
-  ControlThread control_;
+  std::unique_ptr<ControlRole> control_;
   TrafficThread traffic_;
   std::unique_ptr<AdminServer> admin_;
 };
--- a/boragepier/entry/pipeline_ports.h
+++ b/boragepier/entry/pipeline_ports.h
@@ -8,6 +8,7 @@
 #include "boragepier/base/time.h"
 #include "boragepier/entry/call_observer.h"
 #include "boragepier/entry/service_directory.h"
+#include "boragepier/entry/wire_dialect.h"
 #include "boragepier/http/client.h"
 #include "boragepier/net/event_loop.h"
 #include "boragepier/ports/scheduler.h"
@@ -56,6 +57,7 @@
   ServiceDirectory& directory_;
   CallObserver& observer_;
   std::function<WallTime()> wallNow_; ///< civil time, for records that outlive the process
+  const WireDialect& dialect_ = OwnDialect();
 };
 
 } // namespace boragepier
--- a/boragepier/entry/queue_driver.h
+++ b/boragepier/entry/queue_driver.h
@@ -64,7 +64,7 @@
 
   void SendProbes(const std::shared_ptr<ServiceEntry>& aService)
   {
-    while (const auto upstream = aService->With([&](ServiceBalancer& aBalancer) {
+    while (const auto upstream = aService->With([&](auto& aBalancer) {
       return aBalancer.NextProbe(ports_.scheduler_.Now());
     })) {
       SendProbe(aService, *upstream);
@@ -74,32 +74,49 @@
   void SendProbe(const std::shared_ptr<ServiceEntry>& aService, UpstreamHandle aUpstream)
   {
     const auto endpoint =
-      aService->With([&](ServiceBalancer& aBalancer) { return aBalancer.Endpoint(aUpstream); });
+      aService->With([&](auto& aBalancer) { return aBalancer.Endpoint(aUpstream); });
     ports_.observer_.OnProbe(aService->Config()->name_);
-    // "OPTIONS *" asks a server about itself and has no effect on any resource (RFC 7231, 4.3.7).
+    const auto config = aService->Config();
     auto request = std::make_shared<http::Request>();
-    request->method_ = "OPTIONS";
-    request->target_ = "*";
+    if (config->probePath_.empty()) {
+      // Asks a server about itself and has no effect on any resource (RFC 7231, 4.3.7).
+      request->method_ = "OPTIONS";
+      request->target_ = "*";
+    } else {
+      request->method_ = "GET";
+      request->target_ = config->probePath_;
+    }
     http::SendOptions options;
     options.timeout_ = kProbeTimeout;
     ports_.sender_.Send({ endpoint->address_, endpoint->port_ },
                         std::move(request),
                         options,
-                        [this, aService, aUpstream](const http::SendResult& aResult) {
-                          OnProbeEnded(aService, aUpstream, aResult);
+                        [this, aService, aUpstream, endpoint](const http::SendResult& aResult) {
+                          OnProbeEnded(aService, aUpstream, *endpoint, aResult);
                         });
   }
 
   void OnProbeEnded(const std::shared_ptr<ServiceEntry>& aService,
                     UpstreamHandle aUpstream,
+                    const UpstreamEndpoint& aEndpoint,
                     const http::SendResult& aResult)
   {
-    std::optional<LoadReport> load;
-    if (const auto inFlight = ReportedLoad(aResult.response_.headers_)) {
-      load = LoadReport{ *inFlight };
+    const MonotonicTime now = ports_.scheduler_.Now();
+    UpstreamSigns signs;
+    if (aResult.outcome_ == Outcome::Answered) {
+      signs = ports_.dialect_.readSigns_(aResult.response_);
+      if (signs.load_) {
+        signs.load_->healthy_ = aResult.response_.status_ < 300;
+      }
     }
-    aService->With([&](ServiceBalancer& aBalancer) {
-      aBalancer.OnProbeEnded(aUpstream, load, aResult.latency_, ports_.scheduler_.Now());
+    const bool foreign = aResult.outcome_ == Outcome::Answered &&
+                         !ports_.dialect_.isFrom_(aResult.response_, aEndpoint);
+    aService->With([&](auto& aBalancer) {
+      if (foreign) {
+        aBalancer.MarkLeaving(aUpstream, now);
+      }
+      aBalancer.OnProbeEnded(
+        aUpstream, foreign ? std::nullopt : signs.load_, aResult.latency_, now);
     });
     Drive(aService);
   }
--- a/boragepier/entry/refusal.cc
+++ b/boragepier/entry/refusal.cc
@@ -1,13 +1,42 @@
 #include "boragepier/entry/refusal.h"
 
+#include <array>
+#include <charconv>
+#include <string>
+
 #include <nlohmann/json.hpp>
 
 #include "boragepier/entry/request_checks.h"
 
 namespace boragepier {
 
+namespace {
+
+// Sent when nothing is known about when there will be room.
+constexpr std::string_view kDefaultRetryAfter = "1";
+
+std::string
+RetryAfterText(Duration aRetryAfter)
+{
+  if (aRetryAfter <= Duration(0)) {
+    return std::string(kDefaultRetryAfter);
+  }
+  std::array<char, 32> buffer{};
+  const auto [end, error] = std::to_chars(buffer.data(),
+                                          buffer.data() + buffer.size(),
+                                          ToMilliseconds(aRetryAfter) / 1000,
+                                          std::chars_format::fixed,
+                                          3);
+  return error == std::errc() ? std::string(buffer.data(), end) : std::string(kDefaultRetryAfter);
+}
+
+} // namespace
+
 http::Response
-MakeRefusal(RefusalReason aReason, Outcome aOutcome, const RequestId& aRequestId)
+MakeRefusal(RefusalReason aReason,
+            Outcome aOutcome,
+            const RequestId& aRequestId,
+            Duration aRetryAfter)
 {
   http::Response response;
   response.status_ = StatusOf(aReason);
@@ -23,7 +52,7 @@
     problem["request-id"] = aRequestId.Text();
   }
   if (response.status_ == 503) {
-    response.headers_.Add("Retry-After", "1");
+    response.headers_.Add("Retry-After", RetryAfterText(aRetryAfter));
   }
   response.body_ = problem.dump();
   return response;
--- a/boragepier/entry/refusal.h
+++ b/boragepier/entry/refusal.h
@@ -3,6 +3,7 @@
 
 #include "boragepier/base/ids.h"
 #include "boragepier/base/outcome.h"
+#include "boragepier/base/time.h"
 #include "boragepier/http/message.h"
 
 namespace boragepier {
@@ -11,9 +12,14 @@
 /// @param aReason why it is refused; selects the status
 /// @param aOutcome what the caller may conclude about its request
 /// @param aRequestId id of the request, empty if it was refused before it got one
+/// @param aRetryAfter when room is expected; zero if unknown. Sent with status 503 in seconds with
+///   fractions
 /// @return a response of type application/problem+json
 http::Response
-MakeRefusal(RefusalReason aReason, Outcome aOutcome, const RequestId& aRequestId);
+MakeRefusal(RefusalReason aReason,
+            Outcome aOutcome,
+            const RequestId& aRequestId,
+            Duration aRetryAfter = {});
 
 } // namespace boragepier
 
--- a/boragepier/entry/request_checks.cc
+++ b/boragepier/entry/request_checks.cc
@@ -30,6 +30,15 @@
                     [](char aLeft, char aRight) { return aLeft == ToLower(aRight); });
 }
 
+bool
+EqualIgnoringCase(std::string_view aLeft, std::string_view aRight)
+{
+  return std::equal(
+    aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [](char aOne, char aOther) {
+      return ToLower(aOne) == ToLower(aOther);
+    });
+}
+
 template<typename Number>
 std::optional<Number>
 ParseNumber(std::string_view aText)
@@ -87,25 +96,33 @@
   return aTarget;
 }
 
-Duration
-TimeLimit(const http::Request& aRequest, const ServiceConfig& aConfig)
+// Nothing if the caller states no deadline.
+std::optional<Duration>
+StatedDeadline(const http::Request& aRequest, const WireDialect& aDialect)
 {
-  const auto field = aRequest.headers_.Get(kDeadlineHeader);
+  const auto field = aRequest.headers_.Get(aDialect.deadlineField_);
   if (!field) {
-    return aConfig.defaultDeadline_;
+    return std::nullopt;
+  }
+  // A second deadline that differs leaves open which one the upstream would follow.
+  for (const http::Headers::Field& other : aRequest.headers_) {
+    if (EqualIgnoringCase(other.name_, aDialect.deadlineField_) && other.value_ != *field) {
+      throw RequestRefused(RefusalReason::MalformedRequest);
+    }
   }
   constexpr std::uint64_t kMaxMilliseconds = 24ULL * 60 * 60 * 1000;
   const auto milliseconds = ParseNumber<std::uint64_t>(*field);
   if (!milliseconds || *milliseconds > kMaxMilliseconds) {
     throw RequestRefused(RefusalReason::MalformedRequest);
   }
-  return std::min<Duration>(std::chrono::milliseconds(*milliseconds), aConfig.maxDeadline_);
+  return std::chrono::milliseconds(*milliseconds);
 }
 
 std::optional<std::string>
-CheckedKey(const http::Request& aRequest)
+CheckedKey(const http::Request& aRequest, const WireDialect& aDialect)
 {
-  const auto field = aRequest.headers_.Get(kKeyHeader);
+  const auto field =
+    aDialect.keyField_.empty() ? std::nullopt : aRequest.headers_.Get(aDialect.keyField_);
   if (!field) {
     return std::nullopt;
   }
@@ -132,21 +149,38 @@
 }
 
 CallTerms
-CheckTerms(const http::Request& aRequest, std::string_view aPath, const ServiceConfig& aConfig)
+CheckTerms(const http::Request& aRequest,
+           std::string_view aPath,
+           const ServiceConfig& aConfig,
+           const WireDialect& aDialect)
 {
   if (aRequest.body_.size() > aConfig.maxRequestBody_) {
     throw RequestRefused(RefusalReason::BodyTooLarge);
   }
   CallTerms terms;
   terms.repeatability_ = RepeatabilityOf(aConfig, aRequest.method_, aPath);
-  terms.timeLimit_ = TimeLimit(aRequest, aConfig);
-  terms.key_ = CheckedKey(aRequest);
+  terms.timeLimit_ =
+    std::min(StatedDeadline(aRequest, aDialect).value_or(aConfig.defaultDeadline_),
+             aConfig.maxDeadline_);
+  terms.latencyTarget_ = terms.timeLimit_;
+  terms.key_ = CheckedKey(aRequest, aDialect);
   if (terms.repeatability_ == Repeatability::AtMostOnce && aConfig.keyRequired_ && !terms.key_) {
     throw RequestRefused(RefusalReason::KeyRequired);
   }
   return terms;
 }
 
+CallTerms
+CheckTerms(const http::Request& aRequest, const RouteConfig& aRoute, const WireDialect& aDialect)
+{
+  CallTerms terms;
+  terms.repeatability_ = aRoute.repeatability_;
+  terms.timeLimit_ =
+    std::min(StatedDeadline(aRequest, aDialect).value_or(aRoute.timeLimit_), aRoute.timeLimit_);
+  terms.latencyTarget_ = std::min(aRoute.latencyTarget_, terms.timeLimit_);
+  return terms;
+}
+
 std::string
 FingerprintOf(const http::Request& aRequest)
 {
--- a/boragepier/entry/request_checks.h
+++ b/boragepier/entry/request_checks.h
@@ -8,7 +8,9 @@
 #include "boragepier/base/errors.h"
 #include "boragepier/base/outcome.h"
 #include "boragepier/base/time.h"
+#include "boragepier/config/route_config.h"
 #include "boragepier/config/service_config.h"
+#include "boragepier/entry/wire_dialect.h"
 #include "boragepier/http/message.h"
 
 namespace boragepier {
@@ -51,6 +53,7 @@
 {
   Repeatability repeatability_ = Repeatability::AtMostOnce;
   Duration timeLimit_{};           ///< from the arrival of the request
+  Duration latencyTarget_{};       ///< from the arrival; a later answer is of little use
   std::optional<std::string> key_; ///< Idempotency-Key
 };
 
@@ -62,7 +65,14 @@
 /// a
 ///   missing key
 CallTerms
-CheckTerms(const http::Request& aRequest, std::string_view aPath, const ServiceConfig& aConfig);
+CheckTerms(const http::Request& aRequest,
+           std::string_view aPath,
+           const ServiceConfig& aConfig,
+           const WireDialect& aDialect = OwnDialect());
+
+/// The same for a request that belongs to a route: the route's terms go before the service's.
+CallTerms
+CheckTerms(const http::Request& aRequest, const RouteConfig& aRoute, const WireDialect& aDialect);
 
 /// @return hash of method, target and body, by which a key that is used for two different requests
 ///   is recognised
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -12,7 +12,9 @@
 namespace {
 
 // Claims that wait for the write budget leave with this delay at most.
-constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+constexpr Duration kClaimsTick = std::chrono::milliseconds(10);
+// Where requests carry no keys, a tick only tells the other threads how far draining has come.
+constexpr Duration kIdleTick = std::chrono::milliseconds(100);
 
 Random
 EntropySeeded()
@@ -39,13 +41,14 @@
 TrafficThread::TrafficThread(const Settings& aSettings,
                              ServiceDirectory& aDirectory,
                              CallObserver& aObserver,
-                             std::string aIdPrefix)
+                             std::string aIdPrefix,
+                             const WireDialect& aDialect)
   : settings_(aSettings)
   , client_(loop_)
   , platform_(loop_, client_, PlatformOptionsOf(aSettings))
   , table_(platform_)
   , claims_(table_, aSettings.id_, EntropySeeded())
-  , pipeline_({ loop_, client_, claims_, aDirectory, aObserver, WallNow }, std::move(aIdPrefix), 1)
+  , pipeline_({ loop_, client_, claims_, aDirectory, aObserver, WallNow, aDialect }, std::move(aIdPrefix), 1)
   , server_(
       loop_,
       LimitsOf(aSettings),
@@ -78,6 +81,19 @@
   loop_.Post([this, aInstances] { claims_.SetSharers(aInstances); });
 }
 
+void
+TrafficThread::SetCallerLimits(const CallerLimits& aLimits)
+{
+  loop_.Post([this, aLimits] {
+    http::ServerLimits limits = LimitsOf(settings_);
+    limits.maxHeader_ = aLimits.maxHeader_;
+    limits.maxBody_ = aLimits.maxBody_;
+    limits.headerTimeout_ = aLimits.headerTimeout_;
+    limits.idleTimeout_ = aLimits.idleTimeout_;
+    server_.SetLimits(limits);
+  });
+}
+
 void
 TrafficThread::BeginDrain()
 {
@@ -106,10 +122,13 @@
 void
 TrafficThread::Tick()
 {
-  claims_.Advance(loop_.Now());
+  const bool keyed = settings_.store_.port_ == 0;
+  if (keyed) {
+    claims_.Advance(loop_.Now());
+  }
   connections_ = server_.ConnectionCount();
   idle_ = stopAccepting_ && server_.RequestsInProgress() == 0 && claims_.Settled();
-  loop_.After(kTickInterval, [this] { Tick(); });
+  loop_.After(keyed ? kClaimsTick : kIdleTick, [this] { Tick(); });
 }
 
 } // namespace boragepier
--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -27,10 +27,12 @@
   /// @param aDirectory services in force; outlives this object
   /// @param aObserver outlives this object
   /// @param aIdPrefix starts every request id of this thread
+  /// @param aDialect outlives this object
   TrafficThread(const Settings& aSettings,
                 ServiceDirectory& aDirectory,
                 CallObserver& aObserver,
-                std::string aIdPrefix);
+                std::string aIdPrefix,
+                const WireDialect& aDialect);
   ~TrafficThread();
   TrafficThread(const TrafficThread&) = delete;
   TrafficThread& operator=(const TrafficThread&) = delete;
@@ -43,6 +45,8 @@
 
   /// @param aInstances live instances; a hint. Any thread.
   void SetFleetSize(std::size_t aInstances);
+  /// Puts limits of the configuration into force for new connections. Any thread.
+  void SetCallerLimits(const CallerLimits& aLimits);
   /// Answers further requests with "Connection: close". Any thread.
   void BeginDrain();
   /// Stops accepting and closes idle connections. Any thread.
--- a/boragepier/http/request_reader.cc
+++ b/boragepier/http/request_reader.cc
@@ -34,7 +34,7 @@
   if (path == std::string_view::npos) {
     return "/";
   }
-  return (aTarget[path] == '?' ? "/" : "") + std::string(aTarget.substr(path));
+  return std::string(aTarget[path] == '?' ? "/" : "").append(aTarget.substr(path));
 }
 
 } // namespace
@@ -74,6 +74,12 @@
   return parser_->Started() || !aInput.Empty();
 }
 
+bool
+RequestReader::HeaderDone() const
+{
+  return parser_->HeaderDone();
+}
+
 bool
 RequestReader::TakeExpectContinue()
 {
--- a/boragepier/http/request_reader.h
+++ b/boragepier/http/request_reader.h
@@ -23,6 +23,8 @@
   ReadStatus Read(InputBuffer& aInput);
   /// @return true if at least one byte of the current request was read or is in aInput
   bool Started(const InputBuffer& aInput) const;
+  /// @return true if the header of the current request is complete
+  bool HeaderDone() const;
   /// After Failed: why.
   RefusalReason Failure() const { return failure_; }
   /// @return true once for each request whose sender waits for "100 Continue"
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -43,6 +43,7 @@
     return listener_->Port();
   }
 
+  void SetLimits(const ServerLimits& aLimits) { limits_ = aLimits; }
   void BeginDrain() { draining_ = true; }
 
   void CloseIdle()
@@ -97,7 +98,7 @@
   }
 
   net::EventLoop& loop_;
-  const ServerLimits limits_;
+  ServerLimits limits_;
   const Handler handler_;
   const RefusalWriter refusalWriter_;
   std::unique_ptr<net::TcpListener> listener_;
@@ -122,6 +123,12 @@
   return impl_->Listen(aAddress, aPort);
 }
 
+void
+Server::SetLimits(const ServerLimits& aLimits)
+{
+  impl_->SetLimits(aLimits);
+}
+
 void
 Server::BeginDrain()
 {
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -36,6 +36,7 @@
   std::size_t maxHeader_ = 16 << 10;                   ///< bytes; more is answered with 431
   std::size_t maxBody_ = 1 << 20;                      ///< bytes; more is answered with 413
   Duration idleTimeout_ = std::chrono::seconds(60);    ///< between requests of a connection
+  Duration headerTimeout_ = std::chrono::seconds(30);  ///< from first byte to end of the header
   Duration requestTimeout_ = std::chrono::seconds(30); ///< from first to last byte of a request
   std::size_t maxConnections_ = 4096;
 };
@@ -64,6 +65,8 @@
   /// @throws net::ListenError if the address cannot be used
   std::uint16_t Listen(const std::string& aAddress, std::uint16_t aPort);
 
+  /// Changes the limits. Connections that are open keep the limits on size. Loop thread only.
+  void SetLimits(const ServerLimits& aLimits);
   /// From now on each response closes its connection ("Connection: close"). Idle connections stay
   /// open: a caller may have sent a request on one that has not arrived yet. New connections are
   /// still accepted. Loop thread only.
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -1,5 +1,6 @@
 #include "boragepier/http/server_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "boragepier/http/writer.h"
@@ -214,9 +215,16 @@
   if (!reader_.Started(input_)) {
     requestStarted_ = false;
     deadline_.Set(now + context_.Limits().idleTimeout_);
-  } else if (!std::exchange(requestStarted_, true)) {
-    deadline_.Set(now + context_.Limits().requestTimeout_);
+    return;
+  }
+  const auto& limits = context_.Limits();
+  if (!std::exchange(requestStarted_, true)) {
+    startedAt_ = now;
   }
+  const Duration limit = reader_.HeaderDone()
+                           ? limits.requestTimeout_
+                           : std::min(limits.headerTimeout_, limits.requestTimeout_);
+  deadline_.Set(startedAt_ + limit);
 }
 
 void
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -86,6 +86,7 @@
   bool counted_ = false; // the current request is included in the server's count
   bool advancing_ = false;
   bool requestStarted_ = false;
+  MonotonicTime startedAt_; ///< arrival of the first byte of the request; valid if requestStarted_
   bool closeAfterResponse_ = false;
   bool toHead_ = false;
 };
--- a/boragepier/net/tcp_stream.cc
+++ b/boragepier/net/tcp_stream.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace boragepier::net {
@@ -20,6 +22,20 @@
 constexpr std::size_t kFirstReadBuffer = 4 << 10;
 constexpr std::size_t kLargestReadBuffer = 64 << 10;
 
+// A peer that answers nothing for this time is taken for lost. Something between the two ends can
+// lose track of a connection without a reset, and an idle connection would never notice.
+constexpr unsigned kSilenceTimeoutMs = 3000;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 3;
+
+void
+SetOption(int aHandle, int aLevel, int aOption, unsigned aValue)
+{
+  const int value = static_cast<int>(aValue);
+  // Without the option a silent connection is noticed later, by the timeouts of its user.
+  static_cast<void>(::setsockopt(aHandle, aLevel, aOption, &value, sizeof(value)));
+}
+
 bool
 WouldBlock(const error_code& aError)
 {
@@ -76,6 +92,12 @@
   error_code ignored;
   socket_.non_blocking(true, ignored);
   socket_.set_option(tcp::no_delay(true), ignored);
+  const int handle = socket_.native_handle();
+  SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIntervalS);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kSilenceTimeoutMs);
 }
 
 void
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -21,6 +21,8 @@
   StartFailed = 1007,
   InternalError = 1008,
   EventsLeftOut = 1009,
+  SettingsReloaded = 1010,
+  SettingsRejected = 1011,
 
   ConfigAccepted = 2001,
   ConfigRejected = 2002,
@@ -33,6 +35,8 @@
   ClaimReadBack = 3003,
   ClaimOutcomeNotRecorded = 3004,
   ClaimsCollected = 3005,
+  StoreUnreachable = 3006,
+  StoreReachable = 3007,
 
   UpstreamEjected = 4001,
   UpstreamReinstated = 4002,
@@ -44,12 +48,15 @@
   ListUnavailable = 4008,
   ListAvailable = 4009,
   UpstreamProtocolError = 4010,
+  UpstreamDoubtful = 4011,
+  EntryUnreadable = 4012,
 
   PeerConnected = 5001,
   PeerLost = 5002,
   PeerRefused = 5003,
   NoPeers = 5004,
   PeerBudgetExceeded = 5005,
+  InstanceAdded = 5006,
 
   RequestRefused = 6001,
   RequestOutcomeUnknown = 6002,
--- a/cmake/boragepier.cmake
+++ b/cmake/boragepier.cmake
@@ -15,8 +15,11 @@
 boragepier_find(LOG4CXX_LIB log4cxx)
 boragepier_find(INIH_LIB inih)
 boragepier_find(XXHASH_LIB xxhash)
-boragepier_find(CPPUTEST_LIB CppUTest)
-boragepier_find(CPPUTEST_EXT_LIB CppUTestExt)
+option(BORAGEPIER_TESTS "Build tests, stand-ins and measurement programs" ON)
+if(BORAGEPIER_TESTS)
+  boragepier_find(CPPUTEST_LIB CppUTest)
+  boragepier_find(CPPUTEST_EXT_LIB CppUTestExt)
+endif()
 
 set(BORAGEPIER_SANITIZE "" CACHE STRING "Sanitizers for all targets: address,undefined or thread")
 
@@ -52,6 +55,9 @@
 
 # boragepier_test(NAME SOURCES... DEPS... [TIMEOUT s]): a CppUTest program registered with CTest.
 function(boragepier_test NAME)
+  if(NOT BORAGEPIER_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPS" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/testing/test_main.cc)
   target_link_libraries(${NAME} PRIVATE
@@ -68,6 +74,9 @@
 # boragepier_test_groups(NAME SOURCES... DEPS... GROUPS...): a CppUTest program of which each test
 # group is a CTest test of its own, named NAME.GROUP.
 function(boragepier_test_groups NAME)
+  if(NOT BORAGEPIER_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS;GROUPS" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/testing/test_main.cc)
   target_link_libraries(${NAME} PRIVATE
