Spread the store's news along a tree of instances

One instance now reads, the others follow over the peer transport; each can read the store itself when its source does not confirm what it knows.

--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -24,6 +24,26 @@
       .required_ = true,
       .meaning_ = "availability zone of the instance" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.zone_, aValue); } },
+  Key<Settings>{ { .section_ = "instance",
+                   .name_ = "processor-cores",
+                   .type_ = KeyType::Number,
+                   .minimum_ = 0.001,
+                   .maximum_ = 1024,
+                   .default_ = "1",
+                   .meaning_ = "cores that the instance may use; with store.address, instances "
+                               "with more read for others" },
+                 [](Settings& aSettings, const KeyValue& aValue) {
+                   Assign(aSettings.processorCores_, aValue);
+                 } },
+  Key<Settings>{
+    { .section_ = "instance",
+      .name_ = "link-mbps",
+      .type_ = KeyType::Number,
+      .minimum_ = 0.1,
+      .maximum_ = 1000000,
+      .default_ = "1000",
+      .meaning_ = "bandwidth of the instance's link in Mbit/s; used like processor-cores" },
+    [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.linkMbps_, aValue); } },
   Key<Settings>{ { .section_ = "listen",
                    .name_ = "caller-address",
                    .type_ = KeyType::Address,
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -22,6 +22,8 @@
 {
   InstanceId id_;
   ZoneName zone_;
+  double processorCores_ = 1; ///< that the instance may use; orders instances as relays
+  double linkMbps_ = 1000;    ///< the same
 
   Endpoint caller_{ "127.0.0.1", 0 }; ///< port 0 lets the system choose
   Endpoint peer_{ "127.0.0.1", 0 };   ///< address under which other instances reach this one
--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -1,7 +1,6 @@
 #include "boragepier/directory/directory_state.h"
 
 #include <algorithm>
-#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -22,29 +21,7 @@
 }
 
 void
-DirectoryState::OnSnapshot(FeedTopic aTopic, std::span<const FeedItem> aItems, MonotonicTime aNow)
-{
-  OnChanges(aTopic, aItems, aNow);
-  if (aTopic != FeedTopic::Upstreams) {
-    return;
-  }
-  std::set<std::string_view> listed;
-  for (const FeedItem& item : aItems) {
-    listed.insert(item.key_);
-  }
-  std::vector<std::string> missing;
-  for (const auto& [key, upstream] : upstreams_) {
-    if (!listed.contains(key)) {
-      missing.push_back(key);
-    }
-  }
-  for (const std::string& key : missing) {
-    RemoveUpstream(key, aNow);
-  }
-}
-
-void
-DirectoryState::OnChanges(FeedTopic, std::span<const FeedItem> aItems, MonotonicTime aNow)
+DirectoryState::OnChanges(std::span<const FeedItem> aItems, MonotonicTime aNow)
 {
   for (const FeedItem& item : aItems) {
     OnItem(item, aNow);
@@ -97,8 +74,8 @@
 void
 DirectoryState::OnValue(const std::string& aKey, const InstanceEntry& aEntry, MonotonicTime)
 {
-  if (instances_.insert_or_assign(aKey, aEntry.id_).second) {
-    changed_ = true;
+  changed_ = true;
+  if (instances_.insert_or_assign(aKey, aEntry).second) {
     events_.push_back({ DirectoryChange::InstanceAdded, aKey, {} });
   }
 }
@@ -125,8 +102,9 @@
     return;
   }
   // An upstream that was leaving does not come back.
-  if (InGrace(aNow) && !found->second.entry_.endpoint_.leaving_) {
-    found->second.removeAt_ = troubleEnded_.value_or(aNow) + kReturnGrace;
+  const Duration grace = GraceLeft(aNow);
+  if (grace > Duration(0) && !found->second.entry_.endpoint_.leaving_) {
+    found->second.removeAt_ = aNow + grace;
     events_.push_back({ DirectoryChange::UpstreamDoubtful, aKey, {} });
     return;
   }
@@ -135,10 +113,16 @@
   changed_ = true;
 }
 
-bool
-DirectoryState::InGrace(MonotonicTime aNow) const
+Duration
+DirectoryState::GraceLeft(MonotonicTime aNow) const
 {
-  return inTrouble_ || (troubleEnded_ && aNow < *troubleEnded_ + kReturnGrace);
+  return inTrouble_ ? kReturnGrace : std::max(Duration(0), graceUntil_ - aNow);
+}
+
+void
+DirectoryState::ExtendGrace(MonotonicTime aUntil)
+{
+  graceUntil_ = std::max(graceUntil_, aUntil);
 }
 
 void
@@ -151,7 +135,7 @@
 DirectoryState::OnContact(MonotonicTime aNow)
 {
   if (std::exchange(inTrouble_, false)) {
-    troubleEnded_ = aNow;
+    ExtendGrace(aNow + kReturnGrace);
   }
 }
 
@@ -195,14 +179,24 @@
   return std::exchange(events_, {});
 }
 
+std::vector<InstanceEntry>
+DirectoryState::Instances() const
+{
+  std::vector<InstanceEntry> instances;
+  for (const auto& [key, instance] : instances_) {
+    instances.push_back(instance);
+  }
+  return instances;
+}
+
 std::shared_ptr<const RoutingTable>
 DirectoryState::Table() const
 {
   auto table = std::make_shared<RoutingTable>();
   table->instances_.push_back(self_);
-  for (const auto& [key, id] : instances_) {
-    if (id != self_) {
-      table->instances_.push_back(id);
+  for (const auto& [key, instance] : instances_) {
+    if (instance.id_ != self_) {
+      table->instances_.push_back(instance.id_);
     }
   }
   if (!config_) {
--- a/boragepier/directory/directory_state.h
+++ b/boragepier/directory/directory_state.h
@@ -61,14 +61,16 @@
   /// Changes the limits, as after a reload of the settings.
   void SetTerms(const FleetTerms& aTerms);
 
-  /// Takes in all entries of a topic.
-  void OnSnapshot(FeedTopic aTopic, std::span<const FeedItem> aItems, MonotonicTime aNow);
-  /// Takes in changed entries of a topic.
-  void OnChanges(FeedTopic aTopic, std::span<const FeedItem> aItems, MonotonicTime aNow);
+  /// Takes in changed entries.
+  void OnChanges(std::span<const FeedItem> aItems, MonotonicTime aNow);
   /// The store did not answer, or refused this instance.
   void OnTrouble(MonotonicTime aNow);
   /// The store answered.
   void OnContact(MonotonicTime aNow);
+  /// Keeps missing entries at least until aUntil, as after trouble that another instance had.
+  void ExtendGrace(MonotonicTime aUntil);
+  /// @return how long missing entries are kept from now on; zero outside of trouble
+  Duration GraceLeft(MonotonicTime aNow) const;
   /// Removes the upstreams whose time has run out.
   void Advance(MonotonicTime aNow);
   /// @return when Advance() must be called, if there is a reason
@@ -80,6 +82,8 @@
   std::vector<DirectoryEvent> TakeEvents();
   /// @return the routing table; without services while no configuration is known
   std::shared_ptr<const RoutingTable> Table() const;
+  /// @return the registered instances
+  std::vector<InstanceEntry> Instances() const;
   std::uint64_t ConfigVersion() const { return config_ ? config_->version_ : 0; }
 
 private:
@@ -96,16 +100,15 @@
   void OnValue(const std::string& aKey, const UnreadableEntry& aEntry, MonotonicTime aNow);
   void OnValue(const std::string& aKey, const RemovedEntry& aEntry, MonotonicTime aNow);
   void RemoveUpstream(const std::string& aKey, MonotonicTime aNow);
-  bool InGrace(MonotonicTime aNow) const;
 
   const InstanceId self_;
   FleetTerms terms_;
   std::uint64_t termsVersion_ = 0; ///< rises with each change of terms_
   std::shared_ptr<const FleetConfig> config_;
   std::map<std::string, Upstream> upstreams_;
-  std::map<std::string, InstanceId> instances_;
+  std::map<std::string, InstanceEntry> instances_;
   bool inTrouble_ = false;
-  std::optional<MonotonicTime> troubleEnded_;
+  MonotonicTime graceUntil_{};
   bool changed_ = false;
   std::vector<DirectoryEvent> events_;
 };
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -3,73 +3,113 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
-#include "boragepier/directory/directory_state.h"
 #include "boragepier/base/random.h"
+#include "boragepier/directory/directory_state.h"
+#include "boragepier/directory/feed_mirror.h"
+#include "boragepier/directory/reader_choice.h"
+#include "boragepier/ports/peer_transport.h"
 #include "boragepier/ports/scheduler.h"
 
 namespace boragepier {
 
-/// How often a store is asked.
+/// How often the store and other instances are asked.
 struct DirectoryTiming
 {
-  /// Longest time that the store holds a question for changes.
-  Duration wait_ = std::chrono::seconds(25);
+  /// Longest time that the store holds a question for changes. Bounds the age of what a reader
+  /// knows when its connection to the store goes silent.
+  Duration wait_ = std::chrono::milliseconds(1000);
+  /// The same for the instances, which are a hint.
+  Duration instancesWait_ = std::chrono::seconds(25);
   /// Pause after an answer with changes, so that changes in quick succession come in one answer.
-  /// Much less than the time in which a change must be in force.
-  Duration pause_ = std::chrono::milliseconds(300);
+  Duration pause_ = std::chrono::milliseconds(150);
   /// First pause after a failed call; doubled up to the second with every further one.
   Duration firstRetry_ = std::chrono::milliseconds(100);
   Duration lastRetry_ = std::chrono::milliseconds(800);
-  /// Between two readings of the instances, which change rarely and are a hint.
-  Duration instances_ = std::chrono::seconds(30);
-  /// Until the second reading of the instances: those that started with this one have registered.
-  Duration instancesAtStart_ = std::chrono::seconds(3);
+  /// Pause after a failed call of an instance that nobody follows. A store that refuses it must
+  /// serve it for longer than this before any bound applies to it.
+  Duration loneRetry_ = std::chrono::milliseconds(2000);
+  /// Between two messages to the source that is followed.
+  Duration beat_ = std::chrono::milliseconds(250);
+  /// A source that confirms nothing for this time is given up: three beats and a trip.
+  Duration silence_ = std::chrono::milliseconds(900);
+  /// What is known is confirmed if the store was seen to have nothing else less than this ago. It
+  /// must cover wait_ and two beats, and leave time to ask the store before a change must be in
+  /// force.
+  Duration confirmed_ = std::chrono::milliseconds(1700);
+  /// Instances that are started together have registered after this time.
+  Duration registration_ = std::chrono::milliseconds(400);
+  /// After the start, time in which a source is given the chance to send everything.
+  Duration patience_ = std::chrono::milliseconds(600);
+  /// Between two attempts to return to the first source.
+  Duration return_ = std::chrono::seconds(4);
 };
 
-/// Keeps a DirectoryState up to date from a store: reads the configuration and the upstreams, then
-/// waits for their changes; registers this instance and reads the others from time to time.
+/// Keeps a DirectoryState up to date from a store that many instances share.
+///
+/// One instance reads the store; what changes spreads from it over PeerTransport, along a tree on
+/// which all instances agree (PlaceInRelay). An instance that finds no source, or whose knowledge
+/// was not confirmed recently, reads the store itself: that it can do at any time, so nothing
+/// depends on the tree.
 /// Everything runs in the thread of the scheduler.
-template<Scheduler S, DirectoryFeed F>
+template<Scheduler S, DirectoryFeed F, PeerTransport P>
 class DirectoryWatch
 {
 public:
   using TableCallback = std::function<void(std::shared_ptr<const RoutingTable>)>;
   using EventCallback = std::function<void(const DirectoryEvent&)>;
-  /// Receives whether the store answers, with the error of the call that failed.
+  /// Receives whether the store answers this instance, with the error of the call that failed.
   using ContactCallback = std::function<void(bool, const std::string&)>;
+  /// Receives the instance that is followed from now on; nothing while the store is read.
+  using SourceCallback = std::function<void(const std::optional<InstanceId>&)>;
 
-  /// @param aScheduler outlives this object
-  /// @param aFeed outlives this object
+  /// @param aScheduler outlives this object, like aFeed and aPeers
+  /// @param aSelf this instance as others reach it
+  /// @param aCapacity of this instance for relaying news
   /// @param aSeed of the jitter of pauses
   DirectoryWatch(S& aScheduler,
                  F& aFeed,
-                 InstanceId aSelf,
+                 P& aPeers,
+                 PeerEndpoint aSelf,
+                 double aCapacity,
                  const FleetTerms& aTerms,
                  DirectoryTiming aTiming,
                  std::uint64_t aSeed)
     : scheduler_(aScheduler)
     , feed_(aFeed)
-    , self_(aSelf)
+    , peers_(aPeers)
+    , self_(std::move(aSelf))
+    , capacity_(aCapacity)
     , timing_(aTiming)
     , random_(aSeed)
-    , state_(std::move(aSelf), aTerms)
+    , state_(self_.id_, aTerms)
   {
   }
 
   void OnTable(TableCallback aCallback) { onTable_ = std::move(aCallback); }
   void OnEvent(EventCallback aCallback) { onEvent_ = std::move(aCallback); }
   void OnContact(ContactCallback aCallback) { onContact_ = std::move(aCallback); }
+  void OnSource(SourceCallback aCallback) { onSource_ = std::move(aCallback); }
 
   void Start()
   {
-    Follow(FeedTopic::Configuration);
-    Follow(FeedTopic::Upstreams);
-    ReadInstances(true);
+    started_ = scheduler_.Now();
+    peers_.Start(
+      self_,
+      [this](const PeerEndpoint& aSender, PeerMessage aMessage, std::size_t) {
+        OnMessage(aSender, aMessage);
+      },
+      [this](const InstanceId& aPeer) { OnUnreachable(aPeer); });
+    ReadInstances();
+    Beat();
   }
 
   /// Changes the limits, as after a reload of the settings.
@@ -79,104 +119,394 @@
     Publish();
   }
 
+  /// Asks those who follow this instance to follow another one.
+  void BeginShutdown()
+  {
+    leaving_ = true;
+    SendNewsToAll(false);
+  }
+
   const DirectoryState& State() const { return state_; }
+  std::size_t Followers() const { return followers_.size(); }
 
 private:
+  /// Sources that are tried before the store is read instead.
+  static constexpr std::size_t kSources = 4;
+  static constexpr std::array<FeedTopic, kFeedTopics> kTopics = { FeedTopic::Configuration,
+                                                                  FeedTopic::Upstreams,
+                                                                  FeedTopic::Instances };
+
   struct Topic
   {
-    bool known_ = false; ///< a snapshot was read and no history was lost since
-    std::uint64_t position_ = 0;
+    FeedMirror mirror_;
+    bool known_ = false;  ///< all rows up to the mirror's position are known
+    bool asking_ = false; ///< a call, or the pause before it, is under way
     Duration retry_{};
+    std::optional<MonotonicTime> confirmedAt_;
+  };
+
+  struct Follower
+  {
+    PeerEndpoint endpoint_;
+    MonotonicTime heardAt_;
+    std::array<std::uint64_t, kFeedTopics> positions_{};
   };
 
   Topic& Of(FeedTopic aTopic) { return topics_[static_cast<std::size_t>(aTopic)]; }
+  static bool IsVital(FeedTopic aTopic) { return aTopic != FeedTopic::Instances; }
+
+  // Whether configuration and upstreams were confirmed within aLimit.
+  bool Confirmed(MonotonicTime aNow)
+  {
+    return std::all_of(kTopics.begin(), kTopics.end(), [&](FeedTopic aTopic) {
+      const auto& confirmed = Of(aTopic).confirmedAt_;
+      return !IsVital(aTopic) || (confirmed && aNow - *confirmed <= timing_.confirmed_);
+    });
+  }
+
+  bool IsAsking() const
+  {
+    return std::any_of(
+      topics_.begin(), topics_.end(), [](const Topic& aTopic) { return aTopic.asking_; });
+  }
+  bool WantsStore(MonotonicTime aNow)
+  {
+    if (!instancesRead_ || (target_ && aNow - started_ < timing_.patience_)) {
+      return false;
+    }
+    return !target_ || !Confirmed(aNow);
+  }
+
+  // --- the store ---------------------------------------------------------------------------
 
-  void Follow(FeedTopic aTopic)
+  void ReadInstances()
+  {
+    feed_.Read(FeedTopic::Instances, [this](FeedPage aPage) {
+      Topic& topic = Of(FeedTopic::Instances);
+      if (aPage.status_ != FeedStatus::Ok) {
+        instancesRead_ = true;
+        OnFailed(aPage.error_);
+        scheduler_.After(Jittered(timing_.loneRetry_), [this] { ReadInstances(); });
+        FollowStore();
+        return;
+      }
+      OnAnswered();
+      TakeIn(FeedTopic::Instances,
+             topic.mirror_.OnSnapshot(aPage.rows_, aPage.position_),
+             scheduler_.Now());
+      topic.known_ = true;
+      Publish();
+      if (!registered_ && !IsListed()) {
+        // Others may be starting at the same moment, so the list is read again a little later.
+        registered_ = true;
+        Register(Entry());
+        scheduler_.After(timing_.registration_, [this] { ReadInstances(); });
+        return;
+      }
+      instancesRead_ = true;
+      started_ = scheduler_.Now();
+      FollowFirst();
+      FollowStore();
+    });
+  }
+
+  bool IsListed() const
+  {
+    const auto instances = state_.Instances();
+    return std::find(instances.begin(), instances.end(), Entry()) != instances.end();
+  }
+
+  void Register(const InstanceEntry& aSelf)
+  {
+    feed_.Register(aSelf, [this, aSelf](const FeedPage& aPage) {
+      if (aPage.status_ != FeedStatus::Ok) {
+        // Writing the same row twice has no effect, so a lost answer needs no reading back.
+        scheduler_.After(Jittered(timing_.loneRetry_), [this, aSelf] { Register(aSelf); });
+      }
+    });
+  }
+
+  // Starts to ask the store for what is wanted from it and not being asked for.
+  void FollowStore()
+  {
+    if (!WantsStore(scheduler_.Now())) {
+      return;
+    }
+    for (const FeedTopic topic : kTopics) {
+      if (!Of(topic).asking_ && (IsVital(topic) || place_.reads_)) {
+        Of(topic).asking_ = true;
+        Ask(topic);
+      }
+    }
+    TellSource();
+  }
+
+  void Ask(FeedTopic aTopic)
   {
     const Topic& topic = Of(aTopic);
-    const auto done = [this, aTopic, wasKnown = topic.known_](FeedPage aPage) {
-      OnPage(aTopic, wasKnown, std::move(aPage));
+    const auto done = [this, aTopic, wasKnown = topic.known_](const FeedPage& aPage) {
+      OnPage(aTopic, wasKnown, aPage);
     };
     if (topic.known_) {
-      feed_.Wait(aTopic, topic.position_, timing_.wait_, done);
+      const Duration wait = IsVital(aTopic) ? timing_.wait_ : timing_.instancesWait_;
+      feed_.Wait(aTopic, topic.mirror_.Position(), wait, done);
     } else {
       feed_.Read(aTopic, done);
     }
   }
 
-  void OnPage(FeedTopic aTopic, bool aChangesOnly, FeedPage aPage)
+  void OnPage(FeedTopic aTopic, bool aChangesOnly, const FeedPage& aPage)
   {
     const MonotonicTime now = scheduler_.Now();
     Topic& topic = Of(aTopic);
     Duration pause{};
-    if (aPage.status_ == FeedStatus::Ok) {
-      OnAnswered(now);
-      if (aChangesOnly) {
-        state_.OnChanges(aTopic, aPage.items_, now);
-      } else {
-        state_.OnSnapshot(aTopic, aPage.items_, now);
-      }
+    if (aPage.status_ == FeedStatus::Ok && aPage.position_ >= topic.mirror_.Position()) {
+      OnAnswered();
+      const auto changed = aChangesOnly ? topic.mirror_.OnChanges(aPage.rows_, aPage.position_)
+                                        : topic.mirror_.OnSnapshot(aPage.rows_, aPage.position_);
+      TakeIn(aTopic, changed, now);
       topic.known_ = true;
-      topic.position_ = std::max(topic.position_, aPage.position_);
+      topic.confirmedAt_ = now;
       topic.retry_ = {};
-      pause = aPage.items_.empty() ? Duration{} : Jittered(timing_.pause_);
+      if (!changed.empty()) {
+        pause = Jittered(timing_.pause_);
+        SendNewsToAll(true);
+      }
     } else if (aPage.status_ == FeedStatus::HistoryLost) {
-      OnAnswered(now);
+      OnAnswered();
       topic.known_ = false;
     } else {
-      OnFailed(aPage.error_, now);
+      // A position below the known one is an answer from before it.
+      const bool stale = aPage.status_ == FeedStatus::Ok;
+      OnFailed(stale ? std::string("stale answer") : aPage.error_);
       topic.retry_ = std::clamp(2 * topic.retry_, timing_.firstRetry_, timing_.lastRetry_);
-      pause = Jittered(topic.retry_);
-      // After an outage the store may have dropped changes; the next answer must be complete.
-      topic.known_ = false;
+      pause = Jittered(place_.reads_ ? topic.retry_ : timing_.loneRetry_);
     }
     Publish();
-    scheduler_.After(pause, [this, aTopic] { Follow(aTopic); });
+    scheduler_.After(pause, [this, aTopic] {
+      if (WantsStore(scheduler_.Now()) && (IsVital(aTopic) || place_.reads_)) {
+        Ask(aTopic);
+      } else {
+        Of(aTopic).asking_ = false;
+        TellSource();
+      }
+    });
   }
 
-  void OnAnswered(MonotonicTime aNow)
+  void OnAnswered()
   {
-    state_.OnContact(aNow);
+    state_.OnContact(scheduler_.Now());
     if (std::exchange(failing_, false) && onContact_) {
       onContact_(true, {});
     }
   }
 
-  void OnFailed(const std::string& aError, MonotonicTime aNow)
+  void OnFailed(const std::string& aError)
   {
-    state_.OnTrouble(aNow);
-    if (!std::exchange(failing_, true) && onContact_) {
-      onContact_(false, aError);
+    state_.OnTrouble(scheduler_.Now());
+    if (!std::exchange(failing_, true)) {
+      SendNewsToAll(false);
+      if (onContact_) {
+        onContact_(false, aError);
+      }
     }
   }
 
-  void ReadInstances(bool aAtStart)
+  // --- other instances ---------------------------------------------------------------------
+
+  // Begins to follow the first source, after the start or a change of the tree.
+  void FollowFirst()
   {
-    feed_.Read(FeedTopic::Instances, [this, aAtStart](FeedPage aPage) {
-      const MonotonicTime now = scheduler_.Now();
-      const bool answered = aPage.status_ == FeedStatus::Ok;
-      if (answered) {
-        state_.OnSnapshot(FeedTopic::Instances, aPage.items_, now);
-        Publish();
-        RegisterIfMissing(aPage);
-      }
-      const Duration next = !answered || aAtStart ? timing_.instancesAtStart_ : timing_.instances_;
-      scheduler_.After(Jittered(next), [this, aAtStart, answered] {
-        ReadInstances(aAtStart && !answered);
-      });
+    target_.reset();
+    if (instancesRead_ && !place_.sources_.empty()) {
+      Target(0);
+    }
+  }
+
+  void Target(std::size_t aSource)
+  {
+    target_ = aSource;
+    heardAt_ = scheduler_.Now();
+    SendFollow(aSource);
+  }
+
+  // Gives up the source. Without a further one the store is read until the first one is back.
+  void NextSource()
+  {
+    if (*target_ + 1 < place_.sources_.size()) {
+      Target(*target_ + 1);
+    } else {
+      target_.reset();
+      triedFirstAt_ = scheduler_.Now();
+      FollowStore();
+    }
+  }
+
+  bool Follows(const InstanceId& aId) const
+  {
+    return target_ && place_.sources_[*target_].id_ == aId;
+  }
+
+  void SendFollow(std::size_t aSource)
+  {
+    PeerFollow follow;
+    for (const Topic& topic : topics_) {
+      follow.positions_.push_back(topic.mirror_.Position());
+    }
+    const InstanceEntry& source = place_.sources_[aSource];
+    peers_.Send({ source.id_, source.address_, source.port_ }, follow);
+  }
+
+  void Beat()
+  {
+    const MonotonicTime now = scheduler_.Now();
+    std::erase_if(followers_, [&](const auto& aFollower) {
+      return now - aFollower.second.heardAt_ > 2 * timing_.silence_;
     });
+    if (target_ && now - heardAt_ > timing_.silence_) {
+      NextSource();
+    } else if (target_) {
+      SendFollow(*target_);
+    }
+    if (target_ != 0 && instancesRead_ && !place_.sources_.empty() &&
+        now - triedFirstAt_ > timing_.return_) {
+      triedFirstAt_ = now;
+      SendFollow(0);
+    }
+    FollowStore();
+    scheduler_.After(Jittered(timing_.beat_), [this] { Beat(); });
   }
 
-  void RegisterIfMissing(const FeedPage& aPage)
+  void OnUnreachable(const InstanceId& aPeer)
   {
-    const bool listed =
-      std::any_of(aPage.items_.begin(), aPage.items_.end(), [&](const FeedItem& aItem) {
-        return aItem.key_ == self_.View();
+    if (Follows(aPeer)) {
+      NextSource();
+    }
+    followers_.erase(aPeer);
+  }
+
+  void OnMessage(const PeerEndpoint& aSender, const PeerMessage& aMessage)
+  {
+    if (const auto* const follow = std::get_if<PeerFollow>(&aMessage)) {
+      OnFollow(aSender, *follow);
+    } else if (const auto* const news = std::get_if<PeerNews>(&aMessage)) {
+      OnNews(aSender, *news);
+    }
+  }
+
+  void OnFollow(const PeerEndpoint& aSender, const PeerFollow& aFollow)
+  {
+    if (aFollow.positions_.size() != kFeedTopics) {
+      return;
+    }
+    Follower& follower = followers_[aSender.id_];
+    follower.endpoint_ = aSender;
+    follower.heardAt_ = scheduler_.Now();
+    std::copy(aFollow.positions_.begin(), aFollow.positions_.end(), follower.positions_.begin());
+    SendNews(follower);
+  }
+
+  void SendNewsToAll(bool aOnlyChanges)
+  {
+    for (auto& [id, follower] : followers_) {
+      const bool behind = std::any_of(kTopics.begin(), kTopics.end(), [&](FeedTopic aTopic) {
+        return follower.positions_[static_cast<std::size_t>(aTopic)] <
+               Of(aTopic).mirror_.Position();
       });
-    if (!listed) {
-      // A failed call is repeated after the next reading, which shows whether it took effect.
-      feed_.Register({ self_ }, [](const FeedPage&) {});
+      if (behind || !aOnlyChanges) {
+        SendNews(follower);
+      }
+    }
+  }
+
+  void SendNews(Follower& aFollower)
+  {
+    const MonotonicTime now = scheduler_.Now();
+    PeerNews news;
+    news.storeAnswers_ = !failing_ && !leaving_ && Confirmed(now);
+    news.graceMs_ = static_cast<std::uint64_t>(ToMilliseconds(state_.GraceLeft(now)));
+    for (const FeedTopic name : kTopics) {
+      const Topic& topic = Of(name);
+      std::uint64_t& position = aFollower.positions_[static_cast<std::size_t>(name)];
+      PeerNews::Topic& part = news.topics_.emplace_back();
+      part.from_ = position;
+      part.position_ = position;
+      part.ageMs_ = topic.confirmedAt_
+                      ? static_cast<std::uint64_t>(ToMilliseconds(now - *topic.confirmedAt_))
+                      : kNeverConfirmedMs;
+      if (topic.known_ && topic.mirror_.Position() > position) {
+        auto changes = topic.mirror_.Since(position, kMaxNewsBytes / kFeedTopics);
+        const bool all = changes.position_ >= topic.mirror_.Position();
+        part.ageMs_ = all ? part.ageMs_ : kNeverConfirmedMs;
+        part.rows_ = std::move(changes.rows_);
+        part.position_ = changes.position_;
+        position = changes.position_;
+      }
+    }
+    peers_.Send(aFollower.endpoint_, news);
+  }
+
+  void OnNews(const PeerEndpoint& aSender, const PeerNews& aNews)
+  {
+    const bool fromTarget = Follows(aSender.id_);
+    const bool fromFirst =
+      !place_.sources_.empty() && place_.sources_.front().id_ == aSender.id_;
+    if ((!fromTarget && !fromFirst) || aNews.topics_.size() != kFeedTopics) {
+      return;
+    }
+    const MonotonicTime now = scheduler_.Now();
+    if (aNews.graceMs_ > 0) {
+      state_.ExtendGrace(now + FromMilliseconds(static_cast<double>(aNews.graceMs_)));
     }
+    bool partial = false;
+    bool changed = false;
+    for (const FeedTopic name : kTopics) {
+      const PeerNews::Topic& part = aNews.topics_[static_cast<std::size_t>(name)];
+      Topic& topic = Of(name);
+      if (part.position_ == 0 || part.from_ > topic.mirror_.Position()) {
+        continue;
+      }
+      TakeIn(name, topic.mirror_.OnChanges(part.rows_, part.position_), now);
+      topic.known_ = true;
+      changed = changed || !part.rows_.empty();
+      partial = partial || (!part.rows_.empty() && part.ageMs_ >= kNeverConfirmedMs);
+      const MonotonicTime at = now - FromMilliseconds(static_cast<double>(part.ageMs_));
+      if (part.position_ >= topic.mirror_.Position()) {
+        topic.confirmedAt_ = std::max(topic.confirmedAt_.value_or(at), at);
+      }
+    }
+    if (changed) {
+      SendNewsToAll(true);
+    }
+    if (aNews.storeAnswers_ && !IsAsking()) {
+      // Trouble of this instance with the store ends for it with news from a reader.
+      OnAnswered();
+    }
+    Publish();
+    if (fromFirst && !fromTarget && aNews.storeAnswers_) {
+      target_ = 0;
+    }
+    if (Follows(aSender.id_)) {
+      // A source that cannot confirm what it knows is given up like a silent one.
+      if (aNews.storeAnswers_) {
+        heardAt_ = now;
+      }
+      if (partial) {
+        SendFollow(*target_);
+      }
+    }
+    TellSource();
+  }
+
+  // --- what is known -----------------------------------------------------------------------
+
+  void TakeIn(FeedTopic aTopic, std::span<const FeedRow> aRows, MonotonicTime aNow)
+  {
+    std::vector<FeedItem> items;
+    for (const FeedRow& row : aRows) {
+      items.push_back(feed_.Decode(aTopic, row, aNow));
+    }
+    state_.OnChanges(items, aNow);
   }
 
   void Publish()
@@ -186,8 +516,11 @@
         onEvent_(event);
       }
     }
-    if (state_.TakeChanged() && onTable_) {
-      onTable_(state_.Table());
+    if (state_.TakeChanged()) {
+      RefreshPlace();
+      if (onTable_) {
+        onTable_(state_.Table());
+      }
     }
     if (const auto next = state_.NextAdvance(); next && !advanceArmed_) {
       advanceArmed_ = true;
@@ -199,23 +532,75 @@
     }
   }
 
+  void RefreshPlace()
+  {
+    std::vector<InstanceEntry> instances = state_.Instances();
+    if (!IsListed()) {
+      std::erase_if(instances, [&](const InstanceEntry& aInstance) {
+        return aInstance.id_ == self_.id_;
+      });
+      instances.push_back(Entry());
+    }
+    RelayPlace place = PlaceInRelay(instances, self_.id_, kSources);
+    if (place.sources_ != place_.sources_ || place.reads_ != place_.reads_) {
+      place_ = std::move(place);
+      FollowFirst();
+    }
+  }
+
+  InstanceEntry Entry() const { return { self_.id_, self_.address_, self_.port_, capacity_ }; }
+
+  void TellSource()
+  {
+    std::optional<InstanceId> source;
+    if (!IsAsking() && target_) {
+      source = place_.sources_[*target_].id_;
+    }
+    if (!told_ || source != source_) {
+      told_ = true;
+      source_ = source;
+      if (onSource_) {
+        onSource_(source);
+      }
+    }
+  }
+
   Duration Jittered(Duration aDuration)
   {
-    return aDuration * (75 + static_cast<int>(random_(50))) / 100;
+    return aDuration * (85 + static_cast<int>(random_(30))) / 100;
   }
 
+  // Age of what was never confirmed: longer than any that is accepted.
+  static constexpr std::uint64_t kNeverConfirmedMs = 3'600'000;
+
   S& scheduler_;
   F& feed_;
-  const InstanceId self_;
+  P& peers_;
+  const PeerEndpoint self_;
+  const double capacity_;
   const DirectoryTiming timing_;
   Random random_;
   DirectoryState state_;
-  std::array<Topic, 3> topics_{};
+  std::array<Topic, kFeedTopics> topics_{};
+  MonotonicTime started_;
+  bool instancesRead_ = false;
+  bool registered_ = false;
   bool failing_ = false;
+  bool leaving_ = false;
   bool advanceArmed_ = false;
+
+  RelayPlace place_;
+  std::optional<std::size_t> target_; ///< the source that is followed, if any
+  MonotonicTime heardAt_;              ///< when the target was chosen or heard from last
+  MonotonicTime triedFirstAt_;
+  std::map<InstanceId, Follower> followers_;
+
+  bool told_ = false;
+  std::optional<InstanceId> source_;
   TableCallback onTable_;
   EventCallback onEvent_;
   ContactCallback onContact_;
+  SourceCallback onSource_;
 };
 
 } // namespace boragepier
--- a/boragepier/entry/directory_events.cc
+++ b/boragepier/entry/directory_events.cc
@@ -1,5 +1,7 @@
 #include "boragepier/entry/directory_thread.h"
 
+#include <algorithm>
+
 namespace boragepier {
 
 namespace {
@@ -39,6 +41,13 @@
            aSettings.probesPerUpstreamSecond_ };
 }
 
+double
+RelayCapacity(const Settings& aSettings)
+{
+  constexpr double kMbpsPerCore = 1000;
+  return std::min(aSettings.processorCores_ * kMbpsPerCore, aSettings.linkMbps_);
+}
+
 void
 LogDirectoryEvent(const DirectoryEvent& aEvent)
 {
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -4,7 +4,9 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
+#include <string_view>
 #include <thread>
 #include <utility>
 
@@ -13,6 +15,7 @@
 #include "boragepier/entry/control_role.h"
 #include "boragepier/http/client.h"
 #include "boragepier/net/event_loop.h"
+#include "boragepier/peer/peer_node.h"
 #include "boragepier/telemetry/log.h"
 #include "boragepier/telemetry/metrics.h"
 
@@ -26,13 +29,18 @@
 FleetTerms
 TermsOf(const Settings& aSettings);
 
+/// @return capacity of the instance for relaying news: what is scarcer of processor and link. A
+/// megabit per second counts like a thousandth of a core.
+double
+RelayCapacity(const Settings& aSettings);
+
 /// Control thread of an instance whose configuration and upstreams come from a store.
 template<DirectoryFeed F>
 class DirectoryThread : public ControlRole
 {
 public:
   using MakeFeed =
-    std::function<std::unique_ptr<F>(net::EventLoop&, http::Client&, const Settings&)>;
+    std::function<std::unique_ptr<F>(http::Client&, const Settings&)>;
 
   DirectoryThread(const Settings& aSettings,
                   Metrics& aMetrics,
@@ -42,19 +50,11 @@
     : metrics_(aMetrics)
     , onRouting_(std::move(aOnRouting))
     , onSecond_(std::move(aOnSecond))
+    , settings_(aSettings)
     , client_(loop_)
-    , feed_(aMakeFeed(loop_, client_, aSettings))
-    , watch_(loop_, *feed_, aSettings.id_, TermsOf(aSettings), DirectoryTiming{}, std::random_device()())
+    , feed_(aMakeFeed(client_, aSettings))
+    , peers_(loop_, RelayLimits())
   {
-    watch_.OnEvent(LogDirectoryEvent);
-    watch_.OnContact([](bool aAnswers, const std::string& aError) {
-      if (aAnswers) {
-        Log(EventId::StoreReachable);
-      } else {
-        Log(EventId::StoreUnreachable, { { "error", aError } });
-      }
-    });
-    watch_.OnTable([this](auto aTable) { OnTable(std::move(aTable)); });
   }
 
   ~DirectoryThread() override { DirectoryThread::Stop(); }
@@ -62,12 +62,34 @@
   std::uint16_t Start() override
   {
     lastTick_ = loop_.Now().time_since_epoch().count();
+    const std::uint16_t port = peers_.Listen(settings_.peer_.address_, settings_.peer_.port_);
+    watch_ = std::make_unique<Watch>(loop_,
+                                     *feed_,
+                                     peers_,
+                                     PeerEndpoint{ settings_.id_, settings_.peer_.address_, port },
+                                     RelayCapacity(settings_),
+                                     TermsOf(settings_),
+                                     DirectoryTiming{},
+                                     std::random_device()());
+    watch_->OnEvent(LogDirectoryEvent);
+    watch_->OnContact([](bool aAnswers, const std::string& aError) {
+      if (aAnswers) {
+        Log(EventId::StoreReachable);
+      } else {
+        Log(EventId::StoreUnreachable, { { "error", aError } });
+      }
+    });
+    watch_->OnSource([](const std::optional<InstanceId>& aReader) {
+      Log(EventId::DirectorySource,
+          { { "source", aReader ? aReader->View() : std::string_view("store") } });
+    });
+    watch_->OnTable([this](auto aTable) { OnTable(std::move(aTable)); });
     loop_.Post([this] {
-      watch_.Start();
+      watch_->Start();
       EverySecond();
     });
     thread_ = std::thread([this] { loop_.Run(); });
-    return 0;
+    return port;
   }
 
   void Stop() override
@@ -86,11 +108,14 @@
     throw Error("configurations are published in the store");
   }
 
-  void BeginShutdown() override {}
+  void BeginShutdown() override
+  {
+    loop_.Post([this] { watch_->BeginShutdown(); });
+  }
 
   void Reload(const Settings& aSettings) override
   {
-    loop_.Post([this, terms = TermsOf(aSettings)] { watch_.SetTerms(terms); });
+    loop_.Post([this, terms = TermsOf(aSettings)] { watch_->SetTerms(terms); });
   }
 
   bool Responsive() const override
@@ -103,7 +128,7 @@
   {
     return Ask(loop_, [this] {
       ControlStatus status;
-      const auto table = watch_.State().Table();
+      const auto table = watch_->State().Table();
       for (const ServiceRoute& route : table->services_) {
         status.services_.push_back({ route.config_.name_, route.version_, route.version_, {} });
       }
@@ -113,6 +138,19 @@
   }
 
 private:
+  using Watch = DirectoryWatch<net::EventLoop, F, peer::PeerNode>;
+
+  // A reader sends what it reads to every other instance, and a whole configuration to one that
+  // starts.
+  static peer::PeerLimits RelayLimits()
+  {
+    peer::PeerLimits limits;
+    limits.queuedBytes_ = std::size_t{ 1 } << 20;
+    limits.receivedBytesPerSecond_ = 4 << 20;
+    limits.maxBackOff_ = std::chrono::seconds(1);
+    return limits;
+  }
+
   void OnTable(std::shared_ptr<const RoutingTable> aTable)
   {
     metrics_.SetInstances(aTable->instances_.size());
@@ -133,10 +171,12 @@
   Metrics& metrics_;
   const RoutingCallback onRouting_;
   const std::function<void()> onSecond_;
+  const Settings settings_;
   net::EventLoop loop_;
   http::Client client_;
   std::unique_ptr<F> feed_;
-  DirectoryWatch<net::EventLoop, F> watch_;
+  peer::PeerNode peers_;
+  std::unique_ptr<Watch> watch_;
   std::atomic<MonotonicTime::rep> lastTick_ = 0; ///< nanoseconds of the loop's clock
   std::thread thread_;
 };
--- a/boragepier/peer/peer_codec.cc
+++ b/boragepier/peer/peer_codec.cc
@@ -15,6 +15,11 @@
   std::string& text_;
 };
 
+struct RowValue
+{
+  std::string& text_;
+};
+
 struct Round
 {
   std::uint64_t& value_;
@@ -116,6 +121,30 @@
   aVisit(aValue.members_);
 }
 
+void
+Fields(auto& aVisit, PeerFollow& aValue)
+{
+  aVisit(aValue.positions_);
+}
+
+void
+Fields(auto& aVisit, FeedRow& aValue)
+{
+  aVisit(aValue.key_, aValue.version_, aValue.removed_, RowValue{ aValue.value_ });
+}
+
+void
+Fields(auto& aVisit, PeerNews::Topic& aValue)
+{
+  aVisit(aValue.from_, aValue.position_, aValue.ageMs_, aValue.rows_);
+}
+
+void
+Fields(auto& aVisit, PeerNews& aValue)
+{
+  aVisit(aValue.storeAnswers_, aValue.graceMs_, aValue.topics_);
+}
+
 void
 Require(bool aCondition, const char* aWhat)
 {
@@ -142,9 +171,15 @@
 
 private:
   void Put(std::unsigned_integral auto aValue) { packer_.pack(aValue); }
+  void Put(std::vector<std::uint64_t>& aValue)
+  {
+    Require(aValue.size() <= kMaxPeerItems, "too many numbers");
+    packer_.pack(aValue);
+  }
   void Put(PeerSection aValue) { packer_.pack(static_cast<std::uint8_t>(aValue)); }
   void Put(Round aValue) { packer_.pack(aValue.value_); }
   void Put(Body aValue) { Text(aValue.text_, kMaxPeerBody); }
+  void Put(RowValue aValue) { Text(aValue.text_, kMaxPeerRow); }
   void Put(const std::string& aValue) { Text(aValue, kMaxPeerText); }
   template<typename Tag>
   void Put(const StrongName<Tag>& aValue)
@@ -205,6 +240,15 @@
     Require(aObject.via.u64 <= std::numeric_limits<T>::max(), "number too large");
     aValue = static_cast<T>(aObject.via.u64);
   }
+  static void Get(const msgpack::object& aObject, std::vector<std::uint64_t>& aValue)
+  {
+    Require(aObject.type == msgpack::type::ARRAY, "list expected");
+    Require(aObject.via.array.size <= kMaxPeerItems, "too many numbers");
+    aValue.resize(aObject.via.array.size);
+    for (std::size_t i = 0; i < aValue.size(); ++i) {
+      Get(aObject.via.array.ptr[i], aValue[i]);
+    }
+  }
   static void Get(const msgpack::object& aObject, bool& aValue)
   {
     Require(aObject.type == msgpack::type::BOOLEAN, "boolean expected");
@@ -226,6 +270,10 @@
   {
     aValue.text_ = Text(aObject, kMaxPeerBody);
   }
+  static void Get(const msgpack::object& aObject, RowValue aValue)
+  {
+    aValue.text_ = Text(aObject, kMaxPeerRow);
+  }
   static void Get(const msgpack::object& aObject, std::string& aValue)
   {
     aValue = Text(aObject, kMaxPeerText);
@@ -317,7 +365,7 @@
   Require(aBytes.size() <= kMaxPeerMessage, "too large");
   // Limits are checked before anything is allocated: a few bytes can announce a huge list.
   const msgpack::unpack_limit limit(
-    kMaxPeerItems, 0, kMaxPeerBody, kMaxPeerItems * sizeof(std::uint32_t), 0, 6);
+    kMaxPeerItems, 0, kMaxPeerRow, kMaxPeerItems * sizeof(std::uint32_t), 0, 8);
   msgpack::object_handle handle;
   std::size_t used = 0;
   try {
--- a/boragepier/peer/peer_codec.h
+++ b/boragepier/peer/peer_codec.h
@@ -14,6 +14,9 @@
 /// Longest body of a configuration in a message.
 inline constexpr std::size_t kMaxPeerBody = std::size_t{ 32 } * 1024;
 
+/// Longest value of a row of the store in a message.
+inline constexpr std::size_t kMaxPeerRow = std::size_t{ 96 } * 1024;
+
 /// Bytes that are not a valid message, or a message that exceeds a limit.
 class PeerMessageError : public Error
 {
--- a/boragepier/ports/directory_feed.h
+++ b/boragepier/ports/directory_feed.h
@@ -2,9 +2,11 @@
 #define BORAGEPIER_PORTS_DIRECTORY_FEED_H
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -22,6 +24,7 @@
   Upstreams,     ///< an UpstreamEntry for each upstream
   Instances,     ///< an InstanceEntry for each entry instance that ever started
 };
+inline constexpr std::size_t kFeedTopics = 3;
 
 /// An upstream as it registered itself.
 struct UpstreamEntry
@@ -34,6 +37,11 @@
 struct InstanceEntry
 {
   InstanceId id_;
+  std::string address_;    ///< IP address under which other instances reach it
+  std::uint16_t port_ = 0; ///< the same
+  double capacity_ = 0;    ///< for relaying news; instances with more come first
+
+  friend bool operator==(const InstanceEntry&, const InstanceEntry&) = default;
 };
 
 /// An entry that cannot be read. It stands for nothing, also if it could be read before.
@@ -47,10 +55,21 @@
 {
 };
 
-/// One entry of a topic.
+/// One entry of a topic as the store keeps it.
+struct FeedRow
+{
+  std::string key_;           ///< unique in the topic
+  std::uint64_t version_ = 0; ///< position of its last change
+  bool removed_ = false;
+  std::string value_; ///< in the format of the store; empty if removed
+
+  friend bool operator==(const FeedRow&, const FeedRow&) = default;
+};
+
+/// One entry of a topic with its meaning.
 struct FeedItem
 {
-  std::string key_; ///< unique in the topic
+  std::string key_;
   std::variant<UnreadableEntry, RemovedEntry, FleetConfig, UpstreamEntry, InstanceEntry> value_;
 };
 
@@ -67,8 +86,8 @@
 struct FeedPage
 {
   FeedStatus status_ = FeedStatus::Unreachable;
-  std::vector<FeedItem> items_;
-  std::uint64_t position_ = 0; ///< up to which the items are complete
+  std::vector<FeedRow> rows_;
+  std::uint64_t position_ = 0; ///< up to which the rows are complete
   std::string error_;          ///< why the status is not Ok
 };
 
@@ -82,6 +101,8 @@
                                  std::uint64_t aPosition,
                                  Duration aWait,
                                  const InstanceEntry& aInstance,
+                                 const FeedRow& aRow,
+                                 MonotonicTime aNow,
                                  FeedCallback aDone)
 {
   /// All entries of a topic.
@@ -90,6 +111,10 @@
   aFeed.Wait(aTopic, aPosition, aWait, aDone);
   /// Registers an instance; an entry that is there already is replaced.
   aFeed.Register(aInstance, aDone);
+  /// What a row means; never fails. aNow is the time at which it was read.
+  {
+    aFeed.Decode(aTopic, aRow, aNow)
+    } -> std::same_as<FeedItem>;
 };
 
 } // namespace boragepier
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -8,15 +8,19 @@
 #include <vector>
 
 #include "boragepier/base/ids.h"
+#include "boragepier/ports/directory_feed.h"
 #include "boragepier/ports/instance_list.h"
 #include "boragepier/state/config_record.h"
 
 namespace boragepier {
 
 /// Version of the messages below. A peer with another version is disconnected.
-inline constexpr unsigned kPeerProtocolVersion = 1;
-/// Largest encoded message in bytes. Holds one configuration of kMaxConfigBody bytes.
-inline constexpr std::size_t kMaxPeerMessage = std::size_t{ 48 } * 1024;
+inline constexpr unsigned kPeerProtocolVersion = 2;
+/// Largest encoded message in bytes. Holds one configuration of kMaxConfigBody bytes, or the rows
+/// of a store up to kMaxNewsBytes.
+inline constexpr std::size_t kMaxPeerMessage = std::size_t{ 160 } * 1024;
+/// Rows of one PeerNews in bytes, unless a single one is larger. A row has 64 KiB at most.
+inline constexpr std::size_t kMaxNewsBytes = std::size_t{ 64 } * 1024;
 /// Largest number of elements in one list of a message.
 inline constexpr std::size_t kMaxPeerItems = 1024;
 /// Largest round that is accepted, so that adding to one never overflows.
@@ -143,9 +147,40 @@
   friend bool operator==(const PeerMembers&, const PeerMembers&) = default;
 };
 
+/// Asks another instance to send what it reads from the store, for a short time.
+struct PeerFollow
+{
+  std::vector<std::uint64_t> positions_; ///< of each topic, up to which the sender knows the rows
+  friend bool operator==(const PeerFollow&, const PeerFollow&) = default;
+};
+
+/// What the sender read from the store and the receiver does not know yet.
+struct PeerNews
+{
+  struct Topic
+  {
+    std::uint64_t from_ = 0;     ///< position that the rows continue
+    std::uint64_t position_ = 0; ///< up to which the receiver then knows the rows
+    std::uint64_t ageMs_ = 0;    ///< time since the store confirmed that there is no more
+    std::vector<FeedRow> rows_;
+    friend bool operator==(const Topic&, const Topic&) = default;
+  };
+  bool storeAnswers_ = false;
+  std::uint64_t graceMs_ = 0;  ///< for which missing entries are kept, after trouble with the store
+  std::vector<Topic> topics_;  ///< in the order of FeedTopic
+  friend bool operator==(const PeerNews&, const PeerNews&) = default;
+};
+
 /// A message between two instances. The index of the alternative is part of the protocol.
-using PeerMessage = std::
-  variant<PeerDigest, PeerHeads, PeerPull, PeerConfigs, PeerProcesses, PeerDepartures, PeerMembers>;
+using PeerMessage = std::variant<PeerDigest,
+                                 PeerHeads,
+                                 PeerPull,
+                                 PeerConfigs,
+                                 PeerProcesses,
+                                 PeerDepartures,
+                                 PeerMembers,
+                                 PeerFollow,
+                                 PeerNews>;
 
 } // namespace boragepier
 
--- a/boragepier/state/gossip.cc
+++ b/boragepier/state/gossip.cc
@@ -55,7 +55,14 @@
 {
   now_ = aNow;
   receiveBudget_.Spend(aBytes, aNow);
-  std::visit([&](auto& aContent) { Handle(aSender, aContent); }, aMessage);
+  std::visit(
+    [&]<typename Content>(Content& aContent) {
+      // The others are between instances that share a store (DirectoryWatch).
+      if constexpr (!std::is_same_v<Content, PeerFollow> && !std::is_same_v<Content, PeerNews>) {
+        Handle(aSender, aContent);
+      }
+    },
+    aMessage);
   return std::exchange(errors_, {});
 }
 
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -222,6 +222,11 @@
              "instance-added",
              "another instance registered in the store",
              "nothing" },
+  EventInfo{ EventId::DirectorySource,
+             LogLevel::Info,
+             "directory-source",
+             "configuration and upstreams are taken from another source: the store, or the instance named",
+             "nothing" },
 
   EventInfo{ EventId::RequestRefused,
              LogLevel::Debug,
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -57,6 +57,7 @@
   NoPeers = 5004,
   PeerBudgetExceeded = 5005,
   InstanceAdded = 5006,
+  DirectorySource = 5007,
 
   RequestRefused = 6001,
   RequestOutcomeUnknown = 6002,
