Log each decision about a request and prefer an order of upstreams per instance

Attempts and ends of requests are structured lines on standard output, bounded per second and written without blocking.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -148,7 +148,10 @@
 Serve(const Settings& aSettings, const std::string& aFile)
 {
   const StopSignals stop;
-  ConfigureLog(aSettings.logLevel_, aSettings.logFile_);
+  ConfigureLog(aSettings.logLevel_,
+               aSettings.logFile_,
+               aSettings.logToStandardOutput_ ? LogOutput::StandardOutput
+                                              : LogOutput::StandardError);
   SettingsWatch watch(aFile);
   EntryInstance instance(aSettings, InstallationOf(aSettings));
   const InstancePorts ports = Start(instance);
--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -9,6 +9,8 @@
 // In the order of LogLevel.
 constexpr std::array<std::string_view, 4> kLevels = { "debug", "info", "warn", "error" };
 
+constexpr std::array<std::string_view, 2> kOutputs = { "stderr", "stdout" };
+
 constexpr std::array kKeys = {
   Key<Settings>{
     { .section_ = "instance",
@@ -279,8 +281,18 @@
     { .section_ = "log",
       .name_ = "file",
       .type_ = KeyType::FileName,
-      .meaning_ = "file to which events are appended; without it the standard error output" },
+      .meaning_ = "file to which events are appended; without it log.output" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.logFile_, aValue); } },
+  Key<Settings>{
+    { .section_ = "log",
+      .name_ = "output",
+      .type_ = KeyType::Choice,
+      .choices_ = kOutputs,
+      .default_ = "stderr",
+      .meaning_ = "standard output or standard error output" },
+    [](Settings& aSettings, const KeyValue& aValue) {
+      aSettings.logToStandardOutput_ = aValue.choice_ == 1;
+    } },
 };
 
 } // namespace
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -50,7 +50,8 @@
   double probesPerUpstreamSecond_ = 20; ///< of the whole fleet
 
   LogLevel logLevel_ = LogLevel::Info;
-  std::string logFile_; ///< empty for the standard error output
+  std::string logFile_;           ///< empty for the output below
+  bool logToStandardOutput_ = false; ///< else to the standard error output
 };
 
 /// Parses the settings file of an instance (INI) and checks every key. Unknown keys are errors.
--- a/boragepier/decision/fresh_balancer.cc
+++ b/boragepier/decision/fresh_balancer.cc
@@ -2,11 +2,23 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string_view>
+#include <utility>
+
+#include <xxhash.h>
 
 namespace boragepier {
 
 namespace {
 
+// Upstreams among which one instance chooses. Bounds the cost of a choice and the number of
+// connections; the upstreams of other zones have a part of their own for the loss of the own zone.
+constexpr std::size_t kScanLimit = 24;
+constexpr std::size_t kMinRemoteScan = 8;
+constexpr Duration kConsideredAge = std::chrono::seconds(1);
+// Upstreams listed in explain records.
+constexpr std::size_t kMaxCandidates = 16;
+
 // Without a fresh sign, a sign of leaving is dropped after this time.
 constexpr Duration kLeavingLifetime = std::chrono::seconds(60);
 // A request that is given up after this multiple of its expected time counts against the upstream.
@@ -103,8 +115,11 @@
 }
 
 void
-FreshBalancer::SetFleet(const InstanceId&, std::span<const InstanceId> aInstances, MonotonicTime)
+FreshBalancer::SetFleet(const InstanceId& aSelf,
+                        std::span<const InstanceId> aInstances,
+                        MonotonicTime)
 {
+  self_ = aSelf;
   instances_ = std::max<std::size_t>(1, aInstances.size());
   RefreshDerived();
 }
@@ -112,9 +127,27 @@
 void
 FreshBalancer::RefreshDerived()
 {
+  // Rendezvous hashing: each instance has an order of its own that changes little with the list.
+  const std::uint64_t seed = XXH64(self_.View().data(), self_.View().size(), 0);
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> local;
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> remote;
   for (const std::uint32_t index : present_) {
-    upstreams_[index].local_ = upstreams_[index].endpoint_->zone_ == localZone_;
+    Upstream& upstream = upstreams_[index];
+    upstream.local_ = upstream.endpoint_->zone_ == localZone_;
+    const std::string_view id = upstream.endpoint_->id_.View();
+    (upstream.local_ ? local : remote).emplace_back(XXH64(id.data(), id.size(), seed), index);
   }
+  scanned_.clear();
+  const auto scan = [&](auto& aOrder, std::size_t aLimit) {
+    std::sort(aOrder.begin(), aOrder.end());
+    for (std::size_t i = 0; i < std::min(aLimit, aOrder.size()); ++i) {
+      const std::uint32_t index = aOrder[i].second;
+      upstreams_[index].preference_ = static_cast<double>(i) / static_cast<double>(aOrder.size());
+      scanned_.push_back(index);
+    }
+  };
+  scan(local, kScanLimit - std::min(remote.size(), kMinRemoteScan));
+  scan(remote, std::max(kMinRemoteScan, kScanLimit - std::min(kScanLimit, scanned_.size())));
   probeBudget_.SetRate(
     config_.probesPerUpstreamSecond_, present_.size(), instances_, kProbeBurstSeconds);
   retryBudget_.SetTerms(config_.retryBudget_, config_.retrySlack_, config_.retryWindow_);
@@ -173,7 +206,8 @@
     belief.OnOutcome(true, 1, aNow);
   } else if (aReport.failure_ == AttemptFailure::None) {
     belief.OnOutcome(false, 1, aNow);
-    work_.Add(sent.workClass_, pace_.WorkMs(latencyMs, sent.slowness_));
+    const double sinceLook = ToMilliseconds(aNow - sent.lookedAt_);
+    work_.Add(sent.workClass_, sent.doneMs_ + pace_.WorkMs(sinceLook, sent.slowness_));
   } else if (aReport.failure_ == AttemptFailure::Cancelled &&
              latencyMs > kSlowOutcomeFactor * sent.expectedMs_) {
     // An upstream that hangs shows only in requests that were given up.
@@ -258,6 +292,12 @@
   for (const std::uint32_t index : present_) {
     const Upstream& upstream = upstreams_[index];
     const UpstreamBelief& belief = upstream.belief_;
+    // Without a recent report an upstream was not considered.
+    const auto reportAge = belief.Age(aNow);
+    if (candidates.size() >= kMaxCandidates ||
+        (present_.size() > kMaxCandidates && (!reportAge || *reportAge > kConsideredAge))) {
+      continue;
+    }
     CandidateInfo& info = candidates.emplace_back();
     info.id_ = upstream.endpoint_->id_;
     info.zone_ = upstream.endpoint_->zone_;
--- a/boragepier/decision/fresh_balancer.h
+++ b/boragepier/decision/fresh_balancer.h
@@ -70,6 +70,7 @@
     UpstreamBelief belief_;
     bool present_ = false;
     bool local_ = false;
+    double preference_ = 0;      ///< place in the order of this instance, from 0 to 1
     MonotonicTime leavingUntil_; ///< a sign of leaving holds until then
   };
 
@@ -103,7 +104,21 @@
     double cost_ = 0;       ///< answerMs_ with what speaks against the upstream besides, in ms
   };
 
+  /// One of the own outstanding requests.
+  struct Sent
+  {
+    std::uint32_t index_ = 0;
+    std::uint64_t workClass_ = 0;
+    MonotonicTime at_;
+    double slowness_ = 1;   ///< at the latest look
+    double expectedMs_ = 0; ///< time to the answer, as expected then
+    double doneMs_ = 0;     ///< work that is done, as far as looks tell
+    MonotonicTime lookedAt_;
+  };
+
   bool TakesWork(const Upstream& aUpstream, MonotonicTime aNow) const;
+  const Sent* FindSent(const CallInfo& aCall) const;
+  void TakeLook(Sent& aSent, double aSlowness, MonotonicTime aNow) const;
   unsigned SlotsOf(const Upstream& aUpstream) const;
   double WorkMs(const CallInfo& aCall) const;
   Prospect ProspectOf(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow);
@@ -116,6 +131,7 @@
   std::optional<std::uint32_t> Pick(const Waiting& aWaiting,
                                     std::span<const Prospect> aProspects,
                                     MonotonicTime aNow) const;
+  bool MayWait(const Waiting& aWaiting, const Prospect& aProspect, MonotonicTime aNow) const;
   std::optional<Duration> ExpectedWait(const CallInfo& aCall) const;
   Choice Refuse(RefusalReason aReason, Duration aRetryAfter);
   Choice Dispatch(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow);
@@ -130,6 +146,10 @@
   std::vector<Upstream> upstreams_; ///< never shrinks: handles stay valid
   std::unordered_map<UpstreamId, std::uint32_t> byId_;
   std::vector<std::uint32_t> present_;
+  /// The upstreams of present_ that requests are sent to: all of a small service; of a large one
+  /// those that this instance prefers, so that connections are used again.
+  std::vector<std::uint32_t> scanned_;
+  InstanceId self_;
   std::size_t instances_ = 1;
   MachinePace pace_;
   WorkProfile work_;
@@ -137,15 +157,6 @@
   ProbeBudget probeBudget_;
   std::vector<Waiting> waiting_; ///< in the order in which slots are given out
   std::deque<std::uint32_t> wantedProbes_;
-  /// Work class and slowness at dispatch of the own outstanding requests, by upstream and time.
-  struct Sent
-  {
-    std::uint32_t index_;
-    std::uint64_t workClass_;
-    double slowness_;
-    double expectedMs_;
-    MonotonicTime at_;
-  };
   std::vector<Sent> sent_;
   MonotonicTime lastCongestedDispatch_;
   double dispatchIntervalMs_ = 0; ///< between dispatches while all slots are taken; 0 if unknown
--- a/boragepier/decision/fresh_choice.cc
+++ b/boragepier/decision/fresh_choice.cc
@@ -38,14 +38,25 @@
 constexpr double kFailedProbeCost = 2;
 // Random part of the cost, as a share of the work, that spreads instances over equal upstreams.
 constexpr double kJitter = 0.1;
-// A hedge is considered after this multiple of the expected time.
-constexpr double kHedgeFactor = 1.4;
+// Preference of upstreams to which connections are open, as a share of the work.
+constexpr double kPreferenceCost = 0.3;
+// A running request is looked at again after this share of its work.
+constexpr double kLookShare = 0.4;
+constexpr double kMinLookMs = 20;
+// A request that is out for this multiple of its expected time is taken for stuck.
+constexpr double kStuckFactor = 2;
+// Work that is assumed to be left at least, as a share of the whole.
+constexpr double kMinLeft = 0.25;
+// A request that would be late at a slow upstream waits for another one until the usual pace would
+// leave no more than this multiple of the work.
+constexpr double kStartMargin = 1.25;
+// A slow upstream is good enough if the answer is expected within this share of the time left.
+constexpr double kSafeShare = 0.8;
 // A hedge is sent only if it is expected to answer in this share of what the first attempt still
 // needs.
 constexpr double kHedgeGain = 0.7;
-constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(10);
 // Time between two looks at a request whose probes are out.
-constexpr Duration kHedgeLookAgain = std::chrono::milliseconds(15);
+constexpr Duration kHedgeLookAgain = std::chrono::milliseconds(10);
 constexpr double kIntervalWeight = 0.2;
 // Limits of the time that a refused caller is told to wait.
 constexpr double kMinRetryAfterMs = 100;
@@ -103,8 +114,9 @@
     const double megabytes = static_cast<double>(aCall.bodyBytes_) / 1e6;
     against += std::min(kMaxAwayCost, kAwayCost + kAwayCostPerMegabyte * megabytes);
   }
-  const double jitter = kJitter * work * static_cast<double>(random_(1000)) / 1000;
-  prospect.cost_ = prospect.answerMs_ + against * TargetMs(aCall) + jitter;
+  const double jitter = kJitter * static_cast<double>(random_(1000)) / 1000;
+  prospect.cost_ = prospect.answerMs_ + against * TargetMs(aCall) +
+                   (jitter + kPreferenceCost * upstream.preference_) * work;
   return prospect;
 }
 
@@ -112,16 +124,19 @@
 FreshBalancer::Prospects(const CallInfo& aCall, MonotonicTime aNow)
 {
   std::vector<Prospect> prospects;
-  const auto collect = [&](bool aTriedToo) {
-    for (const std::uint32_t index : present_) {
+  const auto collect = [&](std::span<const std::uint32_t> aIndices, bool aTriedToo) {
+    for (const std::uint32_t index : aIndices) {
       if (TakesWork(upstreams_[index], aNow) && (aTriedToo || !Contains(aCall.tried_, index))) {
         prospects.push_back(ProspectOf(index, aCall, aNow));
       }
     }
   };
-  collect(false);
+  collect(scanned_, false);
   if (prospects.empty()) {
-    collect(true);
+    collect(present_, false);
+  }
+  if (prospects.empty()) {
+    collect(present_, true);
   }
   std::sort(prospects.begin(), prospects.end(), [](const Prospect& aLeft, const Prospect& aRight) {
     return aLeft.cost_ < aRight.cost_;
@@ -200,12 +215,21 @@
   }
   for (const Prospect& prospect : aProspects) {
     if (prospect.freeSlot_ || prospect.mayQueue_) {
-      return prospect.index_;
+      return MayWait(aWaiting, prospect, aNow) ? std::nullopt : std::optional(prospect.index_);
     }
   }
   return std::nullopt;
 }
 
+bool
+FreshBalancer::MayWait(const Waiting& aWaiting, const Prospect& aProspect, MonotonicTime aNow) const
+{
+  const CallInfo& call = aWaiting.call_;
+  const double leftMs = ToMilliseconds(call.target_ - aNow);
+  return reportsLoad_ && aProspect.answerMs_ > kSafeShare * leftMs &&
+         kStartMargin * WorkMs(call) < leftMs;
+}
+
 std::optional<Duration>
 FreshBalancer::ExpectedWait(const CallInfo& aCall) const
 {
@@ -235,7 +259,7 @@
   UpstreamBelief& belief = upstreams_[aIndex].belief_;
   const double slowness =
     belief.Report() ? belief.Report()->slowness_ : pace_.MeanSlowness();
-  sent_.push_back({ aIndex, aCall.workClass_, slowness, prospect.answerMs_, aNow });
+  sent_.push_back({ aIndex, aCall.workClass_, aNow, slowness, prospect.answerMs_, 0, aNow });
   belief.OnDispatch(aNow);
   return { Choice::Kind::Dispatch, UpstreamHandle{ aIndex }, {}, {} };
 }
@@ -355,75 +379,90 @@
   return next;
 }
 
-std::optional<Duration>
-FreshBalancer::HedgeDelay(const CallInfo& aCall, MonotonicTime aNow) const
+const FreshBalancer::Sent*
+FreshBalancer::FindSent(const CallInfo& aCall) const
 {
-  if (aCall.repeatability_ != Repeatability::Repeatable || aCall.tried_.empty() ||
-      aCall.tried_.size() >= aCall.maxAttempts_) {
-    return std::nullopt;
+  if (aCall.tried_.empty()) {
+    return nullptr;
   }
   const auto index = static_cast<std::uint32_t>(aCall.tried_.back());
   const auto sent = std::find_if(sent_.rbegin(), sent_.rend(), [&](const Sent& aSent) {
     return aSent.index_ == index && aSent.workClass_ == aCall.workClass_;
   });
-  if (sent == sent_.rend()) {
+  return sent == sent_.rend() ? nullptr : &*sent;
+}
+
+std::optional<Duration>
+FreshBalancer::HedgeDelay(const CallInfo& aCall, MonotonicTime aNow) const
+{
+  const Sent* const sent = FindSent(aCall);
+  if (sent == nullptr || aCall.repeatability_ != Repeatability::Repeatable ||
+      aCall.tried_.size() >= aCall.maxAttempts_ || !reportsLoad_) {
     return std::nullopt;
   }
-  const MonotonicTime late = sent->at_ + FromMilliseconds(kHedgeFactor * sent->expectedMs_);
-  // The last moment at which a second attempt at the usual pace is in time.
-  const MonotonicTime last = aCall.target_ - FromMilliseconds(kHedgeFactor * WorkMs(aCall));
-  const MonotonicTime look = std::min(late, std::max(last, sent->at_ + kMinHedgeDelay));
-  const Duration delay = look > aNow ? look - aNow : kHedgeLookAgain;
+  const UpstreamBelief& belief = upstreams_[sent->index_].belief_;
+  const auto age = belief.Age(aNow);
+  const bool slow = age && *age <= kFreshAge && belief.Report()->slowness_ > kUsualSlowness;
+  const bool soon = belief.ProbeInFlight() || belief.FailedProbes() > 0 || slow;
+  const Duration delay =
+    soon ? kHedgeLookAgain : FromMilliseconds(std::max(kMinLookMs, kLookShare * WorkMs(aCall)));
   if (aNow + delay >= aCall.deadline_) {
     return std::nullopt;
   }
   return delay;
 }
 
+void
+FreshBalancer::TakeLook(Sent& aSent, double aSlowness, MonotonicTime aNow) const
+{
+  // Between two looks the pace is taken for the mean of both.
+  const double pace = (1 / aSent.slowness_ + 1 / std::max(0.1, aSlowness)) / 2;
+  aSent.doneMs_ += pace * ToMilliseconds(aNow - aSent.lookedAt_);
+  aSent.slowness_ = aSlowness;
+  aSent.lookedAt_ = aNow;
+}
+
 std::optional<UpstreamHandle>
 FreshBalancer::Hedge(const CallInfo& aCall, MonotonicTime aNow)
 {
-  if (aCall.repeatability_ != Repeatability::Repeatable || aNow >= aCall.deadline_ ||
-      aCall.tried_.size() >= aCall.maxAttempts_ || !retryBudget_.CanTake(aNow)) {
+  const Sent* const found = FindSent(aCall);
+  if (found == nullptr || aNow >= aCall.deadline_ || !retryBudget_.CanTake(aNow)) {
     return std::nullopt;
   }
-  const auto running = static_cast<std::uint32_t>(aCall.tried_.back());
-  const auto sent = std::find_if(sent_.rbegin(), sent_.rend(), [&](const Sent& aSent) {
-    return aSent.index_ == running && aSent.workClass_ == aCall.workClass_;
-  });
-  if (sent == sent_.rend()) {
+  Sent& sent = sent_[static_cast<std::size_t>(found - sent_.data())];
+  const UpstreamBelief& belief = upstreams_[sent.index_].belief_;
+  const auto age = belief.Age(aNow);
+  const bool known = age && *age <= kFreshAge;
+  const bool silent = belief.FailedProbes() > 0;
+  if (!known && !silent) {
+    RequestProbe(sent.index_, aNow);
     return std::nullopt;
   }
-  const UpstreamBelief& belief = upstreams_[running].belief_;
-  const auto age = belief.Age(aNow);
-  const double slowness = age && *age <= kFreshAge ? belief.Report()->slowness_ : 0;
-  const double elapsed = ToMilliseconds(aNow - sent->at_);
-  // Work that is left, if the work is average and the pace was that of the start.
-  const double left =
-    std::max(0.3 * WorkMs(aCall), WorkMs(aCall) - pace_.WorkMs(elapsed, sent->slowness_));
-  const double remaining = slowness > 0 ? pace_.DurationMs(left, slowness) : 0;
-  const auto prospects = Prospects(aCall, aNow);
-  for (const Prospect& prospect : prospects) {
-    if (prospect.index_ == running || !prospect.fresh_ || !prospect.freeSlot_ ||
-        !prospect.usualPace_) {
-      continue;
-    }
-    if (slowness == 0 && belief.FailedProbes() == 0) {
-      break;
-    }
-    const bool silent = belief.FailedProbes() > 0 || elapsed > 2 * sent->expectedMs_;
-    if (!silent && prospect.answerMs_ > kHedgeGain * remaining) {
+  const double work = WorkMs(aCall);
+  double remaining = 0;
+  if (known) {
+    const double slowness = belief.Report()->slowness_;
+    TakeLook(sent, slowness, aNow);
+    remaining = pace_.DurationMs(std::max(kMinLeft * work, work - sent.doneMs_), slowness);
+    const bool stuck = ToMilliseconds(aNow - sent.at_) > kStuckFactor * sent.expectedMs_;
+    if (slowness <= kUsualSlowness && !stuck) {
       return std::nullopt;
     }
-    if (!retryBudget_.TryTake(aNow)) {
-      return std::nullopt;
+  }
+  const auto prospects = Prospects(aCall, aNow);
+  for (const Prospect& prospect : prospects) {
+    if (prospect.index_ != sent.index_ && prospect.fresh_ && prospect.freeSlot_ &&
+        prospect.usualPace_) {
+      if (!silent && prospect.answerMs_ > kHedgeGain * remaining) {
+        return std::nullopt;
+      }
+      retryBudget_.TryTake(aNow);
+      return Dispatch(prospect.index_, aCall, aNow).upstream_;
     }
-    return Dispatch(prospect.index_, aCall, aNow).upstream_;
   }
-  RequestProbe(running, aNow);
   std::size_t asked = 0;
   for (const Prospect& prospect : prospects) {
-    if (asked < kLocalProbes && prospect.index_ != running) {
+    if (asked < kLocalProbes && prospect.index_ != sent.index_) {
       RequestProbe(prospect.index_, aNow);
       ++asked;
     }
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -107,6 +107,7 @@
     }
     config_ = service_->Config();
     record_.service_ = config_->name_;
+    record_.configVersion_ = service_->Version();
     if (match.route_) {
       const RouteConfig& route = match.route_->Config();
       terms_ = CheckTerms(request, route, ports_.dialect_);
@@ -294,6 +295,7 @@
                                                           self->callerName_,
                                                           self->ports_.dialect_));
                           });
+    ports_.observer_.OnAttemptStarted(record_);
     if (!hedged_) {
       ArmHedge(now);
     }
@@ -472,6 +474,7 @@
   void Refuse(RefusalReason aReason, Outcome aOutcome)
   {
     record_.refusal_ = aReason;
+    record_.retryAfter_ = retryAfter_;
     exchange_->Respond(MakeRefusal(aReason, aOutcome, record_.id_, retryAfter_));
     Finish(aOutcome);
   }
@@ -552,6 +555,7 @@
     attempt.outcome_ = aReport.outcome_;
     attempt.failure_ = aReport.failure_;
     attempt.status_ = aReport.status_;
+    ports_.observer_.OnAttemptEnded(record_, attempt);
   }
 
   const Ports ports_;
--- a/boragepier/entry/call_observer.h
+++ b/boragepier/entry/call_observer.h
@@ -15,6 +15,10 @@
 {
 public:
   virtual ~CallObserver() = default;
+  /// An attempt was sent; the last one of the record.
+  virtual void OnAttemptStarted(const ExplainRecord& aRecord) = 0;
+  /// An attempt ended.
+  virtual void OnAttemptEnded(const ExplainRecord& aRecord, const ExplainAttempt& aAttempt) = 0;
   /// A request ended; called once for each request.
   /// @param aRecord what happened
   /// @param aAbandoned whether the caller left before the response
--- a/boragepier/entry/call_telemetry.h
+++ b/boragepier/entry/call_telemetry.h
@@ -20,6 +20,8 @@
   /// @param aOnLeaving receives upstreams that said that they are leaving; any thread
   CallTelemetry(Metrics& aMetrics, ExplainStore& aExplain, LeavingCallback aOnLeaving);
 
+  void OnAttemptStarted(const ExplainRecord& aRecord) override;
+  void OnAttemptEnded(const ExplainRecord& aRecord, const ExplainAttempt& aAttempt) override;
   void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) override;
   void OnRetry(const ServiceName& aService, RetryReason aReason) override;
   void OnClaim(const ServiceName& aService, ClaimEvent aEvent) override;
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -182,6 +182,8 @@
 class FakeObserver : public CallObserver
 {
 public:
+  void OnAttemptStarted(const ExplainRecord&) override {}
+  void OnAttemptEnded(const ExplainRecord&, const ExplainAttempt&) override {}
   void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) override
   {
     records_.push_back(std::move(aRecord));
--- a/boragepier/entry/queue_driver.h
+++ b/boragepier/entry/queue_driver.h
@@ -71,7 +71,9 @@
     }
   }
 
-  void SendProbe(const std::shared_ptr<ServiceEntry>& aService, UpstreamHandle aUpstream)
+  void SendProbe(const std::shared_ptr<ServiceEntry>& aService,
+                 UpstreamHandle aUpstream,
+                 bool aNewConnection = false)
   {
     const auto endpoint =
       aService->With([&](auto& aBalancer) { return aBalancer.Endpoint(aUpstream); });
@@ -88,6 +90,7 @@
     }
     http::SendOptions options;
     options.timeout_ = kProbeTimeout;
+    options.provenAliveOnly_ = aNewConnection;
     ports_.sender_.Send({ endpoint->address_, endpoint->port_ },
                         std::move(request),
                         options,
@@ -101,6 +104,11 @@
                     const UpstreamEndpoint& aEndpoint,
                     const http::SendResult& aResult)
   {
+    // An idle connection may be dead without notice, which says nothing about the upstream.
+    if (aResult.failure_ == AttemptFailure::ConnectionLost && !aResult.newConnection_) {
+      SendProbe(aService, aUpstream, true);
+      return;
+    }
     const MonotonicTime now = ports_.scheduler_.Now();
     UpstreamSigns signs;
     if (aResult.outcome_ == Outcome::Answered) {
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -248,6 +248,21 @@
              "admin-request-refused",
              "a request to the admin address was refused for the reason given",
              "check who can reach the admin address" },
+  EventInfo{ EventId::AttemptStarted,
+             LogLevel::Info,
+             "attempt-started",
+             "a request was sent to an upstream; with what was known of it",
+             "nothing" },
+  EventInfo{ EventId::AttemptEnded,
+             LogLevel::Info,
+             "attempt-ended",
+             "an attempt ended as stated",
+             "nothing" },
+  EventInfo{ EventId::RequestEnded,
+             LogLevel::Info,
+             "request-ended",
+             "a request was answered, refused or abandoned as stated",
+             "see the reason in docs/interface.md" },
 };
 
 } // namespace
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -63,6 +63,9 @@
   RequestOutcomeUnknown = 6002,
   ConnectionLimitReached = 6003,
   AdminRequestRefused = 6004,
+  AttemptStarted = 6005,
+  AttemptEnded = 6006,
+  RequestEnded = 6007,
 };
 
 /// Entry of the event catalogue.
--- a/boragepier/telemetry/explain.h
+++ b/boragepier/telemetry/explain.h
@@ -41,6 +41,8 @@
   WallTime arrival_;
   Duration deadline_{}; ///< time that the caller allowed
   Duration queued_{};   ///< time in the admission queue
+  Duration retryAfter_{};            ///< of a refusal; zero if unknown
+  std::uint64_t configVersion_ = 0; ///< of the configuration that applied
   bool replayed_ = false;
   std::vector<ExplainAttempt> attempts_;
   std::vector<CandidateInfo> refusedCandidates_; ///< of a choice that ended in a refusal
--- a/boragepier/telemetry/log.cc
+++ b/boragepier/telemetry/log.cc
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <mutex>
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/helpers/pool.h>
@@ -16,12 +17,15 @@
 #include <log4cxx/patternlayout.h>
 
 #include "boragepier/telemetry/flood_limiter.h"
+#include "boragepier/telemetry/line_budget.h"
 
 namespace boragepier {
 
 namespace {
 
 constexpr std::size_t kMaxValue = 256;
+// Events that wait for a slow destination: those of two seconds.
+constexpr int kBufferedEvents = 1024;
 
 bool
 IsPlain(char aChar)
@@ -96,13 +100,14 @@
     return *sink;
   }
 
-  void Configure(LogLevel aLevel, const std::string& aFile)
+  void Configure(LogLevel aLevel, const std::string& aFile, LogOutput aOutput)
   {
     const auto layout =
       std::make_shared<log4cxx::PatternLayout>("%d{yyyy-MM-ddTHH:mm:ss.SSSZ}{UTC} %p %m%n");
     log4cxx::AppenderPtr appender;
     if (aFile.empty()) {
-      appender = std::make_shared<log4cxx::ConsoleAppender>(layout, "System.err");
+      appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, aOutput == LogOutput::StandardOutput ? "System.out" : "System.err");
     } else {
       // log4cxx reports a file that cannot be opened only on the standard error output.
       if (!std::ofstream(aFile, std::ios::app)) {
@@ -110,9 +115,13 @@
       }
       appender = std::make_shared<log4cxx::FileAppender>(layout, aFile, true);
     }
+    const auto buffered = std::make_shared<log4cxx::AsyncAppender>();
+    buffered->setBlocking(false);
+    buffered->setBufferSize(kBufferedEvents);
+    buffered->addAppender(appender);
     const std::lock_guard lock(mutex_);
     logger_->removeAllAppenders();
-    logger_->addAppender(appender);
+    logger_->addAppender(buffered);
     logger_->setLevel(ToLevel(aLevel));
     level_ = aLevel;
   }
@@ -125,6 +134,18 @@
     return limiter_.Admit(aEvent, aSubject, std::chrono::steady_clock::now());
   }
 
+  bool AdmitRequest(bool aTrouble)
+  {
+    const std::lock_guard lock(mutex_);
+    return lines_.Admit(aTrouble, std::chrono::steady_clock::now());
+  }
+
+  std::uint64_t TakeLeftOutLines()
+  {
+    const std::lock_guard lock(mutex_);
+    return lines_.TakeLeftOut();
+  }
+
   std::vector<FloodLimiter::LeftOut> Collect(bool aAll)
   {
     const std::lock_guard lock(mutex_);
@@ -142,13 +163,14 @@
     : logger_(log4cxx::Logger::getLogger("boragepier"))
   {
     logger_->setAdditivity(false);
-    Configure(LogLevel::Warn, "");
+    Configure(LogLevel::Warn, "", LogOutput::StandardError);
   }
 
   log4cxx::LoggerPtr logger_;
   std::atomic<LogLevel> level_ = LogLevel::Warn;
   std::mutex mutex_;
   FloodLimiter limiter_;
+  LineBudget lines_;
 };
 
 std::string
@@ -189,9 +211,9 @@
 }
 
 void
-ConfigureLog(LogLevel aLevel, const std::string& aFile)
+ConfigureLog(LogLevel aLevel, const std::string& aFile, LogOutput aOutput)
 {
-  LogSink::Get().Configure(aLevel, aFile);
+  LogSink::Get().Configure(aLevel, aFile, aOutput);
 }
 
 void
@@ -216,11 +238,24 @@
   sink.Write(info.level_, line);
 }
 
+void
+LogRequest(EventId aEvent, bool aTrouble, std::initializer_list<LogField> aFields)
+{
+  LogSink& sink = LogSink::Get();
+  const EventInfo& info = InfoOf(aEvent);
+  if (sink.Enabled(info.level_) && sink.AdmitRequest(aTrouble)) {
+    sink.Write(info.level_, LineOf(info, aFields));
+  }
+}
+
 void
 ReportLeftOutEvents(bool aAll)
 {
   LogSink& sink = LogSink::Get();
   const EventInfo& info = InfoOf(EventId::EventsLeftOut);
+  if (const std::uint64_t lines = sink.TakeLeftOutLines(); lines > 0 && sink.Enabled(info.level_)) {
+    sink.Write(info.level_, LineOf(info, { { "of-event", "requests" }, { "count", lines } }));
+  }
   for (const auto& [event, count] : sink.Collect(aAll)) {
     if (sink.Enabled(info.level_)) {
       sink.Write(info.level_,
--- a/boragepier/telemetry/log.h
+++ b/boragepier/telemetry/log.h
@@ -99,13 +99,23 @@
   std::variant<std::string_view, std::int64_t, double> value_;
 };
 
+/// Where events go if no file is given.
+enum class LogOutput : std::uint8_t
+{
+  StandardError,
+  StandardOutput,
+};
+
 /// Starts logging. Before the first call only events of level Warn and above are written, to the
-/// standard error output. Replaces the destination of an earlier call.
+/// standard error output. Replaces the destination of an earlier call. Writing never blocks the
+/// caller: events wait in a bounded buffer, and a destination that takes none loses them.
 /// @param aLevel lowest level that is written
-/// @param aFile file to which events are appended; empty for the standard error output
+/// @param aFile file to which events are appended; empty for aOutput
 /// @throws LogError if the file cannot be opened
 void
-ConfigureLog(LogLevel aLevel, const std::string& aFile);
+ConfigureLog(LogLevel aLevel,
+             const std::string& aFile,
+             LogOutput aOutput = LogOutput::StandardError);
 
 /// Writes an event: time in UTC, level, number, name and fields. Any thread. A flood of equal
 /// events is limited (FloodLimiter); the next one written carries `left-out=N`.
@@ -117,6 +127,12 @@
 void
 Log(EventId aEvent, std::initializer_list<LogField> aFields = {});
 
+/// Writes an event about one request. Such events are limited by a number of lines per second
+/// (LineBudget) instead of by subject.
+/// @param aTrouble whether the request was refused or failed
+void
+LogRequest(EventId aEvent, bool aTrouble, std::initializer_list<LogField> aFields);
+
 /// Writes EventsLeftOut for floods that have ended. Called regularly by the control thread.
 /// @param aAll also for floods that may still go on, at the end of the process
 void
