--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -169,8 +169,10 @@
                            "Examples:\n"
                            "  boragepier --settings /etc/boragepier/instance.ini\n"
                            "  boragepier --settings instance.ini --check\n");
-  options.add_options()(
-    "settings", "settings file (docs/configuration.md); default: $BORAGEPIER_SETTINGS", cxxopts::value<std::string>(), "FILE");
+  options.add_options()("settings",
+                        "settings file (docs/configuration.md); default: $BORAGEPIER_SETTINGS",
+                        cxxopts::value<std::string>(),
+                        "FILE");
   options.add_options()("check", "check the settings file and exit");
   options.add_options()("version", "print the version and exit");
   options.add_options()("help", "print this help and exit");
--- a/boragepier/config/route_config.h
+++ b/boragepier/config/route_config.h
@@ -28,19 +28,19 @@
   std::string pathPrefix_; ///< starts and ends with "/"
   std::vector<WeightedService> services_;
   Repeatability repeatability_ = Repeatability::AtMostOnce;
-  unsigned maxAttempts_ = 2;                            ///< upstreams that one request may be sent to
-  Duration timeLimit_ = std::chrono::seconds(30);       ///< from arrival to the final answer
-  Duration latencyTarget_ = std::chrono::seconds(1);    ///< answers after it are of little use
-  unsigned rank_ = 0;                                   ///< 0 is the most urgent
+  unsigned maxAttempts_ = 2;                         ///< upstreams that one request may be sent to
+  Duration timeLimit_ = std::chrono::seconds(30);    ///< from arrival to the final answer
+  Duration latencyTarget_ = std::chrono::seconds(1); ///< answers after it are of little use
+  unsigned rank_ = 0;                                ///< 0 is the most urgent
 };
 
 /// Limits on what callers may send that follow the configuration.
 struct CallerLimits
 {
-  std::size_t maxHeader_ = 16 << 10;                   ///< bytes
-  std::size_t maxBody_ = 64 << 20;                     ///< bytes
-  Duration headerTimeout_ = std::chrono::seconds(3);   ///< from first byte to end of the header
-  Duration idleTimeout_ = std::chrono::seconds(60);    ///< between requests of a connection
+  std::size_t maxHeader_ = 16 << 10;                 ///< bytes
+  std::size_t maxBody_ = 64 << 20;                   ///< bytes
+  Duration headerTimeout_ = std::chrono::seconds(3); ///< from first byte to end of the header
+  Duration idleTimeout_ = std::chrono::seconds(60);  ///< between requests of a connection
 };
 
 /// One version of the configuration of the whole fleet, applied as a whole.
--- a/boragepier/config/service_config.h
+++ b/boragepier/config/service_config.h
@@ -65,14 +65,14 @@
   Duration zoneTrip_ = std::chrono::microseconds(1500); ///< one way between availability zones
 
   double probesPerUpstreamSecond_ = 200; ///< budget of the whole fleet; 0 turns probes off
-  std::string probePath_; ///< path of a GET that reports load and health; empty for "OPTIONS *"
-  double retryBudget_ = 0.10;            ///< extra attempts per request
-  double retrySlack_ = 0;                ///< extra attempts of the whole fleet in a window, whatever
-                                         ///< the number of requests; FreshProbes only
+  std::string probePath_;     ///< path of a GET that reports load and health; empty for "OPTIONS *"
+  double retryBudget_ = 0.10; ///< extra attempts per request
+  double retrySlack_ = 0;     ///< extra attempts of the whole fleet in a window, whatever
+                              ///< the number of requests; FreshProbes only
   Duration retryWindow_ = std::chrono::seconds(10); ///< FreshProbes only
-  double hedgeBudget_ = 0.05;            ///< hedges per request, part of the retry budget
-  double maxEjectedShare_ = 0.3;         ///< of the upstreams of the service
-  std::size_t queueLimit_ = 64;          ///< requests that wait in one instance
+  double hedgeBudget_ = 0.05;    ///< hedges per request, part of the retry budget
+  double maxEjectedShare_ = 0.3; ///< of the upstreams of the service
+  std::size_t queueLimit_ = 64;  ///< requests that wait in one instance
 
   std::size_t maxRequestBody_ = 1 << 20;  ///< bytes
   std::size_t maxResponseBody_ = 8 << 20; ///< bytes
--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -110,15 +110,15 @@
                  [](Settings& aSettings, const KeyValue& aValue) {
                    aSettings.admin_ = ParseEndpoint(aValue.text_).value();
                  } },
-  Key<Settings>{
-    { .section_ = "platform",
-      .name_ = "address",
-      .type_ = KeyType::Address,
-      .meaning_ = "address of the platform's table service, object store and instance list; "
-                  "needed unless store.address is given" },
-    [](Settings& aSettings, const KeyValue& aValue) {
-      Assign(aSettings.platform_.address_, aValue);
-    } },
+  Key<Settings>{ { .section_ = "platform",
+                   .name_ = "address",
+                   .type_ = KeyType::Address,
+                   .meaning_ =
+                     "address of the platform's table service, object store and instance list; "
+                     "needed unless store.address is given" },
+                 [](Settings& aSettings, const KeyValue& aValue) {
+                   Assign(aSettings.platform_.address_, aValue);
+                 } },
   Key<Settings>{ { .section_ = "platform",
                    .name_ = "port",
                    .type_ = KeyType::Integer,
@@ -283,16 +283,15 @@
       .type_ = KeyType::FileName,
       .meaning_ = "file to which events are appended; without it log.output" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.logFile_, aValue); } },
-  Key<Settings>{
-    { .section_ = "log",
-      .name_ = "output",
-      .type_ = KeyType::Choice,
-      .choices_ = kOutputs,
-      .default_ = "stderr",
-      .meaning_ = "standard output or standard error output" },
-    [](Settings& aSettings, const KeyValue& aValue) {
-      aSettings.logToStandardOutput_ = aValue.choice_ == 1;
-    } },
+  Key<Settings>{ { .section_ = "log",
+                   .name_ = "output",
+                   .type_ = KeyType::Choice,
+                   .choices_ = kOutputs,
+                   .default_ = "stderr",
+                   .meaning_ = "standard output or standard error output" },
+                 [](Settings& aSettings, const KeyValue& aValue) {
+                   aSettings.logToStandardOutput_ = aValue.choice_ == 1;
+                 } },
 };
 
 } // namespace
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -28,15 +28,15 @@
   Endpoint caller_{ "127.0.0.1", 0 }; ///< port 0 lets the system choose
   Endpoint peer_{ "127.0.0.1", 0 };   ///< address under which other instances reach this one
   Endpoint admin_{ "127.0.0.1", 0 };
-  Endpoint platform_;           ///< table, object store and instance list; port 0 with store_
-  /// Store of configuration, upstreams and instances, used in place of platform_ and of the exchange
-  /// with other instances; port 0 without one.
+  Endpoint platform_; ///< table, object store and instance list; port 0 with store_
+  /// Store of configuration, upstreams and instances, used in place of platform_ and of the
+  /// exchange with other instances; port 0 without one.
   Endpoint store_;
   std::vector<Endpoint> seeds_; ///< peers that are contacted at the start
 
   Duration drainGrace_ = std::chrono::seconds(5);
   Duration drainLimit_ = std::chrono::seconds(30);
-  Duration drainMargin_{}; ///< the process exits this much before drainLimit_
+  Duration drainMargin_{};                ///< the process exits this much before drainLimit_
   std::size_t maxConnections_ = 4096;     ///< from callers
   std::size_t maxHeader_ = 16 << 10;      ///< bytes
   std::size_t maxRequestBody_ = 64 << 20; ///< bytes; the limit of a service may be lower
@@ -44,13 +44,13 @@
   Duration requestTimeout_ = std::chrono::seconds(30);
 
   // Limits of the fleet, used with store_ only.
-  double retryRatio_ = 0.1;         ///< extra attempts per request
-  double retrySlack_ = 0;           ///< further extra attempts of the fleet in a window
+  double retryRatio_ = 0.1; ///< extra attempts per request
+  double retrySlack_ = 0;   ///< further extra attempts of the fleet in a window
   Duration retryWindow_ = std::chrono::seconds(10);
   double probesPerUpstreamSecond_ = 20; ///< of the whole fleet
 
   LogLevel logLevel_ = LogLevel::Info;
-  std::string logFile_;           ///< empty for the output below
+  std::string logFile_;              ///< empty for the output below
   bool logToStandardOutput_ = false; ///< else to the standard error output
 };
 
--- a/boragepier/decision/fresh_balancer.cc
+++ b/boragepier/decision/fresh_balancer.cc
@@ -25,7 +25,10 @@
 constexpr double kSlowOutcomeFactor = 3;
 constexpr double kSlowOutcomeWeight = 0.5;
 // The limit on probes holds over longer times, so that a burst of requests may use what was saved.
-constexpr double kProbeBurstSeconds = 1;
+constexpr double kProbeBurstSeconds = 2;
+// Undoes the allowance that ProbeBudget makes for a list that lacks instances: entries of the store
+// are never removed, so the list rather holds too many.
+constexpr double kProbeShare = 1.45;
 // Work that is assumed for an unknown class, as a share of the time to its latency target.
 constexpr double kUnknownWorkShare = 0.35;
 
@@ -148,8 +151,10 @@
   };
   scan(local, kScanLimit - std::min(remote.size(), kMinRemoteScan));
   scan(remote, std::max(kMinRemoteScan, kScanLimit - std::min(kScanLimit, scanned_.size())));
-  probeBudget_.SetRate(
-    config_.probesPerUpstreamSecond_, present_.size(), instances_, kProbeBurstSeconds);
+  probeBudget_.SetRate(kProbeShare * config_.probesPerUpstreamSecond_,
+                       present_.size(),
+                       instances_,
+                       kProbeBurstSeconds);
   retryBudget_.SetTerms(config_.retryBudget_, config_.retrySlack_, config_.retryWindow_);
   retryBudget_.SetInstances(instances_);
 }
@@ -207,7 +212,12 @@
   } else if (aReport.failure_ == AttemptFailure::None) {
     belief.OnOutcome(false, 1, aNow);
     const double sinceLook = ToMilliseconds(aNow - sent.lookedAt_);
-    work_.Add(sent.workClass_, sent.doneMs_ + pace_.WorkMs(sinceLook, sent.slowness_));
+    const double workMs = sent.doneMs_ + pace_.WorkMs(sinceLook, sent.slowness_);
+    const unsigned slots = SlotsOf(upstreams_[index]);
+    occupancy_.Add(sent.inFlight_, slots, workMs, work_.MeanMs(sent.workClass_, 0));
+    if (OccupancyModel::IsEmpty(sent.inFlight_) || work_.MeanMs(sent.workClass_, 0) <= 0) {
+      work_.Add(sent.workClass_, workMs);
+    }
   } else if (aReport.failure_ == AttemptFailure::Cancelled &&
              latencyMs > kSlowOutcomeFactor * sent.expectedMs_) {
     // An upstream that hangs shows only in requests that were given up.
@@ -231,17 +241,15 @@
     load.inFlight_ -= std::min<std::uint32_t>(load.inFlight_, 1);
     load.healthy_ = true;
     pace_.OnReport(load.slowness_);
-    upstream.belief_.OnReport(load,
-                              aNow - FromMilliseconds(upstream.belief_.RoundTripMs() / 2));
+    upstream.belief_.OnReport(load, aNow - FromMilliseconds(upstream.belief_.RoundTripMs() / 2));
   }
 }
 
 bool
 FreshBalancer::CancelQueued(std::uint64_t aCallId, MonotonicTime)
 {
-  return std::erase_if(waiting_, [&](const Waiting& aWaiting) {
-           return aWaiting.call_.id_ == aCallId;
-         }) > 0;
+  return std::erase_if(waiting_,
+                       [&](const Waiting& aWaiting) { return aWaiting.call_.id_ == aCallId; }) > 0;
 }
 
 RetryVerdict
--- a/boragepier/decision/fresh_balancer.h
+++ b/boragepier/decision/fresh_balancer.h
@@ -10,6 +10,7 @@
 
 #include "boragepier/base/random.h"
 #include "boragepier/decision/machine_pace.h"
+#include "boragepier/decision/occupancy_model.h"
 #include "boragepier/decision/probe_budget.h"
 #include "boragepier/decision/service_balancer.h"
 #include "boragepier/decision/upstream_belief.h"
@@ -18,8 +19,8 @@
 
 namespace boragepier {
 
-/// Decides like ServiceBalancer and with the same interface, for upstreams that report occupancy and
-/// slowness and whose load changes faster than requests are served. Selected by the policy
+/// Decides like ServiceBalancer and with the same interface, for upstreams that report occupancy
+/// and slowness and whose load changes faster than requests are served. Selected by the policy
 /// "fresh-probes".
 ///
 /// A new request waits in the instance until upstreams have been probed on its behalf: first those
@@ -95,7 +96,7 @@
   struct Prospect
   {
     std::uint32_t index_ = 0;
-    bool fresh_ = false;    ///< the report is recent
+    bool fresh_ = false; ///< the report is recent
     bool freeSlot_ = false;
     bool usualPace_ = false;
     bool local_ = false;
@@ -110,6 +111,7 @@
     std::uint32_t index_ = 0;
     std::uint64_t workClass_ = 0;
     MonotonicTime at_;
+    unsigned inFlight_ = 0; ///< requests that were there before it
     double slowness_ = 1;   ///< at the latest look
     double expectedMs_ = 0; ///< time to the answer, as expected then
     double doneMs_ = 0;     ///< work that is done, as far as looks tell
@@ -153,6 +155,7 @@
   std::size_t instances_ = 1;
   MachinePace pace_;
   WorkProfile work_;
+  OccupancyModel occupancy_;
   WindowBudget retryBudget_;
   ProbeBudget probeBudget_;
   std::vector<Waiting> waiting_; ///< in the order in which slots are given out
--- a/boragepier/decision/fresh_choice.cc
+++ b/boragepier/decision/fresh_choice.cc
@@ -95,7 +95,7 @@
     slowness *= kColdSlowness;
   }
   const double work = WorkMs(aCall);
-  const double service = pace_.DurationMs(work, slowness);
+  const double service = pace_.DurationMs(work * occupancy_.Factor(inFlight, slots), slowness);
   const double ahead = inFlight >= slots ? inFlight - slots + 1 : 0;
 
   Prospect prospect;
@@ -187,8 +187,9 @@
     }
   }
   aWaiting.stage_ = local ? Stage::LocalProbed : Stage::AllProbed;
-  aWaiting.stageEnds_ =
-    aWaiting.awaited_.empty() ? aNow : aNow + FromMilliseconds(std::min(patienceMs, kMaxPatienceMs));
+  aWaiting.stageEnds_ = aWaiting.awaited_.empty()
+                          ? aNow
+                          : aNow + FromMilliseconds(std::min(patienceMs, kMaxPatienceMs));
 }
 
 bool
@@ -213,10 +214,16 @@
   if (!allKnown) {
     return std::nullopt;
   }
+  const double leftMs = ToMilliseconds(aWaiting.call_.target_ - aNow);
   for (const Prospect& prospect : aProspects) {
-    if (prospect.freeSlot_ || prospect.mayQueue_) {
+    if (prospect.freeSlot_) {
       return MayWait(aWaiting, prospect, aNow) ? std::nullopt : std::optional(prospect.index_);
     }
+    // The queue of an upstream is worth it only for an answer in time: what waits here can still go
+    // anywhere, or give way.
+    if (prospect.mayQueue_ && prospect.answerMs_ <= leftMs) {
+      return prospect.index_;
+    }
   }
   return std::nullopt;
 }
@@ -257,9 +264,9 @@
 {
   const Prospect prospect = ProspectOf(aIndex, aCall, aNow);
   UpstreamBelief& belief = upstreams_[aIndex].belief_;
-  const double slowness =
-    belief.Report() ? belief.Report()->slowness_ : pace_.MeanSlowness();
-  sent_.push_back({ aIndex, aCall.workClass_, aNow, slowness, prospect.answerMs_, 0, aNow });
+  const double slowness = belief.Report() ? belief.Report()->slowness_ : pace_.MeanSlowness();
+  sent_.push_back(
+    { aIndex, aCall.workClass_, aNow, belief.InFlight(), slowness, prospect.answerMs_, 0, aNow });
   belief.OnDispatch(aNow);
   return { Choice::Kind::Dispatch, UpstreamHandle{ aIndex }, {}, {} };
 }
@@ -267,10 +274,9 @@
 void
 FreshBalancer::Insert(Waiting aWaiting)
 {
-  const auto place =
-    std::find_if(waiting_.begin(), waiting_.end(), [&](const Waiting& aOther) {
-      return aOther.call_.rank_ > aWaiting.call_.rank_;
-    });
+  const auto place = std::find_if(waiting_.begin(), waiting_.end(), [&](const Waiting& aOther) {
+    return aOther.call_.rank_ > aWaiting.call_.rank_;
+  });
   waiting_.insert(place, std::move(aWaiting));
 }
 
@@ -339,7 +345,8 @@
       const double usual = pace_.DurationMs(WorkMs(waiting.call_), 1);
       if (waiting_.size() > 1 && aNow + FromMilliseconds(usual) > waiting.call_.target_ &&
           waiting.call_.tried_.empty()) {
-        choice = Refuse(RefusalReason::Overloaded, ExpectedWait(waiting.call_).value_or(Duration()));
+        choice =
+          Refuse(RefusalReason::Overloaded, ExpectedWait(waiting.call_).value_or(Duration()));
       } else if (aNow >= waiting.stageEnds_ + kPollInterval) {
         waiting.stage_ = Stage::New;
         waiting.awaited_.clear();
--- a/boragepier/decision/machine_pace.h
+++ b/boragepier/decision/machine_pace.h
@@ -6,8 +6,8 @@
 /// Predicts how long work takes on a machine that it shares with others, when the machine's
 /// slowness is reported and changes several times a second.
 ///
-/// The reported slowness is taken to last for kHoldMs; after that the machine is expected to work at
-/// the mean rate of all reports.
+/// The reported slowness is taken to last for kHoldMs; after that the machine is expected to work
+/// at the mean rate of all reports.
 class MachinePace
 {
 public:
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -29,8 +29,8 @@
   MonotonicTime deadline_;
   Repeatability repeatability_ = Repeatability::Repeatable;
   CallClass callClass_ = CallClass::Interactive;
-  MonotonicTime target_;    ///< an answer after it is of little use; used by FreshBalancer
-  unsigned rank_ = 0;       ///< 0 is the most urgent; used by FreshBalancer
+  MonotonicTime target_;     ///< an answer after it is of little use; used by FreshBalancer
+  unsigned rank_ = 0;        ///< 0 is the most urgent; used by FreshBalancer
   unsigned maxAttempts_ = 3; ///< upstreams that the request may be sent to; used by FreshBalancer
   std::uint64_t workClass_ = 0; ///< requests of one class need similar work; used by FreshBalancer
   std::size_t bodyBytes_ = 0;   ///< of the request; used by FreshBalancer
@@ -98,8 +98,8 @@
   double expectedWaitMs_ = 0;
   double standing_ = 1; ///< 1 for a healthy upstream, 0 for an ejected one
   bool leaving_ = false;
-  double slowness_ = 0;   ///< as reported; 0 without a report
-  Duration reportAge_{};  ///< valid when slowness_ is not 0
+  double slowness_ = 0;  ///< as reported; 0 without a report
+  Duration reportAge_{}; ///< valid when slowness_ is not 0
 };
 
 /// All decisions about the requests of one service in one instance: which upstream, when to queue
--- a/boragepier/decision/window_budget.h
+++ b/boragepier/decision/window_budget.h
@@ -9,8 +9,8 @@
 
 namespace boragepier {
 
-/// This instance's share of a limit on extra attempts that holds for the whole fleet in every window
-/// of a given length: a ratio of the requests in the window plus a fixed number.
+/// This instance's share of a limit on extra attempts that holds for the whole fleet in every
+/// window of a given length: a ratio of the requests in the window plus a fixed number.
 ///
 /// The ratio needs no agreement between instances, as each applies it to its own requests. The
 /// fixed number is divided by the live instances.
--- a/boragepier/decision/work_profile.h
+++ b/boragepier/decision/work_profile.h
@@ -22,7 +22,7 @@
     double workMs_ = 0;
     double samples_ = 0;
   };
-  static constexpr double kMaxSamples = 50;   ///< a sample weighs at least 1 / kMaxSamples
+  static constexpr double kMaxSamples = 50; ///< a sample weighs at least 1 / kMaxSamples
   static constexpr std::size_t kMaxClasses = 4096;
 
   std::unordered_map<std::uint64_t, Mean> classes_;
--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -83,7 +83,10 @@
     const auto table = state_.Table();
     return table->services_.empty() ? 0 : table->services_[0].upstreams_.size();
   }
-  void setup() override { Change(ConfigItem(5), kStart); }
+  void setup() override
+  {
+    Change(ConfigItem(5), kStart);
+  }
 };
 
 // Guards against a late answer of the store that brings back an older configuration.
@@ -339,8 +342,7 @@
   void Register(const InstanceEntry& aInstance, FeedCallback aDone)
   {
     ++store_.calls_[self_];
-    store_.Put(
-      FeedTopic::Instances, aInstance.id_.Text(), std::to_string(aInstance.capacity_));
+    store_.Put(FeedTopic::Instances, aInstance.id_.Text(), std::to_string(aInstance.capacity_));
     store_.scheduler_.After(kTrip, [aDone] { aDone({ FeedStatus::Ok, {}, 0, {} }); });
   }
 
@@ -414,14 +416,16 @@
     store_.Put(FeedTopic::Configuration, "config", "1");
     for (int i = 0; i < aCount; ++i) {
       const InstanceId id("i-" + std::to_string(i));
-      instances_.push_back(
-        std::make_unique<Instance>(scheduler_, store_, network_, id, 100.0 - i));
+      instances_.push_back(std::make_unique<Instance>(scheduler_, store_, network_, id, 100.0 - i));
       instances_.back()->watch_.Start();
     }
     Run(std::chrono::seconds(5));
   }
 
-  void Run(Duration aDuration) { scheduler_.Advance(aDuration); }
+  void Run(Duration aDuration)
+  {
+    scheduler_.Advance(aDuration);
+  }
 
   void CheckVersions(std::uint64_t aVersion)
   {
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -48,7 +48,7 @@
   /// Instances that are started together have registered after this time.
   Duration registration_ = std::chrono::milliseconds(400);
   /// After the start, time in which a source is given the chance to send everything.
-  Duration patience_ = std::chrono::milliseconds(600);
+  Duration patience_ = std::chrono::milliseconds(300);
   /// Between two attempts to return to the first source.
   Duration return_ = std::chrono::seconds(4);
 };
@@ -449,8 +449,7 @@
   void OnNews(const PeerEndpoint& aSender, const PeerNews& aNews)
   {
     const bool fromTarget = Follows(aSender.id_);
-    const bool fromFirst =
-      !place_.sources_.empty() && place_.sources_.front().id_ == aSender.id_;
+    const bool fromFirst = !place_.sources_.empty() && place_.sources_.front().id_ == aSender.id_;
     if ((!fromTarget && !fromFirst) || aNews.topics_.size() != kFeedTopics) {
       return;
     }
@@ -536,9 +535,8 @@
   {
     std::vector<InstanceEntry> instances = state_.Instances();
     if (!IsListed()) {
-      std::erase_if(instances, [&](const InstanceEntry& aInstance) {
-        return aInstance.id_ == self_.id_;
-      });
+      std::erase_if(instances,
+                    [&](const InstanceEntry& aInstance) { return aInstance.id_ == self_.id_; });
       instances.push_back(Entry());
     }
     RelayPlace place = PlaceInRelay(instances, self_.id_, kSources);
@@ -591,7 +589,7 @@
 
   RelayPlace place_;
   std::optional<std::size_t> target_; ///< the source that is followed, if any
-  MonotonicTime heardAt_;              ///< when the target was chosen or heard from last
+  MonotonicTime heardAt_;             ///< when the target was chosen or heard from last
   MonotonicTime triedFirstAt_;
   std::map<InstanceId, Follower> followers_;
 
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -285,16 +285,14 @@
     attempt.startedAfter_ = now - info_.arrival_;
     attempt.candidates_ = Candidates();
     record_.attempts_.push_back(std::move(attempt));
-    attempts_[index].sendId_ =
-      ports_.sender_.Send({ endpoint->address_, endpoint->port_ },
-                          RequestForUpstream(*endpoint, now),
-                          options,
-                          [self = this->shared_from_this(), index](http::SendResult aResult) {
-                            self->OnSendEnded(index,
-                                              CheckAnswer(std::move(aResult),
-                                                          self->callerName_,
-                                                          self->ports_.dialect_));
-                          });
+    attempts_[index].sendId_ = ports_.sender_.Send(
+      { endpoint->address_, endpoint->port_ },
+      RequestForUpstream(*endpoint, now),
+      options,
+      [self = this->shared_from_this(), index](http::SendResult aResult) {
+        self->OnSendEnded(
+          index, CheckAnswer(std::move(aResult), self->callerName_, self->ports_.dialect_));
+      });
     ports_.observer_.OnAttemptStarted(record_);
     if (!hedged_) {
       ArmHedge(now);
@@ -360,8 +358,7 @@
   void OnSendEnded(std::size_t aIndex, http::SendResult aResult)
   {
     attempts_[aIndex].active_ = false;
-    const AttemptReport report =
-      ReportOf(attempts_[aIndex].upstream_, aResult, ports_.dialect_);
+    const AttemptReport report = ReportOf(attempts_[aIndex].upstream_, aResult, ports_.dialect_);
     RecordAttempt(aIndex, report);
     Report(report);
     if (finished_) {
@@ -417,8 +414,8 @@
     const MonotonicTime now = Now();
     RetryVerdict verdict;
     if (now < info_.deadline_ && !abandoned_) {
-      verdict = service_->With(
-        [&](auto& aBalancer) { return aBalancer.MayRetry(info_, aReport, now); });
+      verdict =
+        service_->With([&](auto& aBalancer) { return aBalancer.MayRetry(info_, aReport, now); });
     }
     if (!verdict.allowed_) {
       GiveUp(ReasonOf(aReport.failure_, Expired()));
@@ -566,7 +563,7 @@
   std::shared_ptr<const ServiceConfig> config_;
   CallTerms terms_;
   CallInfo info_;
-  RequestId callerName_; ///< empty if callers do not name requests
+  RequestId callerName_;  ///< empty if callers do not name requests
   Duration retryAfter_{}; ///< of a refusal; zero if unknown
   ExplainRecord record_;
 
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -33,10 +33,10 @@
 CandidateInfo
 ChosenOf(const ExplainAttempt& aAttempt)
 {
-  const auto chosen = std::find_if(
-    aAttempt.candidates_.begin(), aAttempt.candidates_.end(), [&](const CandidateInfo& aInfo) {
-      return aInfo.id_ == aAttempt.upstream_;
-    });
+  const auto chosen =
+    std::find_if(aAttempt.candidates_.begin(),
+                 aAttempt.candidates_.end(),
+                 [&](const CandidateInfo& aInfo) { return aInfo.id_ == aAttempt.upstream_; });
   return chosen == aAttempt.candidates_.end() ? CandidateInfo() : *chosen;
 }
 
@@ -44,21 +44,21 @@
 LogEnd(const ExplainRecord& aRecord, bool aAbandoned)
 {
   const bool failed = aRecord.refusal_.has_value() || aAbandoned;
-  LogRequest(EventId::RequestEnded,
-             failed,
-             { { "request", aRecord.id_ },
-               { "service", aRecord.service_ },
-               { "path", aRecord.path_ },
-               { "config", aRecord.configVersion_ },
-               { "outcome", aRecord.outcome_ },
-               { "reason",
-                 aRecord.refusal_ ? ToString(*aRecord.refusal_) : std::string_view("none") },
-               { "abandoned", aAbandoned },
-               { "latencyMs", aRecord.latency_ },
-               { "queuedMs", aRecord.queued_ },
-               { "deadlineMs", aRecord.deadline_ },
-               { "retryAfterMs", aRecord.retryAfter_ },
-               { "attempts", aRecord.attempts_.size() } });
+  LogRequest(
+    EventId::RequestEnded,
+    failed,
+    { { "request", aRecord.id_ },
+      { "service", aRecord.service_ },
+      { "path", aRecord.path_ },
+      { "config", aRecord.configVersion_ },
+      { "outcome", aRecord.outcome_ },
+      { "reason", aRecord.refusal_ ? ToString(*aRecord.refusal_) : std::string_view("none") },
+      { "abandoned", aAbandoned },
+      { "latencyMs", aRecord.latency_ },
+      { "queuedMs", aRecord.queued_ },
+      { "deadlineMs", aRecord.deadline_ },
+      { "retryAfterMs", aRecord.retryAfter_ },
+      { "attempts", aRecord.attempts_.size() } });
   if (aAbandoned || !aRecord.refusal_) {
     return;
   }
@@ -103,21 +103,21 @@
 {
   const ExplainAttempt& attempt = aRecord.attempts_.back();
   const CandidateInfo chosen = ChosenOf(attempt);
-  LogRequest(EventId::AttemptStarted,
-             attempt.reason_.has_value(),
-             { { "request", aRecord.id_ },
-               { "service", aRecord.service_ },
-               { "attempt", aRecord.attempts_.size() },
-               { "reason",
-                 attempt.reason_ ? ToString(*attempt.reason_) : std::string_view("first") },
-               { "upstream", attempt.upstream_ },
-               { "afterMs", attempt.startedAfter_ },
-               { "own", chosen.ownOutstanding_ },
-               { "others", chosen.othersEstimate_ },
-               { "slowness", chosen.slowness_ },
-               { "reportAgeMs", chosen.reportAge_ },
-               { "standing", chosen.standing_ },
-               { "known", attempt.candidates_.size() } });
+  LogRequest(
+    EventId::AttemptStarted,
+    attempt.reason_.has_value(),
+    { { "request", aRecord.id_ },
+      { "service", aRecord.service_ },
+      { "attempt", aRecord.attempts_.size() },
+      { "reason", attempt.reason_ ? ToString(*attempt.reason_) : std::string_view("first") },
+      { "upstream", attempt.upstream_ },
+      { "afterMs", attempt.startedAfter_ },
+      { "own", chosen.ownOutstanding_ },
+      { "others", chosen.othersEstimate_ },
+      { "slowness", chosen.slowness_ },
+      { "reportAgeMs", chosen.reportAge_ },
+      { "standing", chosen.standing_ },
+      { "known", attempt.candidates_.size() } });
 }
 
 void
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -39,8 +39,7 @@
 class DirectoryThread : public ControlRole
 {
 public:
-  using MakeFeed =
-    std::function<std::unique_ptr<F>(http::Client&, const Settings&)>;
+  using MakeFeed = std::function<std::unique_ptr<F>(http::Client&, const Settings&)>;
 
   DirectoryThread(const Settings& aSettings,
                   Metrics& aMetrics,
@@ -103,10 +102,7 @@
   // Each instance learns of departures from the store and from its own attempts.
   void ReportLeaving(const UpstreamId&, std::uint64_t) override {}
 
-  bool Announce(ConfigRecord) override
-  {
-    throw Error("configurations are published in the store");
-  }
+  bool Announce(ConfigRecord) override { throw Error("configurations are published in the store"); }
 
   void BeginShutdown() override
   {
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -99,9 +99,8 @@
   const auto services = directory_.All();
   for (const auto& service : *services) {
     const auto config = service->Config();
-    const auto upstreams = service->With([](auto& aBalancer) {
-      return aBalancer.Candidates(std::chrono::steady_clock::now());
-    });
+    const auto upstreams = service->With(
+      [](auto& aBalancer) { return aBalancer.Candidates(std::chrono::steady_clock::now()); });
     ServiceMetrics& metrics = metrics_.Service(config->name_);
     metrics.SetProbeBudget(config->probesPerUpstreamSecond_ *
                            static_cast<double>(upstreams.size()) /
@@ -134,9 +133,8 @@
     ServiceStatus entry;
     entry.name_ = service->Config()->name_;
     entry.version_ = service->Version();
-    const auto candidates = service->With([](auto& aBalancer) {
-      return aBalancer.Candidates(std::chrono::steady_clock::now());
-    });
+    const auto candidates = service->With(
+      [](auto& aBalancer) { return aBalancer.Candidates(std::chrono::steady_clock::now()); });
     entry.upstreams_ = candidates.size();
     entry.leavingUpstreams_ = static_cast<std::uint64_t>(std::count_if(
       candidates.begin(), candidates.end(), [](const auto& aOne) { return aOne.leaving_; }));
@@ -153,7 +151,7 @@
     .WithStatus([this] { return Status(); })
     .WithAnnounce([this](ConfigRecord aRecord) {
       return control_->Announce(std::move(aRecord)) ? AnnounceResult::Accepted
-                                                   : AnnounceResult::Outdated;
+                                                    : AnnounceResult::Outdated;
     })
     .WithMetrics(metrics_)
     .WithExplain(explain_)
--- a/boragepier/entry/queue_driver.h
+++ b/boragepier/entry/queue_driver.h
@@ -64,9 +64,8 @@
 
   void SendProbes(const std::shared_ptr<ServiceEntry>& aService)
   {
-    while (const auto upstream = aService->With([&](auto& aBalancer) {
-      return aBalancer.NextProbe(ports_.scheduler_.Now());
-    })) {
+    while (const auto upstream = aService->With(
+             [&](auto& aBalancer) { return aBalancer.NextProbe(ports_.scheduler_.Now()); })) {
       SendProbe(aService, *upstream);
     }
   }
--- a/boragepier/entry/request_checks.cc
+++ b/boragepier/entry/request_checks.cc
@@ -159,9 +159,8 @@
   }
   CallTerms terms;
   terms.repeatability_ = RepeatabilityOf(aConfig, aRequest.method_, aPath);
-  terms.timeLimit_ =
-    std::min(StatedDeadline(aRequest, aDialect).value_or(aConfig.defaultDeadline_),
-             aConfig.maxDeadline_);
+  terms.timeLimit_ = std::min(StatedDeadline(aRequest, aDialect).value_or(aConfig.defaultDeadline_),
+                              aConfig.maxDeadline_);
   terms.latencyTarget_ = terms.timeLimit_;
   terms.key_ = CheckedKey(aRequest, aDialect);
   if (terms.repeatability_ == Repeatability::AtMostOnce && aConfig.keyRequired_ && !terms.key_) {
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -48,7 +48,9 @@
   , platform_(loop_, client_, PlatformOptionsOf(aSettings))
   , table_(platform_)
   , claims_(table_, aSettings.id_, EntropySeeded())
-  , pipeline_({ loop_, client_, claims_, aDirectory, aObserver, WallNow, aDialect }, std::move(aIdPrefix), 1)
+  , pipeline_({ loop_, client_, claims_, aDirectory, aObserver, WallNow, aDialect },
+              std::move(aIdPrefix),
+              1)
   , server_(
       loop_,
       LimitsOf(aSettings),
--- a/boragepier/ports/directory_feed.h
+++ b/boragepier/ports/directory_feed.h
@@ -52,8 +52,7 @@
 
 /// An entry was removed.
 struct RemovedEntry
-{
-};
+{};
 
 /// One entry of a topic as the store keeps it.
 struct FeedRow
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -166,8 +166,8 @@
     friend bool operator==(const Topic&, const Topic&) = default;
   };
   bool storeAnswers_ = false;
-  std::uint64_t graceMs_ = 0;  ///< for which missing entries are kept, after trouble with the store
-  std::vector<Topic> topics_;  ///< in the order of FeedTopic
+  std::uint64_t graceMs_ = 0; ///< for which missing entries are kept, after trouble with the store
+  std::vector<Topic> topics_; ///< in the order of FeedTopic
   friend bool operator==(const PeerNews&, const PeerNews&) = default;
 };
 
--- a/boragepier/state/routing_table.h
+++ b/boragepier/state/routing_table.h
@@ -18,7 +18,8 @@
   ServiceConfig config_;
   std::uint64_t version_ = 0; ///< of the configuration
   std::vector<UpstreamEndpoint> upstreams_;
-  std::uint64_t termsVersion_ = 0; ///< of what the settings of the instance add to the configuration
+  std::uint64_t termsVersion_ =
+    0; ///< of what the settings of the instance add to the configuration
 };
 
 /// What the control thread hands to the traffic threads. Immutable once shared.
@@ -29,7 +30,7 @@
   std::vector<RouteConfig> routes_;
   std::uint64_t version_ = 0;          ///< of routes_; 0 without routes
   std::optional<CallerLimits> limits_; ///< nothing if the settings of the instance hold
-  std::vector<InstanceId> instances_; ///< live entry instances, this one included; a hint
+  std::vector<InstanceId> instances_;  ///< live entry instances, this one included; a hint
 };
 
 } // namespace boragepier
--- a/boragepier/telemetry/explain.h
+++ b/boragepier/telemetry/explain.h
@@ -39,9 +39,9 @@
   std::string method_;
   std::string path_; ///< without the query
   WallTime arrival_;
-  Duration deadline_{}; ///< time that the caller allowed
-  Duration queued_{};   ///< time in the admission queue
-  Duration retryAfter_{};            ///< of a refusal; zero if unknown
+  Duration deadline_{};             ///< time that the caller allowed
+  Duration queued_{};               ///< time in the admission queue
+  Duration retryAfter_{};           ///< of a refusal; zero if unknown
   std::uint64_t configVersion_ = 0; ///< of the configuration that applied
   bool replayed_ = false;
   std::vector<ExplainAttempt> attempts_;
