--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -21,7 +21,7 @@
 
 using namespace boragepier;
 
-// Exit codes; listed in docs/operations.md.
+// Exit codes; listed in docs/OPERATIONS.md.
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
--- a/apps/boragepierctl/inspect_command.cc
+++ b/apps/boragepierctl/inspect_command.cc
@@ -129,7 +129,7 @@
   }
   if (!problems.empty()) {
     throw InstanceProblemError("not ready or without an answer:" + problems +
-                               "; see the log of each and docs/operations.md");
+                               "; see the log of each and docs/OPERATIONS.md");
   }
 }
 
--- a/boragepier/decision/probe_budget.cc
+++ b/boragepier/decision/probe_budget.cc
@@ -29,11 +29,13 @@
   if (perMs_ <= 0) {
     return false;
   }
+  const double limit = std::max(1.0, perMs_ * 1000 * savedSeconds_);
   if (last_ == MonotonicTime()) {
+    // Nothing was sent yet, so the first requests need not do without probes.
+    saved_ = limit;
     last_ = aNow;
   }
   if (aNow > last_) {
-    const double limit = std::max(1.0, perMs_ * 1000 * savedSeconds_);
     saved_ = std::min(limit, saved_ + ToMilliseconds(aNow - last_) * perMs_);
     last_ = aNow;
   }
--- a/boragepier/decision/window_budget.cc
+++ b/boragepier/decision/window_budget.cc
@@ -31,7 +31,8 @@
 WindowBudget::Bucket&
 WindowBudget::Current(MonotonicTime aNow)
 {
-  const std::int64_t number = aNow.time_since_epoch() / (window_ / kBuckets);
+  const auto bucketLength = window_ / static_cast<std::int64_t>(kBuckets);
+  const std::int64_t number = aNow.time_since_epoch() / bucketLength;
   Bucket& bucket = buckets_[static_cast<std::size_t>(number) % buckets_.size()];
   if (bucket.number_ != number) {
     bucket = { number, 0, 0 };
--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -210,6 +210,7 @@
 TEST(RelayPlace, SourcesComeFirstAndFollowersAreFew)
 {
   std::vector<InstanceEntry> instances;
+  instances.reserve(110);
   for (int i = 0; i < 110; ++i) {
     instances.push_back(
       { InstanceId("i-" + std::to_string(i)), "127.0.0.1", 7, i % 3 == 0 ? 200.0 : 10.0 });
@@ -261,7 +262,9 @@
   {
   }
 
-  void Start(const PeerEndpoint& aSelf, PeerMessageCallback aOnMessage, PeerUnreachableCallback)
+  void Start(const PeerEndpoint& aSelf,
+             PeerMessageCallback aOnMessage,
+             const PeerUnreachableCallback& /*aOnUnreachable*/)
   {
     self_ = aSelf;
     onMessage_ = std::move(aOnMessage);
@@ -331,15 +334,15 @@
   {
   }
 
-  void Read(FeedTopic aTopic, FeedCallback aDone) { Wait(aTopic, 0, Duration(0), aDone); }
+  void Read(FeedTopic aTopic, const FeedCallback& aDone) { Wait(aTopic, 0, Duration(0), aDone); }
 
-  void Wait(FeedTopic aTopic, std::uint64_t aPosition, Duration aWait, FeedCallback aDone)
+  void Wait(FeedTopic aTopic, std::uint64_t aPosition, Duration aWait, const FeedCallback& aDone)
   {
     ++store_.calls_[self_];
     Poll(aTopic, aPosition, store_.scheduler_.Now() + aWait, aDone);
   }
 
-  void Register(const InstanceEntry& aInstance, FeedCallback aDone)
+  void Register(const InstanceEntry& aInstance, const FeedCallback& aDone)
   {
     ++store_.calls_[self_];
     store_.Put(FeedTopic::Instances, aInstance.id_.Text(), std::to_string(aInstance.capacity_));
@@ -350,7 +353,10 @@
   static constexpr Duration kTrip = std::chrono::milliseconds(4);
   static constexpr Duration kTimeout = std::chrono::milliseconds(1500);
 
-  void Poll(FeedTopic aTopic, std::uint64_t aPosition, MonotonicTime aUntil, FeedCallback aDone)
+  void Poll(FeedTopic aTopic,
+            std::uint64_t aPosition,
+            MonotonicTime aUntil,
+            const FeedCallback& aDone)
   {
     store_.scheduler_.After(kTrip, [=, this] {
       if (store_.silentFor_.contains(self_)) {
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -409,10 +409,10 @@
   void SendNewsToAll(bool aOnlyChanges)
   {
     for (auto& [id, follower] : followers_) {
-      const bool behind = std::any_of(kTopics.begin(), kTopics.end(), [&](FeedTopic aTopic) {
-        return follower.positions_[static_cast<std::size_t>(aTopic)] <
-               Of(aTopic).mirror_.Position();
-      });
+      bool behind = false;
+      for (std::size_t i = 0; i < kFeedTopics; ++i) {
+        behind = behind || follower.positions_[i] < topics_[i].mirror_.Position();
+      }
       if (behind || !aOnlyChanges) {
         SendNews(follower);
       }
--- a/boragepier/peer/peer_node_test.cc
+++ b/boragepier/peer/peer_node_test.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Bytes before the payload of an HTTP/2 frame; the first three are its length.
+constexpr std::size_t kFrameHeader = 9;
+
 using testing::RawListener;
 using testing::RawSocket;
 
@@ -122,7 +125,27 @@
 
 TEST(PeerNode, APeerThatSendsAnOversizedMessageIsDisconnected)
 {
-  CheckDisconnects(RequestOf(std::string(kMaxPeerMessage + 1, 'x')), &PeerCounters::oversized_);
+  net::EventLoop loop;
+  PeerLimits limits;
+  limits.receivedBytesPerSecond_ = 4.0 * kMaxPeerMessage; // else it is disconnected for flooding
+  Node node(loop, "a", limits);
+  testing::LoopThread thread(loop);
+  RawSocket socket(node.self_.port_);
+  // The message exceeds the window of a stream, so the sender must follow its updates.
+  Http2Session client = Http2Session::Client([](std::size_t, bool) {});
+  client.Submit({ InstanceId("raw"), "127.0.0.1", 1 }, std::string(kMaxPeerMessage + 1, 'x'));
+  try {
+    for (;;) {
+      socket.Send(client.TakeOutput());
+      const std::string head = socket.Read(kFrameHeader);
+      const auto byte = [&](std::size_t aIndex) {
+        return static_cast<unsigned char>(head[aIndex]);
+      };
+      client.Receive(head + socket.Read((byte(0) << 16U) + (byte(1) << 8U) + byte(2)));
+    }
+  } catch (const testing::WireError&) { // the node closed the connection
+  }
+  WaitFor(thread, [&] { return node.node_.Counters().oversized_ == 1; });
 }
 
 // Guards against a peer that uses up the processor time of the control thread.
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -97,7 +97,7 @@
              "table-unavailable",
              "the table service does not answer; keyed calls are refused as "
              "claim-store-unavailable",
-             "restore the table service; see \"Store outage\" in docs/operations.md" },
+             "restore the table service; see \"Store outage\" in docs/OPERATIONS.md" },
   EventInfo{ EventId::TableAvailable,
              LogLevel::Info,
              "table-available",
--- a/boragepier/telemetry/explain.h
+++ b/boragepier/telemetry/explain.h
@@ -80,7 +80,7 @@
   std::size_t next_ = 0;
 };
 
-/// @return the record as a JSON object; see docs/operations.md
+/// @return the record as a JSON object; see docs/OPERATIONS.md
 std::string
 ToJson(const ExplainRecord& aRecord);
 /// @return the records as a JSON array
--- a/boragepier/telemetry/log.cc
+++ b/boragepier/telemetry/log.cc
@@ -115,13 +115,17 @@
       }
       appender = std::make_shared<log4cxx::FileAppender>(layout, aFile, true);
     }
-    const auto buffered = std::make_shared<log4cxx::AsyncAppender>();
-    buffered->setBlocking(false);
-    buffered->setBufferSize(kBufferedEvents);
-    buffered->addAppender(appender);
+    if (aFile.empty()) {
+      // Whoever reads the output may stop; then events are dropped instead of blocking.
+      const auto buffered = std::make_shared<log4cxx::AsyncAppender>();
+      buffered->setBlocking(false);
+      buffered->setBufferSize(kBufferedEvents);
+      buffered->addAppender(appender);
+      appender = buffered;
+    }
     const std::lock_guard lock(mutex_);
     logger_->removeAllAppenders();
-    logger_->addAppender(buffered);
+    logger_->addAppender(appender);
     logger_->setLevel(ToLevel(aLevel));
     level_ = aLevel;
   }
--- a/boragepier/telemetry/log.h
+++ b/boragepier/telemetry/log.h
@@ -107,8 +107,8 @@
 };
 
 /// Starts logging. Before the first call only events of level Warn and above are written, to the
-/// standard error output. Replaces the destination of an earlier call. Writing never blocks the
-/// caller: events wait in a bounded buffer, and a destination that takes none loses them.
+/// standard error output. Replaces the destination of an earlier call. Writing to an output never
+/// blocks the caller: events wait in a bounded buffer, and are dropped while nobody reads.
 /// @param aLevel lowest level that is written
 /// @param aFile file to which events are appended; empty for aOutput
 /// @throws LogError if the file cannot be opened
--- a/testing/docs/docs_test.cc
+++ b/testing/docs/docs_test.cc
@@ -188,12 +188,12 @@
     codes.push_back(
       Row({ std::to_string(static_cast<int>(info.code_)), Code(info.name_), info.meaning_ }));
   }
-  CheckRows("operations.md", "Exit codes of boragepierctl", codes);
+  CheckRows("OPERATIONS.md", "Exit codes of boragepierctl", codes);
   std::vector<std::string> metrics;
   for (const MetricInfo& info : MetricCatalogue()) {
     metrics.push_back(Row({ Code(info.name_), info.type_, info.help_ }));
   }
-  CheckRows("operations.md", "Metrics", metrics);
+  CheckRows("OPERATIONS.md", "Metrics", metrics);
 }
 
 // Guards against links to pages that do not exist.
