--- a/boragepier/decision/balancer_probes.cc
+++ b/boragepier/decision/balancer_probes.cc
@@ -98,6 +98,9 @@
                                     MonotonicTime aNow)
 {
   const auto index = static_cast<std::uint32_t>(aUpstream);
+  if (aLoad && !aLoad->known_) {
+    aLoad.reset();
+  }
   for (Held& held : held_) {
     if (const auto found = std::find(held.awaited_.begin(), held.awaited_.end(), index);
         found != held.awaited_.end()) {
--- a/boragepier/decision/fresh_balancer.cc
+++ b/boragepier/decision/fresh_balancer.cc
@@ -237,6 +237,8 @@
   if (aReport.failure_ == AttemptFailure::Refused) {
     upstream.belief_.OnFull(SlotsOf(upstream), aNow);
   } else if (aReport.load_) {
+    reportsLoad_ = true;
+    unreportedProbes_ = 0;
     LoadReport load = *aReport.load_;
     load.inFlight_ -= std::min<std::uint32_t>(load.inFlight_, 1);
     load.healthy_ = true;
--- a/boragepier/decision/fresh_balancer.h
+++ b/boragepier/decision/fresh_balancer.h
@@ -163,7 +163,8 @@
   std::vector<Sent> sent_;
   MonotonicTime lastCongestedDispatch_;
   double dispatchIntervalMs_ = 0; ///< between dispatches while all slots are taken; 0 if unknown
-  bool reportsLoad_ = true;       ///< false once probes were answered without a load report
+  bool reportsLoad_ = true;       ///< false once enough probes were answered without a report
+  unsigned unreportedProbes_ = 0; ///< answered without a report since the last report
 };
 
 } // namespace boragepier
--- a/boragepier/decision/fresh_balancer_test.cc
+++ b/boragepier/decision/fresh_balancer_test.cc
@@ -290,6 +290,25 @@
   CHECK(Chosen({ { "a-1", Load(0) }, { "a-2", Load(2) }, { "b-1", Load(2) } }) == "a-1");
 }
 
+// Guards against requests that wait for probes in vain where upstreams report no load, and against
+// probes that take the slots of requests there.
+TEST(FreshBalancer, UpstreamsWithoutReportsAreNotProbedForLong)
+{
+  LoadReport none;
+  none.known_ = false;
+  const std::map<std::string, LoadReport> silent{ { "a-1", none },
+                                                  { "a-2", none },
+                                                  { "b-1", none } };
+  for (int i = 0; i < 6; ++i) {
+    now_ += milliseconds(50);
+    End(Chosen(silent), milliseconds(20));
+  }
+  now_ += milliseconds(50);
+  const Choice choice = Submit(Call(Repeatability::AtMostOnce));
+  CHECK(choice.kind_ == Choice::Kind::Dispatch);
+  CHECK(!balancer_.NextProbe(now_));
+}
+
 TEST(FreshBalancer, LeavingUpstreamsGetNothing)
 {
   std::vector endpoints{ Endpoint("a-1", "a"), Endpoint("a-2", "a") };
--- a/boragepier/decision/fresh_choice.cc
+++ b/boragepier/decision/fresh_choice.cc
@@ -58,6 +58,8 @@
 // Time between two looks at a request whose probes are out.
 constexpr Duration kHedgeLookAgain = std::chrono::milliseconds(10);
 constexpr double kIntervalWeight = 0.2;
+// After this many answered probes without a report the upstreams are taken not to report load.
+constexpr unsigned kUnreportedProbes = 6;
 // Limits of the time that a refused caller is told to wait.
 constexpr double kMinRetryAfterMs = 100;
 constexpr double kMaxRetryAfterMs = 5000;
@@ -161,6 +163,9 @@
 FreshBalancer::RequestProbe(std::uint32_t aIndex, MonotonicTime aNow)
 {
   const UpstreamBelief& belief = upstreams_[aIndex].belief_;
+  if (!reportsLoad_) {
+    return;
+  }
   const auto age = belief.Age(aNow);
   const bool wanted =
     std::find(wantedProbes_.begin(), wantedProbes_.end(), aIndex) != wantedProbes_.end();
@@ -500,7 +505,11 @@
   const auto index = static_cast<std::uint32_t>(aUpstream);
   UpstreamBelief& belief = upstreams_.at(index).belief_;
   belief.OnProbeEnded(aLoad.has_value(), aRoundTrip);
-  if (aLoad) {
+  if (aLoad && !aLoad->known_) {
+    // A probe that brings no report may take a slot like a request, so it is not worth its cost.
+    reportsLoad_ = reportsLoad_ && ++unreportedProbes_ < kUnreportedProbes;
+  } else if (aLoad) {
+    unreportedProbes_ = 0;
     pace_.OnReport(aLoad->slowness_);
     belief.OnReport(*aLoad, aNow - aRoundTrip / 2);
   }
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -67,6 +67,7 @@
   std::uint32_t slots_ = 0;    ///< requests that it runs at a time; 0 if not reported
   double slowness_ = 1;        ///< present duration of work as a multiple of the usual one
   bool healthy_ = true;        ///< what the upstream says of itself
+  bool known_ = true;          ///< false if the upstream answered, but reports no load
 };
 
 /// How an attempt ended.
--- a/boragepier/entry/queue_driver.h
+++ b/boragepier/entry/queue_driver.h
@@ -112,9 +112,11 @@
     UpstreamSigns signs;
     if (aResult.outcome_ == Outcome::Answered) {
       signs = ports_.dialect_.readSigns_(aResult.response_);
-      if (signs.load_) {
-        signs.load_->healthy_ = aResult.response_.status_ < 300;
+      if (!signs.load_) {
+        signs.load_ = LoadReport();
+        signs.load_->known_ = false;
       }
+      signs.load_->healthy_ = aResult.response_.status_ < 300;
     }
     const bool foreign = aResult.outcome_ == Outcome::Answered &&
                          !ports_.dialect_.isFrom_(aResult.response_, aEndpoint);
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -20,6 +20,13 @@
 fi
 clang-format --dry-run --Werror "${files[@]}"
 
+# Names of the users' platform are decoded in platform/ and stand nowhere else in the code.
+platform_names='Attempt-Id|Server-Signature|Server-Load|Not-Executed|Expected-Instance|rows-(tx|feed|get)'
+if git grep -nE "$platform_names" -- boragepier apps testing; then
+  echo "names of the platform stand outside platform/"
+  exit 1
+fi
+
 # A translation unit is checked again only when its preprocessed text or the rules change.
 cache=$build_dir/lint-cache
 mkdir -p "$cache"
