--- a/boragepier/decision/balancer_attempts.cc
+++ b/boragepier/decision/balancer_attempts.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "boragepier/decision/attempt_rules.h"
+
 namespace boragepier {
 
 namespace {
@@ -30,34 +32,6 @@
 constexpr double kMaxHedgeWaitTurns = 0.2;
 constexpr double kEndIntervalWeight = 0.05;
 
-std::optional<RetryReason>
-ReasonFor(const AttemptReport& aReport)
-{
-  switch (aReport.failure_) {
-    case AttemptFailure::None:
-      break;
-    case AttemptFailure::ConnectFailed:
-    case AttemptFailure::NothingWritten:
-      return RetryReason::ConnectFailed;
-    case AttemptFailure::Refused:
-      return RetryReason::Refused;
-    case AttemptFailure::ConnectionLost:
-      return RetryReason::ConnectionLost;
-    case AttemptFailure::Timeout:
-      return RetryReason::AttemptTimeout;
-    case AttemptFailure::Truncated:
-    case AttemptFailure::MalformedResponse:
-      return RetryReason::TruncatedResponse;
-    case AttemptFailure::ResponseTooLarge:
-    case AttemptFailure::Cancelled:
-      return std::nullopt;
-  }
-  if (aReport.status_ >= 500) {
-    return RetryReason::ServerError;
-  }
-  return std::nullopt;
-}
-
 } // namespace
 
 void
@@ -123,7 +97,7 @@
                                 const AttemptReport& aReport,
                                 MonotonicTime aNow)
 {
-  const auto reason = ReasonFor(aReport);
+  const auto reason = RetryReasonOf(aReport);
   const bool harmless =
     aCall.repeatability_ == Repeatability::Repeatable || aReport.outcome_ == Outcome::NotRun;
   if (!reason || !harmless || aNow >= aCall.deadline_ || aCall.tried_.size() >= kMaxAttempts) {
@@ -167,11 +141,8 @@
     return std::nullopt;
   }
   const auto picked = Pick(aCall, aNow);
-  const bool useful =
-    picked && picked->waitTurns_ <= kMaxHedgeWaitTurns &&
-    std::find(aCall.tried_.begin(),
-              aCall.tried_.end(),
-              UpstreamHandle{ static_cast<std::uint32_t>(picked->index_) }) == aCall.tried_.end();
+  const bool useful = picked && picked->waitTurns_ <= kMaxHedgeWaitTurns &&
+                      !WasTried(aCall, static_cast<std::uint32_t>(picked->index_));
   if (!useful) {
     return std::nullopt;
   }
--- a/boragepier/decision/balancer_choice.cc
+++ b/boragepier/decision/balancer_choice.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "boragepier/decision/attempt_rules.h"
+
 namespace boragepier {
 
 namespace {
@@ -20,12 +22,6 @@
 constexpr double kLowDeviation = 0.67;
 constexpr double kHighDeviation = 1.5;
 
-bool
-Contains(std::span<const UpstreamHandle> aHandles, std::uint32_t aIndex)
-{
-  return std::find(aHandles.begin(), aHandles.end(), UpstreamHandle{ aIndex }) != aHandles.end();
-}
-
 } // namespace
 
 double
@@ -60,7 +56,7 @@
                                    MonotonicTime aNow)
 {
   for (const std::uint32_t index : aIndices) {
-    if (!TakesWork(index, aNow) || Contains(aCall.tried_, index)) {
+    if (!TakesWork(index, aNow) || WasTried(aCall, index)) {
       continue;
     }
     if (aByStanding) {
--- a/boragepier/decision/balancer_upstreams.cc
+++ b/boragepier/decision/balancer_upstreams.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "boragepier/decision/attempt_rules.h"
 #include "boragepier/decision/home_subset.h"
 
 namespace boragepier {
@@ -10,8 +11,6 @@
 
 // Upstreams that one instance prefers. 1 to 4 differ by less than 0.5 ms at p99.
 constexpr std::size_t kHomeSize = 3;
-// Without a fresh sign, a sign of leaving is dropped after this time.
-constexpr Duration kLeavingLifetime = std::chrono::seconds(60);
 
 } // namespace
 
--- a/boragepier/decision/fresh_balancer.cc
+++ b/boragepier/decision/fresh_balancer.cc
@@ -7,6 +7,8 @@
 
 #include <xxhash.h>
 
+#include "boragepier/decision/attempt_rules.h"
+
 namespace boragepier {
 
 namespace {
@@ -15,12 +17,11 @@
 // connections; the upstreams of other zones have a part of their own for the loss of the own zone.
 constexpr std::size_t kScanLimit = 24;
 constexpr std::size_t kMinRemoteScan = 8;
-constexpr Duration kConsideredAge = std::chrono::seconds(1);
-// Upstreams listed in explain records.
+// Upstreams listed in explain records, and the age of a report up to which one of a large service
+// counts as considered.
 constexpr std::size_t kMaxCandidates = 16;
+constexpr Duration kConsideredAge = std::chrono::seconds(1);
 
-// Without a fresh sign, a sign of leaving is dropped after this time.
-constexpr Duration kLeavingLifetime = std::chrono::seconds(60);
 // A request that is given up after this multiple of its expected time counts against the upstream.
 constexpr double kSlowOutcomeFactor = 3;
 constexpr double kSlowOutcomeWeight = 0.5;
@@ -47,31 +48,6 @@
   }
 }
 
-std::optional<RetryReason>
-ReasonFor(const AttemptReport& aReport)
-{
-  switch (aReport.failure_) {
-    case AttemptFailure::ConnectFailed:
-    case AttemptFailure::NothingWritten:
-      return RetryReason::ConnectFailed;
-    case AttemptFailure::Refused:
-      return RetryReason::Refused;
-    case AttemptFailure::ConnectionLost:
-      return RetryReason::ConnectionLost;
-    case AttemptFailure::Timeout:
-      return RetryReason::AttemptTimeout;
-    case AttemptFailure::Truncated:
-    case AttemptFailure::MalformedResponse:
-      return RetryReason::TruncatedResponse;
-    case AttemptFailure::ResponseTooLarge:
-    case AttemptFailure::Cancelled:
-      return std::nullopt;
-    case AttemptFailure::None:
-      break;
-  }
-  return aReport.status_ >= 500 ? std::optional(RetryReason::ServerError) : std::nullopt;
-}
-
 } // namespace
 
 FreshBalancer::FreshBalancer(ServiceConfig aConfig, ZoneName aLocalZone, std::uint64_t aSeed)
@@ -257,7 +233,7 @@
 RetryVerdict
 FreshBalancer::MayRetry(const CallInfo& aCall, const AttemptReport& aReport, MonotonicTime aNow)
 {
-  const auto reason = ReasonFor(aReport);
+  const auto reason = RetryReasonOf(aReport);
   const bool harmless =
     aCall.repeatability_ == Repeatability::Repeatable || aReport.outcome_ == Outcome::NotRun;
   if (!reason || !harmless || aNow >= aCall.deadline_ ||
--- a/boragepier/decision/fresh_balancer.h
+++ b/boragepier/decision/fresh_balancer.h
@@ -86,7 +86,6 @@
   struct Waiting
   {
     CallInfo call_;
-    MonotonicTime since_;
     Stage stage_ = Stage::New;
     MonotonicTime stageEnds_; ///< probes of the stage are waited for until then
     std::vector<std::uint32_t> awaited_;
--- a/boragepier/decision/fresh_choice.cc
+++ b/boragepier/decision/fresh_choice.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "boragepier/decision/attempt_rules.h"
 #include "boragepier/decision/fresh_balancer.h"
 
 namespace boragepier {
@@ -64,12 +65,6 @@
 constexpr double kMinRetryAfterMs = 100;
 constexpr double kMaxRetryAfterMs = 5000;
 
-bool
-Contains(std::span<const UpstreamHandle> aHandles, std::uint32_t aIndex)
-{
-  return std::find(aHandles.begin(), aHandles.end(), UpstreamHandle{ aIndex }) != aHandles.end();
-}
-
 double
 TargetMs(const CallInfo& aCall)
 {
@@ -128,7 +123,7 @@
   std::vector<Prospect> prospects;
   const auto collect = [&](std::span<const std::uint32_t> aIndices, bool aTriedToo) {
     for (const std::uint32_t index : aIndices) {
-      if (TakesWork(upstreams_[index], aNow) && (aTriedToo || !Contains(aCall.tried_, index))) {
+      if (TakesWork(upstreams_[index], aNow) && (aTriedToo || !WasTried(aCall, index))) {
         prospects.push_back(ProspectOf(index, aCall, aNow));
       }
     }
@@ -307,7 +302,7 @@
       return Refuse(RefusalReason::Overloaded, *wait);
     }
   }
-  Waiting waiting{ aCall, aNow, Stage::New, aNow, {} };
+  Waiting waiting{ aCall, Stage::New, aNow, {} };
   if (const auto choice = Decide(waiting, aNow)) {
     return *choice;
   }
@@ -489,7 +484,7 @@
     const std::uint32_t index = wantedProbes_.front();
     wantedProbes_.pop_front();
     if (reportsLoad_ && TakesWork(upstreams_[index], aNow)) {
-      upstreams_[index].belief_.OnProbeSent(aNow);
+      upstreams_[index].belief_.OnProbeSent();
       return UpstreamHandle{ index };
     }
   }
--- a/boragepier/decision/upstream_belief.cc
+++ b/boragepier/decision/upstream_belief.cc
@@ -92,7 +92,7 @@
 void
 UpstreamBelief::OnProbeEnded(bool aAnswered, Duration aRoundTrip)
 {
-  probeSentAt_.reset();
+  probing_ = false;
   if (!aAnswered) {
     ++failedProbes_;
     report_.reset();
--- a/boragepier/decision/upstream_belief.h
+++ b/boragepier/decision/upstream_belief.h
@@ -31,10 +31,9 @@
   /// @param aWeight 1 for a request, less for weaker evidence
   void OnOutcome(bool aFailed, double aWeight, MonotonicTime aNow);
 
-  void OnProbeSent(MonotonicTime aNow) { probeSentAt_ = aNow; }
+  void OnProbeSent() { probing_ = true; }
   void OnProbeEnded(bool aAnswered, Duration aRoundTrip);
-  bool ProbeInFlight() const { return probeSentAt_.has_value(); }
-  std::optional<MonotonicTime> ProbeSentAt() const { return probeSentAt_; }
+  bool ProbeInFlight() const { return probing_; }
   /// @return consecutive probes without an answer
   unsigned FailedProbes() const { return failedProbes_; }
   double RoundTripMs() const { return roundTripMs_; }
@@ -54,8 +53,8 @@
   std::vector<MonotonicTime> sent_; ///< own outstanding requests
   std::optional<LoadReport> report_;
   MonotonicTime takenAt_;
-  int sinceReport_ = 0; ///< own requests sent less those ended since the report was written
-  std::optional<MonotonicTime> probeSentAt_;
+  int sinceReport_ = 0;  ///< own requests sent less those ended since the report was written
+  bool probing_ = false; ///< a probe is out
   unsigned failedProbes_ = 0;
   double roundTripMs_ = 3;
   double failures_ = 0;
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -127,7 +127,6 @@
   }
 
   const DirectoryState& State() const { return state_; }
-  std::size_t Followers() const { return followers_.size(); }
 
 private:
   /// Sources that are tried before the store is read instead.
--- a/boragepier/directory/feed_mirror.h
+++ b/boragepier/directory/feed_mirror.h
@@ -34,7 +34,6 @@
 
   /// @return the position up to which the rows are known; 0 if none are
   std::uint64_t Position() const { return position_; }
-  std::size_t Size() const { return rows_.size(); }
 
 private:
   bool Apply(const FeedRow& aRow);
