Doubt removed upstreams only after outages that can make entries lapse

Cause: an instance that lost the store kept removed upstreams for 2.5 s, and told all that follow it to do the same. Traced from the upstream-doubtful lines, which began 0.8 s after the first store-unreachable line, at instances that had no trouble themselves.

Change: the grace time follows from the time between two sights of the store by any instance. Only a gap of two heartbeats (fleet.heartbeat-ms, new) can let entries lapse. Peers no longer pass on grace times. News carry the time of the receiver's last message, so that delayed news no longer count as fresh, and an empty answer to a wait confirms the state at the end of the wait, not on arrival.

Tests: TroubleOfSomeInstancesKeepsNoRemovedUpstreamInService, LateNewsDoNotConfirmWhatIsKnown, AllInstancesKeepLapsedUpstreamsAfterAnOutage, and three of DirectoryState.

--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -174,6 +174,17 @@
                  [](Settings& aSettings, const KeyValue& aValue) {
                    Assign(aSettings.probesPerUpstreamSecond_, aValue);
                  } },
+  Key<Settings>{
+    { .section_ = "fleet",
+      .name_ = "heartbeat-ms",
+      .type_ = KeyType::Integer,
+      .unit_ = "ms",
+      .minimum_ = 1,
+      .maximum_ = 600000,
+      .default_ = "1500",
+      .meaning_ = "interval in which upstreams renew their entries in the store; an "
+                  "entry lapses after three without renewal" },
+    [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.heartbeat_, aValue); } },
   Key<Settings>{
     { .section_ = "peers",
       .name_ = "seeds",
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -47,6 +47,7 @@
   double retryRatio_ = 0.1; ///< extra attempts per request
   double retrySlack_ = 0;   ///< further extra attempts of the fleet in a window
   Duration retryWindow_ = std::chrono::seconds(10);
+  Duration heartbeat_ = std::chrono::milliseconds(1500);
   double probesPerUpstreamSecond_ = 20; ///< of the whole fleet
 
   LogLevel logLevel_ = LogLevel::Info;
--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -1,6 +1,7 @@
 #include "boragepier/directory/directory_state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_map>
 #include <utility>
 
@@ -57,7 +58,7 @@
   const bool wasLeaving = !isNew && upstream.entry_.endpoint_.leaving_;
   const bool same = !isNew && upstream.entry_.service_ == aEntry.service_ &&
                     upstream.entry_.endpoint_ == aEntry.endpoint_;
-  upstream.removeAt_.reset();
+  upstream.missing_ = false;
   if (same) {
     return;
   }
@@ -98,13 +99,12 @@
 DirectoryState::RemoveUpstream(const std::string& aKey, MonotonicTime aNow)
 {
   const auto found = upstreams_.find(aKey);
-  if (found == upstreams_.end() || found->second.removeAt_) {
+  if (found == upstreams_.end() || found->second.missing_) {
     return;
   }
   // An upstream that was leaving does not come back.
-  const Duration grace = GraceLeft(aNow);
-  if (grace > Duration(0) && !found->second.entry_.endpoint_.leaving_) {
-    found->second.removeAt_ = aNow + grace;
+  if (aNow < graceUntil_ && !found->second.entry_.endpoint_.leaving_) {
+    found->second.missing_ = true;
     events_.push_back({ DirectoryChange::UpstreamDoubtful, aKey, {} });
     return;
   }
@@ -113,58 +113,44 @@
   changed_ = true;
 }
 
-Duration
-DirectoryState::GraceLeft(MonotonicTime aNow) const
-{
-  return inTrouble_ ? kReturnGrace : std::max(Duration(0), graceUntil_ - aNow);
-}
-
-void
-DirectoryState::ExtendGrace(MonotonicTime aUntil)
-{
-  graceUntil_ = std::max(graceUntil_, aUntil);
-}
-
 void
-DirectoryState::OnTrouble(MonotonicTime)
+DirectoryState::OnUpstreamsSeen(MonotonicTime aSeenAt, MonotonicTime aNow)
 {
-  inTrouble_ = true;
-}
-
-void
-DirectoryState::OnContact(MonotonicTime aNow)
-{
-  if (std::exchange(inTrouble_, false)) {
-    ExtendGrace(aNow + kReturnGrace);
+  const MonotonicTime before =
+    std::exchange(seenAt_, std::max(seenAt_.value_or(aSeenAt), aSeenAt)).value_or(aSeenAt);
+  const Duration gap = aSeenAt - before;
+  // Upstreams that an outage keeps from returning after another one get the grace time again.
+  const bool interrupted = before < graceUntil_ && gap >= terms_.heartbeat_;
+  if (gap >= kLapseHeartbeats * terms_.heartbeat_ || interrupted) {
+    graceUntil_ = std::max(graceUntil_, aNow + kReturnGrace);
+    events_.push_back(
+      { DirectoryChange::EntriesAwaited, std::to_string(std::llround(ToMilliseconds(gap))), {} });
   }
 }
 
 void
 DirectoryState::Advance(MonotonicTime aNow)
 {
-  std::vector<std::string> expired;
-  for (const auto& [key, upstream] : upstreams_) {
-    if (upstream.removeAt_ && *upstream.removeAt_ <= aNow) {
-      expired.push_back(key);
-    }
-  }
-  for (const std::string& key : expired) {
-    events_.push_back({ DirectoryChange::UpstreamRemoved, key, "missing after trouble" });
-    upstreams_.erase(key);
-    changed_ = true;
+  if (aNow < graceUntil_) {
+    return;
   }
+  std::erase_if(upstreams_, [&](const auto& aUpstream) {
+    const auto& [key, upstream] = aUpstream;
+    if (upstream.missing_) {
+      events_.push_back({ DirectoryChange::UpstreamRemoved, key, "missing after an outage" });
+      changed_ = true;
+    }
+    return upstream.missing_;
+  });
 }
 
 std::optional<MonotonicTime>
 DirectoryState::NextAdvance() const
 {
-  std::optional<MonotonicTime> next;
-  for (const auto& [key, upstream] : upstreams_) {
-    if (upstream.removeAt_) {
-      next = std::min(next.value_or(*upstream.removeAt_), *upstream.removeAt_);
-    }
-  }
-  return next;
+  const bool missing = std::any_of(upstreams_.begin(), upstreams_.end(), [](const auto& aUpstream) {
+    return aUpstream.second.missing_;
+  });
+  return missing ? std::optional(graceUntil_) : std::nullopt;
 }
 
 bool
--- a/boragepier/directory/directory_state.h
+++ b/boragepier/directory/directory_state.h
@@ -21,6 +21,7 @@
   double retrySlack_ = 0;   ///< further extra attempts to a service in a window
   Duration retryWindow_ = std::chrono::seconds(10);
   double probesPerUpstreamSecond_ = 20;
+  Duration heartbeat_ = std::chrono::milliseconds(1500); ///< in which upstreams renew their entries
 };
 
 /// What changed in the state, for logs.
@@ -31,7 +32,8 @@
   UpstreamAdded,
   UpstreamLeaving,
   UpstreamRemoved,
-  UpstreamDoubtful, ///< its entry is missing after trouble with the store; kept for now
+  UpstreamDoubtful, ///< its entry is missing after an outage of the store; kept for now
+  EntriesAwaited,   ///< after an outage of the store, in which entries may have lapsed
   EntryUnreadable,
   InstanceAdded,
 };
@@ -46,9 +48,11 @@
 
 /// Configuration, upstreams and instances as read from a store. Reads no clock and does no I/O.
 ///
-/// The version of the configuration only rises. Entries of upstreams may vanish while the store is
-/// in trouble although the upstreams live; they come back soon after. So an entry that is missing
-/// within kReturnGrace of the end of the trouble is kept until that time has passed.
+/// The version of the configuration only rises. Entries of upstreams may lapse in an outage of the
+/// store although the upstreams live; they come back soon after. So an entry that goes missing
+/// within kReturnGrace of the end of an outage is kept until that time has passed. An outage is
+/// seen from the time between two sights of the store by whichever instance: trouble that only some
+/// instances have with the store makes no entry lapse.
 class DirectoryState
 {
 public:
@@ -63,14 +67,10 @@
 
   /// Takes in changed entries.
   void OnChanges(std::span<const FeedItem> aItems, MonotonicTime aNow);
-  /// The store did not answer, or refused this instance.
-  void OnTrouble(MonotonicTime aNow);
-  /// The store answered.
-  void OnContact(MonotonicTime aNow);
-  /// Keeps missing entries at least until aUntil, as after trouble that another instance had.
-  void ExtendGrace(MonotonicTime aUntil);
-  /// @return how long missing entries are kept from now on; zero outside of trouble
-  Duration GraceLeft(MonotonicTime aNow) const;
+  /// The entries of upstreams in the store were seen by this or another instance. Called before
+  /// the changes that were seen are taken in.
+  /// @param aSeenAt when, not after aNow
+  void OnUpstreamsSeen(MonotonicTime aSeenAt, MonotonicTime aNow);
   /// Removes the upstreams whose time has run out.
   void Advance(MonotonicTime aNow);
   /// @return when Advance() must be called, if there is a reason
@@ -87,10 +87,13 @@
   std::uint64_t ConfigVersion() const { return config_ ? config_->version_ : 0; }
 
 private:
+  /// An entry lapses after three heartbeats, of which one may have passed before the outage.
+  static constexpr int kLapseHeartbeats = 2;
+
   struct Upstream
   {
     UpstreamEntry entry_;
-    std::optional<MonotonicTime> removeAt_; ///< its entry is missing
+    bool missing_ = false; ///< since an outage; removed when the grace time ends
   };
 
   void OnItem(const FeedItem& aItem, MonotonicTime aNow);
@@ -107,7 +110,7 @@
   std::shared_ptr<const FleetConfig> config_;
   std::map<std::string, Upstream> upstreams_;
   std::map<std::string, InstanceEntry> instances_;
-  bool inTrouble_ = false;
+  std::optional<MonotonicTime> seenAt_; ///< last sight of the entries of upstreams
   MonotonicTime graceUntil_{};
   bool changed_ = false;
   std::vector<DirectoryEvent> events_;
--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -120,9 +120,9 @@
 {
   Change(UpstreamItem("u-1"), kStart);
   Change(UpstreamItem("u-2"), kStart);
-  state_.OnTrouble(kStart);
+  state_.OnUpstreamsSeen(kStart, kStart);
   const MonotonicTime back = kStart + std::chrono::seconds(20);
-  state_.OnContact(back);
+  state_.OnUpstreamsSeen(back, back);
   Change({ "u-1", RemovedEntry{} }, back);
   Change({ "u-2", RemovedEntry{} }, back);
   CHECK_EQUAL(2, Upstreams());
@@ -136,9 +136,39 @@
 TEST(DirectoryState, LeavingUpstreamIsNotKeptAfterAnOutage)
 {
   Change(UpstreamItem("u-1", true), kStart);
-  state_.OnTrouble(kStart);
-  state_.OnContact(kStart);
-  Change({ "u-1", RemovedEntry{} }, kStart);
+  state_.OnUpstreamsSeen(kStart, kStart);
+  const MonotonicTime back = kStart + std::chrono::seconds(20);
+  state_.OnUpstreamsSeen(back, back);
+  Change({ "u-1", RemovedEntry{} }, back);
+  CHECK_EQUAL(0, Upstreams());
+}
+
+// Guards against work for an upstream that left while the store was away too briefly for entries to
+// lapse.
+TEST(DirectoryState, RemovalAfterABriefInterruptionTakesEffectAtOnce)
+{
+  Change(UpstreamItem("u-1"), kStart);
+  state_.OnUpstreamsSeen(kStart, kStart);
+  const MonotonicTime back = kStart + std::chrono::milliseconds(2900);
+  state_.OnUpstreamsSeen(back, back);
+  Change({ "u-1", RemovedEntry{} }, back);
+  CHECK_EQUAL(0, Upstreams());
+}
+
+// Guards against a second outage that takes upstreams out of service which could not yet return
+// after the first.
+TEST(DirectoryState, GraceTimeStartsAgainAfterAnotherOutage)
+{
+  Change(UpstreamItem("u-1"), kStart);
+  state_.OnUpstreamsSeen(kStart, kStart);
+  MonotonicTime back = kStart + std::chrono::seconds(20);
+  state_.OnUpstreamsSeen(back, back);
+  Change({ "u-1", RemovedEntry{} }, back);
+  back += std::chrono::milliseconds(2400);
+  state_.OnUpstreamsSeen(back, back);
+  state_.Advance(back + std::chrono::milliseconds(200));
+  CHECK_EQUAL(1, Upstreams());
+  state_.Advance(back + DirectoryState::kReturnGrace);
   CHECK_EQUAL(0, Upstreams());
 }
 
@@ -246,7 +276,7 @@
 
 namespace {
 
-// Carries messages between the watches of one test, with a trip of 2 ms.
+// Carries messages between the watches of one test.
 class FakePeers
 {
 public:
@@ -255,6 +285,7 @@
     FakeScheduler& scheduler_;
     std::map<InstanceId, FakePeers*> nodes_;
     std::set<InstanceId> cutOff_;
+    Duration trip_ = std::chrono::milliseconds(2);
   };
 
   explicit FakePeers(Network& aNetwork)
@@ -273,7 +304,7 @@
 
   std::size_t Send(const PeerEndpoint& aPeer, const PeerMessage& aMessage)
   {
-    network_.scheduler_.After(std::chrono::milliseconds(2), [this, to = aPeer.id_, aMessage] {
+    network_.scheduler_.After(network_.trip_, [this, to = aPeer.id_, aMessage] {
       const auto found = network_.nodes_.find(to);
       if (found != network_.nodes_.end() && !network_.cutOff_.contains(to) &&
           !network_.cutOff_.contains(self_.id_)) {
@@ -306,6 +337,11 @@
     rows_[aTopic][aKey] = row;
   }
 
+  void Remove(FeedTopic aTopic, const std::string& aKey)
+  {
+    rows_[aTopic][aKey] = { aKey, ++position_, true, {} };
+  }
+
   std::vector<FeedRow> Since(FeedTopic aTopic, std::uint64_t aPosition)
   {
     std::vector<FeedRow> rows;
@@ -413,7 +449,7 @@
 
   FakeScheduler scheduler_;
   FakeStore store_{ scheduler_ };
-  FakePeers::Network network_{ scheduler_, {}, {} };
+  FakePeers::Network network_{ scheduler_, {}, {}, std::chrono::milliseconds(2) };
   std::vector<std::unique_ptr<Instance>> instances_;
 
   // i-0 has the largest capacity and reads the store.
@@ -450,6 +486,55 @@
   }
 };
 
+// Guards against requests to upstreams that left, kept because some instances cannot reach the
+// store although it serves the others.
+TEST(DirectoryWatch, TroubleOfSomeInstancesKeepsNoRemovedUpstreamInService)
+{
+  store_.Put(FeedTopic::Upstreams, "u-1", {});
+  StartAll(16);
+  store_.silentFor_ = { InstanceId("i-0"), InstanceId("i-1") };
+  Run(std::chrono::seconds(2));
+  store_.Remove(FeedTopic::Upstreams, "u-1");
+  Run(std::chrono::milliseconds(2000));
+  for (std::size_t i = 2; i < instances_.size(); ++i) {
+    CHECK_EQUAL(0, instances_[i]->watch_.State().Table()->services_.at(0).upstreams_.size());
+  }
+}
+
+// Guards against an outage of the store after which instances drop the upstreams whose entries
+// lapsed in it, whichever way they learn of that.
+TEST(DirectoryWatch, AllInstancesKeepLapsedUpstreamsAfterAnOutage)
+{
+  store_.Put(FeedTopic::Upstreams, "u-1", {});
+  StartAll(16);
+  for (int i = 0; i < 16; ++i) {
+    store_.silentFor_.insert(InstanceId("i-" + std::to_string(i)));
+  }
+  Run(std::chrono::seconds(6));
+  store_.Remove(FeedTopic::Upstreams, "u-1");
+  store_.silentFor_.clear();
+  Run(std::chrono::milliseconds(2400));
+  for (const auto& instance : instances_) {
+    CHECK_EQUAL(1, instance->watch_.State().Table()->services_.at(0).upstreams_.size());
+  }
+  Run(std::chrono::seconds(5));
+  for (const auto& instance : instances_) {
+    CHECK_EQUAL(0, instance->watch_.State().Table()->services_.at(0).upstreams_.size());
+  }
+}
+
+// Guards against news that were long under way and count as fresh, so that a change of the store is
+// missed.
+TEST(DirectoryWatch, LateNewsDoNotConfirmWhatIsKnown)
+{
+  StartAll(16);
+  network_.trip_ = std::chrono::milliseconds(1500);
+  Run(std::chrono::seconds(4));
+  store_.Put(FeedTopic::Configuration, "config", "2");
+  Run(std::chrono::milliseconds(2000));
+  CheckVersions(2);
+}
+
 // Guards against calls to the store that grow with the number of instances.
 TEST(DirectoryWatch, OneInstanceReadsForAll)
 {
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -148,6 +148,7 @@
   {
     PeerEndpoint endpoint_;
     MonotonicTime heardAt_;
+    std::uint64_t sentAtMs_ = 0; ///< of its last message, by its own clock
     std::array<std::uint64_t, kFeedTopics> positions_{};
   };
 
@@ -243,29 +244,37 @@
   void Ask(FeedTopic aTopic)
   {
     const Topic& topic = Of(aTopic);
-    const auto done = [this, aTopic, wasKnown = topic.known_](const FeedPage& aPage) {
-      OnPage(aTopic, wasKnown, aPage);
+    const Duration wait = IsVital(aTopic) ? timing_.wait_ : timing_.instancesWait_;
+    // The store says that nothing changed at the end of the wait, however late that arrives.
+    const MonotonicTime waitedUntil = scheduler_.Now() + wait;
+    const auto done = [this, aTopic, waitedUntil, wasKnown = topic.known_](const FeedPage& aPage) {
+      OnPage(aTopic, wasKnown, waitedUntil, aPage);
     };
     if (topic.known_) {
-      const Duration wait = IsVital(aTopic) ? timing_.wait_ : timing_.instancesWait_;
       feed_.Wait(aTopic, topic.mirror_.Position(), wait, done);
     } else {
       feed_.Read(aTopic, done);
     }
   }
 
-  void OnPage(FeedTopic aTopic, bool aChangesOnly, const FeedPage& aPage)
+  void OnPage(FeedTopic aTopic,
+              bool aChangesOnly,
+              MonotonicTime aWaitedUntil,
+              const FeedPage& aPage)
   {
     const MonotonicTime now = scheduler_.Now();
     Topic& topic = Of(aTopic);
     Duration pause{};
     if (aPage.status_ == FeedStatus::Ok && aPage.position_ >= topic.mirror_.Position()) {
       OnAnswered();
+      const bool silentWait = aChangesOnly && aPage.rows_.empty();
+      const MonotonicTime seenAt = silentWait ? std::min(now, aWaitedUntil) : now;
+      SeeTopic(aTopic, seenAt, now);
       const auto changed = aChangesOnly ? topic.mirror_.OnChanges(aPage.rows_, aPage.position_)
                                         : topic.mirror_.OnSnapshot(aPage.rows_, aPage.position_);
       TakeIn(aTopic, changed, now);
       topic.known_ = true;
-      topic.confirmedAt_ = now;
+      topic.confirmedAt_ = seenAt;
       topic.retry_ = {};
       if (!changed.empty()) {
         pause = Jittered(timing_.pause_);
@@ -294,7 +303,6 @@
 
   void OnAnswered()
   {
-    state_.OnContact(scheduler_.Now());
     if (std::exchange(failing_, false) && onContact_) {
       onContact_(true, {});
     }
@@ -302,7 +310,6 @@
 
   void OnFailed(const std::string& aError)
   {
-    state_.OnTrouble(scheduler_.Now());
     if (!std::exchange(failing_, true)) {
       SendNewsToAll(false);
       if (onContact_) {
@@ -349,6 +356,7 @@
   void SendFollow(std::size_t aSource)
   {
     PeerFollow follow;
+    follow.sentAtMs_ = ToClockMs(scheduler_.Now());
     for (const Topic& topic : topics_) {
       follow.positions_.push_back(topic.mirror_.Position());
     }
@@ -401,6 +409,7 @@
     Follower& follower = followers_[aSender.id_];
     follower.endpoint_ = aSender;
     follower.heardAt_ = scheduler_.Now();
+    follower.sentAtMs_ = aFollow.sentAtMs_;
     std::copy(aFollow.positions_.begin(), aFollow.positions_.end(), follower.positions_.begin());
     SendNews(follower);
   }
@@ -423,20 +432,22 @@
     const MonotonicTime now = scheduler_.Now();
     PeerNews news;
     news.storeAnswers_ = !failing_ && !leaving_ && Confirmed(now);
-    news.graceMs_ = static_cast<std::uint64_t>(ToMilliseconds(state_.GraceLeft(now)));
+    news.followSentAtMs_ = aFollower.sentAtMs_;
+    news.followHeldMs_ = static_cast<std::uint64_t>(ToMilliseconds(now - aFollower.heardAt_));
     for (const FeedTopic name : kTopics) {
       const Topic& topic = Of(name);
       std::uint64_t& position = aFollower.positions_[static_cast<std::size_t>(name)];
       PeerNews::Topic& part = news.topics_.emplace_back();
+      if (!topic.confirmedAt_) {
+        continue; // a part without a position says nothing
+      }
       part.from_ = position;
       part.position_ = position;
-      part.ageMs_ = topic.confirmedAt_
-                      ? static_cast<std::uint64_t>(ToMilliseconds(now - *topic.confirmedAt_))
-                      : kNeverConfirmedMs;
+      part.complete_ = true;
+      part.ageMs_ = static_cast<std::uint64_t>(ToMilliseconds(now - *topic.confirmedAt_));
       if (topic.known_ && topic.mirror_.Position() > position) {
         auto changes = topic.mirror_.Since(position, kMaxNewsBytes / kFeedTopics);
-        const bool all = changes.position_ >= topic.mirror_.Position();
-        part.ageMs_ = all ? part.ageMs_ : kNeverConfirmedMs;
+        part.complete_ = changes.position_ >= topic.mirror_.Position();
         part.rows_ = std::move(changes.rows_);
         part.position_ = changes.position_;
         position = changes.position_;
@@ -453,8 +464,9 @@
       return;
     }
     const MonotonicTime now = scheduler_.Now();
-    if (aNews.graceMs_ > 0) {
-      state_.ExtendGrace(now + FromMilliseconds(static_cast<double>(aNews.graceMs_)));
+    const std::uint64_t madeAtMs = aNews.followSentAtMs_ + aNews.followHeldMs_;
+    if (madeAtMs > ToClockMs(now)) {
+      return;
     }
     bool partial = false;
     bool changed = false;
@@ -464,13 +476,14 @@
       if (part.position_ == 0 || part.from_ > topic.mirror_.Position()) {
         continue;
       }
+      const MonotonicTime seenAt = FromClockMs(madeAtMs - std::min(part.ageMs_, madeAtMs));
+      SeeTopic(name, seenAt, now);
       TakeIn(name, topic.mirror_.OnChanges(part.rows_, part.position_), now);
       topic.known_ = true;
       changed = changed || !part.rows_.empty();
-      partial = partial || (!part.rows_.empty() && part.ageMs_ >= kNeverConfirmedMs);
-      const MonotonicTime at = now - FromMilliseconds(static_cast<double>(part.ageMs_));
-      if (part.position_ >= topic.mirror_.Position()) {
-        topic.confirmedAt_ = std::max(topic.confirmedAt_.value_or(at), at);
+      partial = partial || (!part.rows_.empty() && !part.complete_);
+      if (part.complete_ && part.position_ >= topic.mirror_.Position()) {
+        topic.confirmedAt_ = std::max(topic.confirmedAt_.value_or(seenAt), seenAt);
       }
     }
     if (changed) {
@@ -498,6 +511,13 @@
 
   // --- what is known -----------------------------------------------------------------------
 
+  void SeeTopic(FeedTopic aTopic, MonotonicTime aSeenAt, MonotonicTime aNow)
+  {
+    if (aTopic == FeedTopic::Upstreams) {
+      state_.OnUpstreamsSeen(aSeenAt, aNow);
+    }
+  }
+
   void TakeIn(FeedTopic aTopic, std::span<const FeedRow> aRows, MonotonicTime aNow)
   {
     std::vector<FeedItem> items;
@@ -567,8 +587,14 @@
     return aDuration * (85 + static_cast<int>(random_(30))) / 100;
   }
 
-  // Age of what was never confirmed: longer than any that is accepted.
-  static constexpr std::uint64_t kNeverConfirmedMs = 3'600'000;
+  static std::uint64_t ToClockMs(MonotonicTime aTime)
+  {
+    return static_cast<std::uint64_t>(ToMilliseconds(aTime.time_since_epoch()));
+  }
+  static MonotonicTime FromClockMs(std::uint64_t aMs)
+  {
+    return MonotonicTime(std::chrono::milliseconds(aMs));
+  }
 
   S& scheduler_;
   F& feed_;
--- a/boragepier/entry/directory_events.cc
+++ b/boragepier/entry/directory_events.cc
@@ -20,6 +20,8 @@
       return EventId::UpstreamLeaving;
     case DirectoryChange::UpstreamRemoved:
       return EventId::UpstreamRemoved;
+    case DirectoryChange::EntriesAwaited:
+      return EventId::EntriesAwaited;
     case DirectoryChange::UpstreamDoubtful:
       return EventId::UpstreamDoubtful;
     case DirectoryChange::EntryUnreadable:
@@ -38,7 +40,8 @@
   return { aSettings.retryRatio_,
            aSettings.retrySlack_,
            aSettings.retryWindow_,
-           aSettings.probesPerUpstreamSecond_ };
+           aSettings.probesPerUpstreamSecond_,
+           aSettings.heartbeat_ };
 }
 
 double
--- a/boragepier/peer/peer_codec.cc
+++ b/boragepier/peer/peer_codec.cc
@@ -124,7 +124,7 @@
 void
 Fields(auto& aVisit, PeerFollow& aValue)
 {
-  aVisit(aValue.positions_);
+  aVisit(aValue.sentAtMs_, aValue.positions_);
 }
 
 void
@@ -136,13 +136,13 @@
 void
 Fields(auto& aVisit, PeerNews::Topic& aValue)
 {
-  aVisit(aValue.from_, aValue.position_, aValue.ageMs_, aValue.rows_);
+  aVisit(aValue.from_, aValue.position_, aValue.ageMs_, aValue.complete_, aValue.rows_);
 }
 
 void
 Fields(auto& aVisit, PeerNews& aValue)
 {
-  aVisit(aValue.storeAnswers_, aValue.graceMs_, aValue.topics_);
+  aVisit(aValue.storeAnswers_, aValue.followSentAtMs_, aValue.followHeldMs_, aValue.topics_);
 }
 
 void
--- a/boragepier/peer/peer_codec_test.cc
+++ b/boragepier/peer/peer_codec_test.cc
@@ -21,9 +21,12 @@
   CheckSurvives(PeerDepartures{ 6, { { UpstreamId("u"), 8, kMaxRound } } });
   CheckSurvives(PeerMembers{ { { { InstanceId("i"), "10.0.0.1", 65535 }, 3, true } } });
 
-  CheckSurvives(PeerFollow{ { 1, 2, 3 } });
+  CheckSurvives(PeerFollow{ 123'456'789, { 1, 2, 3 } });
   CheckSurvives(PeerNews{
-    true, 7, { { 1, 9, 30, { { "u-1", 9, true, "" }, { "u-2", 8, false, "{}" } } }, {}, {} } });
+    true,
+    7,
+    8,
+    { { 1, 9, 30, true, { { "u-1", 9, true, "" }, { "u-2", 8, false, "{}" } } }, {}, {} } });
 
   ProcessEntry entry;
   entry.process_.id_ = "u-1";
@@ -65,7 +68,8 @@
   const std::vector<ConfigRecord> tooMany(kMaxPeerMessage / kMaxPeerBody, large);
   CHECK_THROWS(PeerMessageError, EncodePeerMessage(PeerConfigs{ tooMany }));
   const FeedRow row{ "k", 1, false, std::string(kMaxPeerRow + 1, 'x') };
-  CHECK_THROWS(PeerMessageError, EncodePeerMessage(PeerNews{ true, 0, { { 0, 1, 0, { row } } } }));
+  CHECK_THROWS(PeerMessageError,
+               EncodePeerMessage(PeerNews{ true, 0, 0, { { 0, 1, 0, true, { row } } } }));
 }
 
 } // namespace boragepier::peer
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -15,7 +15,7 @@
 namespace boragepier {
 
 /// Version of the messages below. A peer with another version is disconnected.
-inline constexpr unsigned kPeerProtocolVersion = 2;
+inline constexpr unsigned kPeerProtocolVersion = 3;
 /// Largest encoded message in bytes. Holds one configuration of kMaxConfigBody bytes, or the rows
 /// of a store up to kMaxNewsBytes.
 inline constexpr std::size_t kMaxPeerMessage = std::size_t{ 160 } * 1024;
@@ -150,6 +150,7 @@
 /// Asks another instance to send what it reads from the store, for a short time.
 struct PeerFollow
 {
+  std::uint64_t sentAtMs_ = 0;           ///< by the monotonic clock of the sender
   std::vector<std::uint64_t> positions_; ///< of each topic, up to which the sender knows the rows
   friend bool operator==(const PeerFollow&, const PeerFollow&) = default;
 };
@@ -161,13 +162,17 @@
   {
     std::uint64_t from_ = 0;     ///< position that the rows continue
     std::uint64_t position_ = 0; ///< up to which the receiver then knows the rows
-    std::uint64_t ageMs_ = 0;    ///< time since the store confirmed that there is no more
+    std::uint64_t ageMs_ = 0;    ///< time since the store was seen, when the message was made
+    bool complete_ = false;      ///< the store had no further rows then
     std::vector<FeedRow> rows_;
     friend bool operator==(const Topic&, const Topic&) = default;
   };
   bool storeAnswers_ = false;
-  std::uint64_t graceMs_ = 0; ///< for which missing entries are kept, after trouble with the store
-  std::vector<Topic> topics_; ///< in the order of FeedTopic
+  // These two tell the receiver the age of the message by its own clock, however long it was under
+  // way.
+  std::uint64_t followSentAtMs_ = 0; ///< sentAtMs_ of the last PeerFollow of the receiver
+  std::uint64_t followHeldMs_ = 0;   ///< time from its arrival to the sending of this message
+  std::vector<Topic> topics_;        ///< in the order of FeedTopic
   friend bool operator==(const PeerNews&, const PeerNews&) = default;
 };
 
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -184,7 +184,7 @@
   EventInfo{ EventId::UpstreamDoubtful,
              LogLevel::Info,
              "upstream-doubtful",
-             "the entry of an upstream is missing after trouble with the store; it is used until "
+             "the entry of an upstream is missing after an outage of the store; it is used until "
              "the grace time ends",
              "nothing" },
   EventInfo{ EventId::EntryUnreadable,
@@ -192,6 +192,12 @@
              "entry-unreadable",
              "an entry of the store cannot be read and names no upstream",
              "look for who writes it" },
+  EventInfo{ EventId::EntriesAwaited,
+             LogLevel::Info,
+             "entries-awaited",
+             "the entries of upstreams were not seen for the given ms, long enough to lapse; "
+             "entries that go missing now are kept for a grace time",
+             "look for the outage of the store" },
 
   EventInfo{ EventId::PeerConnected,
              LogLevel::Info,
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -50,6 +50,7 @@
   UpstreamProtocolError = 4010,
   UpstreamDoubtful = 4011,
   EntryUnreadable = 4012,
+  EntriesAwaited = 4013,
 
   PeerConnected = 5001,
   PeerLost = 5002,
