Handle input before timers that fell due while the thread stood still

Cause: after a pause of the thread (a posted task or a callback that was preempted) the loop ran due timers before it looked at its sockets. Attempts whose answers had arrived were given up as timed out. That fits the lines of the failed path and publish tests: three attempts of one instance ended by timeout in the same millisecond, 100 ms late.

Change: timers run up to the time at which the sockets were polled, not up to now. When a timer is due, up to 1,024 callbacks are run first instead of 64.

Test: InputThatCameBeforeATimerFellDueIsHandledFirst (200 sockets; fails on the former loop, which ran the timer first).

Not shown: that this was the cause.

--- a/boragepier/net/event_loop.cc
+++ b/boragepier/net/event_loop.cc
@@ -19,7 +19,12 @@
 class EventLoop::Impl
 {
 public:
+  // I/O callbacks in a round. Under a steady load more are always ready, and posted tasks and
+  // timers would wait for ever.
   static constexpr int kMaxCallbacks = 64;
+  // The same when a timer is due: it may be late because the thread stood still, and all input that
+  // came meanwhile goes first. Takes about 10 ms.
+  static constexpr int kMaxCallbacksBeforeTimers = 1024;
 
   void RunPosted()
   {
@@ -66,17 +71,20 @@
     return !posted_.empty();
   }
 
-  // Runs I/O callbacks, at most kMaxCallbacks: under a steady load more are always ready, and
-  // posted tasks and timers would wait for ever. Returns when some ran, a timer is due, or Wake()
-  // was called.
-  void Wait()
+  // Runs I/O callbacks. Returns when some ran, a timer is due, or Wake() was called.
+  // @return time up to which all I/O that was ready has been handled; later timers must wait
+  MonotonicTime Wait()
   {
     if (!HasPosted()) {
       ArmWakeTimer();
       context_.run_one();
     }
-    for (int i = 0; i < kMaxCallbacks && context_.poll_one() > 0; ++i) {
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    const bool timerDue = !timers_.empty() && timers_.begin()->first.first <= now;
+    const int most = timerDue ? kMaxCallbacksBeforeTimers : kMaxCallbacks;
+    for (int i = 0; i < most && context_.poll_one() > 0; ++i) {
     }
+    return now;
   }
 
   void Wake()
@@ -138,11 +146,12 @@
 void
 EventLoop::Run()
 {
+  MonotonicTime handled = Now();
   while (!impl_->stopped_) {
     impl_->RunPosted();
-    impl_->RunTimers(Now());
+    impl_->RunTimers(handled);
     impl_->DestroyRetired();
-    impl_->Wait();
+    handled = impl_->Wait();
     impl_->DestroyRetired();
   }
 }
--- a/boragepier/net/event_loop.h
+++ b/boragepier/net/event_loop.h
@@ -38,7 +38,8 @@
   /// Runs aTask in the loop thread, in order of posting. Any thread.
   void Post(Task aTask);
 
-  /// Runs aTask once, not before aDelay has passed. Loop thread only.
+  /// Runs aTask once, not before aDelay has passed and the input that was ready then has been
+  /// handled. Loop thread only.
   TimerId After(Duration aDelay, Task aTask);
   /// Cancels a timer. Loop thread only.
   /// @return false if it has run or was cancelled already
--- /dev/null
+++ b/boragepier/net/event_loop_test.cc
@@ -0,0 +1,72 @@
+#include "boragepier/net/event_loop.h"
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/local/connect_pair.hpp>
+#include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier::net {
+
+TEST_GROUP(EventLoop)
+{
+  using Socket = boost::asio::local::stream_protocol::socket;
+
+  EventLoop loop_;
+};
+
+// Guards against answers that are given up as timed out because the thread stood still after they
+// had arrived.
+TEST(EventLoop, InputThatCameBeforeATimerFellDueIsHandledFirst)
+{
+  constexpr std::size_t kConnections = 200;
+  std::vector<Socket> readers;
+  std::vector<Socket> writers;
+  std::array<char, 1> byte{};
+  std::string order;
+  for (std::size_t i = 0; i < kConnections; ++i) {
+    readers.emplace_back(loop_.Context());
+    writers.emplace_back(loop_.Context());
+    boost::asio::local::connect_pair(readers.back(), writers.back());
+    readers.back().async_read_some(
+      boost::asio::buffer(byte),
+      [&](const boost::system::error_code&, std::size_t) { order += 'i'; });
+  }
+  loop_.After(std::chrono::milliseconds(20), [&] {
+    order += 't';
+    loop_.Stop();
+  });
+  loop_.Post([&] {
+    for (Socket& writer : writers) {
+      boost::asio::write(writer, boost::asio::buffer("x", 1));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+  });
+  loop_.Run();
+  CHECK_EQUAL(std::string(kConnections, 'i') + 't', order);
+}
+
+// Guards against timers that wait for ever while input keeps coming.
+TEST(EventLoop, TimersRunWhileInputIsAlwaysReady)
+{
+  int rounds = 0;
+  std::function<void()> again = [&] {
+    ++rounds;
+    boost::asio::post(loop_.Context(), [&] { again(); });
+  };
+  again();
+  loop_.After(std::chrono::milliseconds(10), [&] { loop_.Stop(); });
+  loop_.Run();
+  CHECK(rounds > 0);
+}
+
+} // namespace boragepier::net
