Do not let a shutdown wait for claims that are only watched

Cause: a release whose insert was lost on the way is watched for 60 s, in case the insert still takes effect. Such claims counted as unsettled, so an instance that left after trouble with the platform waited until traffic.drain-limit-ms and exited with status 4.

Change: claims whose row was seen in its final state are not counted. The row of an insert that lands after the exit stays in progress until it is swept, as after a kill.

Test: AReleaseIsSettledOnceItsRowIsGone.

--- a/boragepier/state/claim_service_test.cc
+++ b/boragepier/state/claim_service_test.cc
@@ -215,6 +215,21 @@
   }
 }
 
+// Guards against a graceful shutdown that waits for the whole window in which a lost insert may
+// still take effect.
+TEST(ClaimService, AReleaseIsSettledOnceItsRowIsGone)
+{
+  Expect({ LostAfter() });
+  ClaimHandle handle = Grant();
+  claims_.Release(std::move(handle), time_.Now());
+  for (int step = 0; step < 40; ++step) {
+    time_.RunUntil(time_.Now() + 50ms);
+    claims_.Advance(time_.Now());
+  }
+  CHECK(table_.Rows().Rows().empty());
+  CHECK_EQUAL(0U, claims_.Unsettled());
+}
+
 TEST(ClaimService, RefusedInsertIsStoreUnavailable)
 {
   Expect({ Refused() });
--- a/boragepier/state/claim_settler.h
+++ b/boragepier/state/claim_settler.h
@@ -76,8 +76,13 @@
     return next;
   }
 
-  /// @return the number of claims that wait to be settled
-  std::size_t Unsettled() const { return tasks_.size(); }
+  /// @return the number of claims that wait to be settled; not of those whose row is in its final
+  ///   state and only watched for an insert that was lost on the way
+  std::size_t Unsettled() const
+  {
+    return static_cast<std::size_t>(std::count_if(
+      tasks_.begin(), tasks_.end(), [](const Task& aTask) { return !aTask.settledOnce_; }));
+  }
 
 private:
   struct Task
