--- a/boragepier/state/claim_service_test.cc
+++ b/boragepier/state/claim_service_test.cc
@@ -219,10 +219,10 @@
 // still take effect.
 TEST(ClaimService, AReleaseIsSettledOnceItsRowIsGone)
 {
-  Expect({ LostAfter() });
-  ClaimHandle handle = Grant();
-  claims_.Release(std::move(handle), time_.Now());
-  for (int step = 0; step < 40; ++step) {
+  Expect({ LostAfter(), Refused(), Refused(), Refused(), Refused() });
+  CHECK(std::holds_alternative<StoreUnavailable>(Claim(claims_)));
+  CHECK(claims_.Unsettled() > 0);
+  for (int step = 0; step < 100; ++step) {
     time_.RunUntil(time_.Now() + 50ms);
     claims_.Advance(time_.Now());
   }
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -38,7 +38,8 @@
   EventInfo{ EventId::DrainLimitReached,
              LogLevel::Warn,
              "drain-limit-reached",
-             "requests were still in progress at traffic.drain-limit-ms and were cut off",
+             "requests, or records of their answers, were in progress at traffic.drain-limit-ms and were "
+             "cut off",
              "raise traffic.drain-limit-ms above the longest deadline.max-ms" },
   EventInfo{ EventId::StartFailed,
              LogLevel::Error,
