Refuse late starts while upstreams of the usual pace are full

Cause: a request that found no free slot of the usual pace was started on a slow machine once it could not be in time any more. Time limits that passed on slow machines also counted as failures of the upstream and kept it out of use for seconds.

Change: a first attempt that would be late gives way (refused as overloaded) while a recent report shows an upstream of the usual pace without a free slot. Where all machines are slow it starts as before. Time limits on slow machines are no failures. Explain records and log lines list the chosen upstream first, it was often missing.

Tests: LateRequestsGiveWayWhileUpstreamsOfTheUsualPaceAreFull, TimeLimitsOnSlowMachinesAreNoFailuresOfTheUpstream (both failed before), RequestsStartLateWhereAllMachinesAreSlow.

--- a/boragepier/decision/fresh_balancer.cc
+++ b/boragepier/decision/fresh_balancer.cc
@@ -25,6 +25,8 @@
 // A request that is given up after this multiple of its expected time counts against the upstream.
 constexpr double kSlowOutcomeFactor = 3;
 constexpr double kSlowOutcomeWeight = 0.5;
+// From this slowness on a machine explains that requests take long.
+constexpr double kSlowMachine = 2;
 // The limit on probes holds over longer times, so that a burst of requests may use what was saved.
 constexpr double kProbeBurstSeconds = 2;
 // Undoes the allowance that ProbeBudget makes for a list that lacks instances: entries of the store
@@ -183,6 +185,12 @@
   sent_.erase(nearest);
   UpstreamBelief& belief = upstreams_[index].belief_;
   const double latencyMs = ToMilliseconds(aReport.latency_);
+  // A time limit that passes on a slow machine says nothing about the upstream.
+  const bool slow =
+    sent.slowness_ > kSlowMachine || (belief.Report() && belief.Report()->slowness_ > kSlowMachine);
+  if (aReport.failure_ == AttemptFailure::Timeout && slow) {
+    return;
+  }
   if (IsUpstreamFault(aReport)) {
     belief.OnOutcome(true, 1, aNow);
   } else if (aReport.failure_ == AttemptFailure::None) {
@@ -275,15 +283,9 @@
 FreshBalancer::Candidates(MonotonicTime aNow) const
 {
   std::vector<CandidateInfo> candidates;
-  for (const std::uint32_t index : present_) {
-    const Upstream& upstream = upstreams_[index];
+  const auto add = [&](std::uint32_t aIndex) {
+    const Upstream& upstream = upstreams_[aIndex];
     const UpstreamBelief& belief = upstream.belief_;
-    // Without a recent report an upstream was not considered.
-    const auto reportAge = belief.Age(aNow);
-    if (candidates.size() >= kMaxCandidates ||
-        (present_.size() > kMaxCandidates && (!reportAge || *reportAge > kConsideredAge))) {
-      continue;
-    }
     CandidateInfo& info = candidates.emplace_back();
     info.id_ = upstream.endpoint_->id_;
     info.zone_ = upstream.endpoint_->zone_;
@@ -295,6 +297,21 @@
       info.slowness_ = belief.Report()->slowness_;
       info.reportAge_ = *age;
     }
+  };
+  // The latest choice comes first.
+  const bool hasLatest = !sent_.empty();
+  const std::uint32_t latest = hasLatest ? sent_.back().index_ : 0;
+  if (hasLatest) {
+    add(latest);
+  }
+  for (const std::uint32_t index : present_) {
+    // Without a recent report an upstream was not considered.
+    const auto age = upstreams_[index].belief_.Age(aNow);
+    const bool considered = present_.size() <= kMaxCandidates || (age && *age <= kConsideredAge);
+    const bool added = hasLatest && index == latest;
+    if (candidates.size() < kMaxCandidates && considered && !added) {
+      add(index);
+    }
   }
   return candidates;
 }
--- a/boragepier/decision/fresh_balancer.h
+++ b/boragepier/decision/fresh_balancer.h
@@ -97,6 +97,7 @@
     std::uint32_t index_ = 0;
     bool fresh_ = false; ///< the report is recent
     bool freeSlot_ = false;
+    bool taken_ = false; ///< the report is recent: the machine has its usual pace and no free slot
     bool usualPace_ = false;
     bool local_ = false;
     bool mayQueue_ = false; ///< at most one request would be ahead of it in the upstream's queue
@@ -133,6 +134,10 @@
                                     std::span<const Prospect> aProspects,
                                     MonotonicTime aNow) const;
   bool MayWait(const Waiting& aWaiting, const Prospect& aProspect, MonotonicTime aNow) const;
+  /// @return whether a request that would be late is refused rather than sent
+  static bool GivesWay(const Waiting& aWaiting, std::span<const Prospect> aProspects);
+  /// @return whether even an upstream of the usual pace would hardly answer in time
+  bool IsLate(const Waiting& aWaiting, MonotonicTime aNow) const;
   std::optional<Duration> ExpectedWait(const CallInfo& aCall) const;
   Choice Refuse(RefusalReason aReason, Duration aRetryAfter);
   Choice Dispatch(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow);
--- a/boragepier/decision/fresh_balancer_test.cc
+++ b/boragepier/decision/fresh_balancer_test.cc
@@ -77,6 +77,13 @@
     return call;
   }
 
+  CallInfo CallWithin(Duration aTarget)
+  {
+    CallInfo call = Call(Repeatability::AtMostOnce);
+    call.target_ = now_ + aTarget;
+    return call;
+  }
+
   Choice Submit(const CallInfo& aCall)
   {
     return balancer_.Submit(aCall, now_);
@@ -223,6 +230,48 @@
   CHECK(now_ - began < milliseconds(610));
 }
 
+// Pattern: overload while part of the machines are slow. Guards against requests that start late on
+// slow machines and, when those recover, take the slots of requests that would be in time.
+TEST(FreshBalancer, LateRequestsGiveWayWhileUpstreamsOfTheUsualPaceAreFull)
+{
+  Submit(CallWithin(milliseconds(300)));
+  const auto released =
+    Drive({ { "a-1", Load(4) }, { "a-2", Load(0, 7) }, { "b-1", Load(4) } }, milliseconds(300));
+  CHECK_EQUAL(1, released.size());
+  CHECK(released[0].choice_.kind_ == Choice::Kind::Refuse);
+  CHECK(released[0].choice_.reason_ == RefusalReason::Overloaded);
+  CHECK_EQUAL(0, balancer_.QueueLength());
+}
+
+// Pattern: all machines are slow. Guards against refusals where nobody else waits for a slot.
+TEST(FreshBalancer, RequestsStartLateWhereAllMachinesAreSlow)
+{
+  Submit(CallWithin(milliseconds(300)));
+  const auto released = Drive(
+    { { "a-1", Load(4, 7) }, { "a-2", Load(0, 7) }, { "b-1", Load(4, 7) } }, milliseconds(300));
+  CHECK_EQUAL(1, released.size());
+  CHECK(IdOf(released[0].choice_) == "a-2");
+}
+
+// Pattern: time limits pass on machines that are slow for a moment. Guards against upstreams that
+// are avoided for seconds afterwards.
+TEST(FreshBalancer, TimeLimitsOnSlowMachinesAreNoFailuresOfTheUpstream)
+{
+  const UpstreamHandle upstream = *balancer_.Find(UpstreamId("a-1"));
+  for (int i = 0; i < 4; ++i) {
+    now_ += milliseconds(100);
+    CHECK(Chosen({ { "a-1", Load(0) }, { "a-2", Load(2) }, { "b-1", Load(2) } }) == "a-1");
+    now_ += milliseconds(100);
+    balancer_.OnProbeEnded(upstream, Load(1, 7), milliseconds(3), now_);
+    AttemptReport report;
+    report.upstream_ = upstream;
+    report.failure_ = AttemptFailure::Timeout;
+    report.latency_ = milliseconds(100);
+    balancer_.OnAttemptEnded(report, now_);
+  }
+  DOUBLES_EQUAL(1, balancer_.Candidates(now_).at(0).standing_, 1e-9);
+}
+
 // Pattern: a machine turns slow while it serves. Guards against waiting for it while others are
 // idle, and against a second attempt where it stays fast.
 TEST(FreshBalancer, HedgesWhenTheMachineTurnsSlow)
--- a/boragepier/decision/fresh_choice.cc
+++ b/boragepier/decision/fresh_choice.cc
@@ -103,6 +103,7 @@
   prospect.local_ = upstream.local_;
   const double failures = belief.FailureShare(aNow);
   const bool healthy = !age || belief.Report()->healthy_;
+  prospect.taken_ = prospect.fresh_ && !prospect.freeSlot_ && slowness <= kUsualSlowness;
   prospect.usualPace_ = slowness <= kUsualSlowness && failures <= kSoundFailureShare && healthy;
   prospect.answerMs_ = belief.RoundTripMs() + ahead * service / slots + service;
   double against = kFailureCost * failures + (healthy ? 0 : kUnhealthyCost) +
@@ -217,7 +218,10 @@
   const double leftMs = ToMilliseconds(aWaiting.call_.target_ - aNow);
   for (const Prospect& prospect : aProspects) {
     if (prospect.freeSlot_) {
-      return MayWait(aWaiting, prospect, aNow) ? std::nullopt : std::optional(prospect.index_);
+      const bool late = prospect.answerMs_ > leftMs;
+      const bool waits =
+        MayWait(aWaiting, prospect, aNow) || (late && GivesWay(aWaiting, aProspects));
+      return waits ? std::nullopt : std::optional(prospect.index_);
     }
     // The queue of an upstream is worth it only for an answer in time: what waits here can still go
     // anywhere, or give way.
@@ -233,8 +237,24 @@
 {
   const CallInfo& call = aWaiting.call_;
   const double leftMs = ToMilliseconds(call.target_ - aNow);
-  return reportsLoad_ && aProspect.answerMs_ > kSafeShare * leftMs &&
-         kStartMargin * WorkMs(call) < leftMs;
+  return reportsLoad_ && aProspect.answerMs_ > kSafeShare * leftMs && !IsLate(aWaiting, aNow);
+}
+
+bool
+FreshBalancer::GivesWay(const Waiting& aWaiting, std::span<const Prospect> aProspects)
+{
+  // A request that starts on a slow machine takes a slot of the usual pace when the machine
+  // recovers. While those are all taken, late answers would make further ones late.
+  return aWaiting.call_.tried_.empty() &&
+         std::any_of(aProspects.begin(), aProspects.end(), [](const Prospect& aProspect) {
+           return aProspect.taken_;
+         });
+}
+
+bool
+FreshBalancer::IsLate(const Waiting& aWaiting, MonotonicTime aNow) const
+{
+  return aNow + FromMilliseconds(kStartMargin * WorkMs(aWaiting.call_)) >= aWaiting.call_.target_;
 }
 
 std::optional<Duration>
@@ -329,6 +349,10 @@
       return Dispatch(*picked, aWaiting.call_, aNow);
     }
   }
+  if (reportsLoad_ && aWaiting.stage_ == Stage::AllProbed && StageEnded(aWaiting, aNow) &&
+      IsLate(aWaiting, aNow) && GivesWay(aWaiting, prospects)) {
+    return Refuse(RefusalReason::Overloaded, ExpectedWait(aWaiting.call_).value_or(Duration()));
+  }
   return std::nullopt;
 }
 
