--- a/apps/boragepierctl/ctl.cc
+++ b/apps/boragepierctl/ctl.cc
@@ -7,6 +7,7 @@
 
 #include "apps/boragepierctl/ctl_options.h"
 #include "apps/boragepierctl/inspect_command.h"
+#include "apps/boragepierctl/log_command.h"
 #include "apps/boragepierctl/publish_command.h"
 
 namespace boragepier::ctl {
@@ -29,12 +30,14 @@
   } else if (aOptions.command_ == "status") {
     RunStatus(aOptions, aOutput);
   } else if (aOptions.command_ == "explain") {
-    RunExplain(aOptions, aOutput);
+    (aOptions.logs_.empty() ? RunExplain : RunExplainFromLogs)(aOptions, aOutput);
+  } else if (aOptions.command_ == "log") {
+    RunLog(aOptions, aOutput);
   } else {
     throw UsageError((aOptions.command_.empty()
                         ? "a command is missing"
                         : "there is no command \"" + aOptions.command_ + "\"") +
-                     "; commands are check, publish, status and explain; see boragepierctl --help");
+                     "; commands are check, publish, status, explain and log; see boragepierctl --help");
   }
 }
 
--- a/apps/boragepierctl/ctl_options.cc
+++ b/apps/boragepierctl/ctl_options.cc
@@ -19,12 +19,15 @@
   "  status                 show versions and readiness of all instances\n"
   "  explain REQUEST-ID     show how a request was served\n"
   "  explain --last N       show the last N requests of each instance\n"
+  "  explain REQUEST-ID --log FILE...  show how a request was served and why it failed, from logs\n"
+  "  log summary FILE...    count failed requests and attempts in logs; - is the standard input\n"
   "\nExamples:\n"
   "  boragepierctl check services/stock.service.ini\n"
   "  boragepierctl publish services/ --platform 10.0.0.5:9000\n"
   "  boragepierctl publish services/orders --platform 10.0.0.5:9000 --base 7\n"
   "  boragepierctl status --platform 10.0.0.5:9000 --admin-port 9100\n"
   "  boragepierctl explain i-3-5f0c2a91-42 --instance 10.0.1.7:9100\n"
+  "  boragepierctl explain 93ff70b9bfc6d410 --log front-1.log --log front-2.log\n"
   "\nExit codes:\n";
 
 cxxopts::Options
@@ -49,6 +52,11 @@
     value<std::vector<std::string>>(),
     "VERSION");
   add("operator", "name in the publish id; default $USER", value<std::string>(), "NAME");
+  add("log",
+      "log file that explain reads instead of asking instances; may be repeated; - is the standard "
+      "input",
+      value<std::vector<std::string>>(),
+      "FILE");
   add("last", "number of requests", value<std::uint64_t>(), "N");
   add("timeout-ms", "time for all answers", value<std::uint32_t>()->default_value("10000"), "MS");
   add("json", "write the result as JSON");
@@ -111,6 +119,7 @@
   for (const std::string& instance : texts("instance")) {
     options.instances_.push_back(EndpointOf("instance", instance));
   }
+  options.logs_ = texts("log");
   for (const std::string& base : texts("base")) {
     ReadBase(base, options);
   }
--- a/apps/boragepierctl/ctl_options.h
+++ b/apps/boragepierctl/ctl_options.h
@@ -28,6 +28,7 @@
   std::string operator_;                       ///< who publishes
   std::map<std::string, std::uint64_t> bases_; ///< --base SERVICE=VERSION
   std::optional<std::uint64_t> base_;          ///< --base VERSION
+  std::vector<std::string> logs_;              ///< --log FILE; "-" is the standard input
   std::uint64_t last_ = 0;                     ///< --last N; 0 if not given
 };
 
--- /dev/null
+++ b/apps/boragepierctl/log_command.cc
@@ -0,0 +1,107 @@
+#include "apps/boragepierctl/log_command.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <span>
+
+#include <nlohmann/json.hpp>
+
+#include "apps/boragepierctl/ctl_errors.h"
+#include "apps/boragepierctl/log_story.h"
+
+namespace boragepier::ctl {
+
+namespace {
+
+constexpr const char* kStandardInput = "-";
+
+void
+ReadLines(std::istream& aInput, const std::string& aSource, std::vector<LogLine>& aLines)
+{
+  std::string text;
+  while (std::getline(aInput, text)) {
+    if (auto line = ParseLogLine(text)) {
+      if (line->source_.empty()) {
+        line->source_ = aSource;
+      }
+      aLines.push_back(*std::move(line));
+    }
+  }
+}
+
+// Lines without a source of their own get the name of their file.
+std::vector<LogLine>
+ReadLogs(std::span<const std::string> aFiles)
+{
+  std::vector<LogLine> lines;
+  for (const std::string& file : aFiles) {
+    if (file == kStandardInput) {
+      ReadLines(std::cin, {}, lines);
+      continue;
+    }
+    std::ifstream input(file);
+    if (!input) {
+      throw CtlError(ExitCode::Failed, "cannot read \"" + file + "\"");
+    }
+    ReadLines(input, std::filesystem::path(file).stem().string(), lines);
+  }
+  return lines;
+}
+
+nlohmann::json
+ToJson(const std::vector<LogLine>& aLines)
+{
+  auto result = nlohmann::json::array();
+  for (const LogLine& line : aLines) {
+    nlohmann::json fields = nlohmann::json::object();
+    for (const auto& [name, value] : line.fields_) {
+      fields[name] = value;
+    }
+    result.push_back({ { "time", line.time_ },
+                       { "source", line.source_ },
+                       { "event", line.event_ },
+                       { "name", line.name_ },
+                       { "fields", fields } });
+  }
+  return result;
+}
+
+} // namespace
+
+void
+RunExplainFromLogs(const CtlOptions& aOptions, std::ostream& aOutput)
+{
+  if (aOptions.operands_.size() != 1) {
+    throw UsageError("explain --log needs one request id");
+  }
+  const RequestStory story = FindStory(ReadLogs(aOptions.logs_), aOptions.operands_[0]);
+  if (story.lines_.empty()) {
+    throw RequestUnknownError("no line names request " + aOptions.operands_[0] +
+                              "; lines of answered requests may be left out under load");
+  }
+  if (aOptions.json_) {
+    const nlohmann::json result{ { "cause", story.cause_ },
+                                 { "lines", ToJson(story.lines_) },
+                                 { "around", ToJson(story.around_) } };
+    aOutput << result.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
+  } else {
+    WriteStory(story, aOutput);
+  }
+}
+
+void
+RunLog(const CtlOptions& aOptions, std::ostream& aOutput)
+{
+  if (aOptions.operands_.empty() || aOptions.operands_[0] != "summary") {
+    throw UsageError("log needs \"summary\" and log files, for example log summary instance.log");
+  }
+  std::vector<std::string> files(aOptions.operands_.begin() + 1, aOptions.operands_.end());
+  files.insert(files.end(), aOptions.logs_.begin(), aOptions.logs_.end());
+  if (files.empty()) {
+    files.emplace_back(kStandardInput);
+  }
+  WriteLogSummary(ReadLogs(files), aOptions.json_, aOutput);
+}
+
+} // namespace boragepier::ctl
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <limits>
+#include <span>
 #include <string_view>
 #include <utility>
 
@@ -40,6 +43,17 @@
   return chosen == aAttempt.candidates_.end() ? CandidateInfo() : *chosen;
 }
 
+// Shortest wait that was expected at an upstream which takes new requests.
+double
+LeastWaitMs(std::span<const CandidateInfo> aCandidates)
+{
+  double least = std::numeric_limits<double>::infinity();
+  for (const CandidateInfo& candidate : aCandidates) {
+    least = candidate.leaving_ ? least : std::min(least, candidate.expectedWaitMs_);
+  }
+  return std::isfinite(least) ? least : 0;
+}
+
 void
 LogEnd(const ExplainRecord& aRecord, bool aAbandoned)
 {
@@ -58,7 +72,9 @@
       { "queuedMs", aRecord.queued_ },
       { "deadlineMs", aRecord.deadline_ },
       { "retryAfterMs", aRecord.retryAfter_ },
-      { "attempts", aRecord.attempts_.size() } });
+      { "attempts", aRecord.attempts_.size() },
+      { "candidates", aRecord.refusedCandidates_.size() },
+      { "leastWaitMs", LeastWaitMs(aRecord.refusedCandidates_) } });
   if (aAbandoned || !aRecord.refusal_) {
     return;
   }
--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -61,6 +61,7 @@
   , platform_(std::make_unique<ChildProcess>(BORAGEPIER_TESTING_PLATFORM,
                                              std::vector<std::string>{ "--port", "0" }))
   , platformPort_(platform_->ReadPort("listening"))
+  , platformPortOfInstances_(platformPort_)
 {
 }
 
@@ -75,17 +76,26 @@
 RunningUpstream&
 Fleet::AddUpstream(const std::string& aService, const std::vector<std::string>& aOptions)
 {
-  auto upstream = std::make_unique<RunningUpstream>();
-  upstream->id_ = "u" + std::to_string(upstreams_.size() + 1);
-  std::vector<std::string> arguments{
-    "--port", "0",         "--id",   upstream->id_, "--zone",
-    "a",      "--service", aService, "--platform",  "127.0.0.1:" + std::to_string(platformPort_)
-  };
+  std::vector<std::string> options = { "--platform", "127.0.0.1:" + std::to_string(platformPort_) };
+  options.insert(options.end(), aOptions.begin(), aOptions.end());
+  upstreams_.push_back(
+    StartUpstream("u" + std::to_string(upstreams_.size() + 1), aService, options));
+  return *upstreams_.back();
+}
+
+std::unique_ptr<RunningUpstream>
+Fleet::StartUpstream(const std::string& aId,
+                     const std::string& aService,
+                     const std::vector<std::string>& aOptions)
+{
+  std::vector<std::string> arguments = { "--port", "0", "--id",      aId,
+                                         "--zone", "a", "--service", aService };
   arguments.insert(arguments.end(), aOptions.begin(), aOptions.end());
+  auto upstream = std::make_unique<RunningUpstream>();
+  upstream->id_ = aId;
   upstream->process_ = std::make_unique<ChildProcess>(BORAGEPIER_TESTING_UPSTREAM, arguments);
   upstream->port_ = upstream->process_->ReadPort("listening");
-  upstreams_.push_back(std::move(upstream));
-  return *upstreams_.back();
+  return upstream;
 }
 
 RunningInstance&
@@ -97,7 +107,7 @@
   WriteFile(file,
             "[instance]\nid = " + instance->id_ +
               "\nzone = a\n[platform]\naddress = 127.0.0.1\nport = " +
-              std::to_string(platformPort_) + "\n" + aSettings);
+              std::to_string(platformPortOfInstances_) + "\n" + aSettings);
   instance->process_ = std::make_unique<ChildProcess>(
     BORAGEPIER_BINARY, std::vector<std::string>{ "--settings", file.string() });
   instance->caller_ = instance->process_->ReadPort("listening");
@@ -168,13 +178,17 @@
 }
 
 void
-Fleet::RegisterUpstream(const std::string& aId, const std::string& aService, std::uint16_t aPort)
+Fleet::RegisterUpstream(const std::string& aId,
+                        const std::string& aService,
+                        std::uint16_t aPort,
+                        std::uint64_t aStartNumber,
+                        bool aLeaving)
 {
   const json entry{ { "id", aId },           { "role", "upstream" },
                     { "service", aService }, { "address", "127.0.0.1" },
                     { "port", aPort },       { "peer_port", 0 },
-                    { "zone", "a" },         { "start_number", 1 },
-                    { "leaving", false } };
+                    { "zone", "a" },         { "start_number", aStartNumber },
+                    { "leaving", aLeaving } };
   PutProcess(aId, entry.dump());
 }
 
--- a/testing/e2e/fleet.h
+++ b/testing/e2e/fleet.h
@@ -45,6 +45,13 @@
   /// @return a directory that is removed with the fleet
   const std::filesystem::path& Directory() const { return directory_; }
 
+  /// Changes the port at which instances that are started later reach the platform.
+  void SetPlatformPortOfInstances(std::uint16_t aPort) { platformPortOfInstances_ = aPort; }
+
+  /// Starts an upstream that does not register itself. The caller owns it.
+  std::unique_ptr<RunningUpstream> StartUpstream(const std::string& aId,
+                                                 const std::string& aService,
+                                                 const std::vector<std::string>& aOptions);
   /// Starts an upstream, which registers itself.
   RunningUpstream& AddUpstream(const std::string& aService,
                                const std::vector<std::string>& aOptions = {});
@@ -77,8 +84,12 @@
   /// Puts an instance on the platform's list.
   void Register(const RunningInstance& aInstance, bool aLeaving);
 
-  /// Puts an upstream that the test itself plays on the platform's list.
-  void RegisterUpstream(const std::string& aId, const std::string& aService, std::uint16_t aPort);
+  /// Puts an upstream that does not register itself on the platform's list.
+  void RegisterUpstream(const std::string& aId,
+                        const std::string& aService,
+                        std::uint16_t aPort,
+                        std::uint64_t aStartNumber = 1,
+                        bool aLeaving = false);
 
   /// Waits until an instance knows so many upstreams of a service.
   void WaitForUpstreams(const RunningInstance& aInstance,
@@ -107,6 +118,7 @@
   SyncClient client_;
   std::unique_ptr<ChildProcess> platform_;
   std::uint16_t platformPort_ = 0;
+  std::uint16_t platformPortOfInstances_ = 0;
   std::vector<std::unique_ptr<RunningInstance>> instances_;
   std::vector<std::unique_ptr<RunningUpstream>> upstreams_;
 };
--- a/testing/e2e/load_runner.cc
+++ b/testing/e2e/load_runner.cc
@@ -115,11 +115,13 @@
   const Duration latency = std::chrono::steady_clock::now() - start;
   const std::lock_guard lock(mutex_);
   result_.latenciesMs_.push_back(ToMilliseconds(latency));
-  Count(aRequest, result);
+  Count(aRequest, result, aPort);
 }
 
 void
-LoadRunner::Count(const http::Request& aRequest, const http::SendResult& aResult)
+LoadRunner::Count(const http::Request& aRequest,
+                  const http::SendResult& aResult,
+                  std::uint16_t aPort)
 {
   const http::Response& response = aResult.response_;
   const std::string outcome(response.headers_.Get(kOutcomeHeader).value_or("none"));
@@ -130,6 +132,7 @@
   }
   if (aResult.outcome_ != Outcome::Answered) {
     ++result_.lost_;
+    ++result_.lostByPort_[aPort];
   } else if (outcome != "answered") {
     const auto problem = nlohmann::json::parse(response.body_, nullptr, false);
     const bool typed = problem.is_object() && problem.contains("reason");
--- a/testing/e2e/load_runner.h
+++ b/testing/e2e/load_runner.h
@@ -22,6 +22,7 @@
   int notRun_ = 0;                            ///< refused as not run
   int unknown_ = 0;                           ///< refused as unknown
   int lost_ = 0;                              ///< no response
+  std::map<std::uint16_t, int> lostByPort_;   ///< of lost_, by the port of the instance
   int wrong_ = 0;                             ///< an answer that belongs to another request
   std::vector<double> latenciesMs_;           ///< of all responses
   std::map<std::string, int> refusals_;       ///< by reason
@@ -65,7 +66,7 @@
   void Run(int aCaller);
   void SendOne(SyncClient& aClient, const http::Request& aRequest, std::uint16_t aPort);
   http::Request MakeRequest(int aCaller, int aNumber) const;
-  void Count(const http::Request& aRequest, const http::SendResult& aResult);
+  void Count(const http::Request& aRequest, const http::SendResult& aResult, std::uint16_t aPort);
 
   const std::string name_;
   const int callers_;
--- a/testing/upstream/main.cc
+++ b/testing/upstream/main.cc
@@ -31,6 +31,7 @@
     ("platform", "IP:PORT to register with", cxxopts::value<std::string>())
     ("start-number", "higher for a later start; default: civil time in ms",
      cxxopts::value<std::uint64_t>())
+    ("run-log", "file to which each run is appended", cxxopts::value<std::string>()->default_value(""))
     ("help", "show this text");
   // clang-format on
   return options;
@@ -45,6 +46,7 @@
   settings.id_ = aFlags["id"].as<std::string>();
   settings.zone_ = aFlags["zone"].as<std::string>();
   settings.service_ = aFlags["service"].as<std::string>();
+  settings.runLog_ = aFlags["run-log"].as<std::string>();
   settings.slots_ = aFlags["slots"].as<std::size_t>();
   settings.serviceTime_ = boragepier::FromMilliseconds(aFlags["service-time-ms"].as<double>());
   if (aFlags.count("seed") > 0) {
--- a/testing/upstream/upstream.cc
+++ b/testing/upstream/upstream.cc
@@ -40,6 +40,9 @@
       [this](std::shared_ptr<net::TcpStream> aStream) { OnAccepted(std::move(aStream)); }))
   , random_(settings_.seed_.value_or(0))
 {
+  if (!settings_.runLog_.empty()) {
+    runLog_.open(settings_.runLog_, std::ios::app);
+  }
   Register();
 }
 
@@ -123,9 +126,15 @@
 {
   ++running_;
   ++totalRuns_;
-  if (const auto key = aJob->request_.headers_.Get("Idempotency-Key")) {
+  const auto key = aJob->request_.headers_.Get("Idempotency-Key");
+  if (key) {
     ++runs_[std::string(*key)];
   }
+  if (runLog_.is_open()) {
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    runLog_ << sinceEpoch / std::chrono::milliseconds(1) << ' ' << aJob->request_.target_ << ' '
+            << key.value_or("-") << std::endl; // NOLINT(performance-avoid-endl)
+  }
   aJob->end_ = aStart + DrawServiceTime();
   const Duration left = aJob->end_ - loop_.Now();
   loop_.After(std::max(left, Duration(0)), [this, job = std::move(aJob)] { OnRunEnded(*job); });
--- a/testing/upstream/upstream.h
+++ b/testing/upstream/upstream.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,6 +33,7 @@
   std::optional<std::uint64_t> seed_;    ///< given: service times are exponential, else fixed
   std::optional<http::Target> platform_; ///< where the upstream registers itself
   std::uint64_t startNumber_ = 1;        ///< higher for a later start of the same id
+  std::string runLog_; ///< file to which each run is appended: time in ms, target, key or "-"
 };
 
 /// A stand-in for an upstream that queues, reports its load, records each run by idempotency key
@@ -83,6 +85,7 @@
   std::size_t running_ = 0;
   std::map<std::string, std::uint64_t> runs_; // by idempotency key
   std::uint64_t totalRuns_ = 0;
+  std::ofstream runLog_; ///< flushed after each line, so that a killed process loses none
   Faults faults_;
   Random random_;
   bool registering_ = false;
