--- a/apps/boragepierctl/ctl.cc
+++ b/apps/boragepierctl/ctl.cc
@@ -34,10 +34,10 @@
   } else if (aOptions.command_ == "log") {
     RunLog(aOptions, aOutput);
   } else {
-    throw UsageError((aOptions.command_.empty()
-                        ? "a command is missing"
-                        : "there is no command \"" + aOptions.command_ + "\"") +
-                     "; commands are check, publish, status, explain and log; see boragepierctl --help");
+    throw UsageError(
+      (aOptions.command_.empty() ? "a command is missing"
+                                 : "there is no command \"" + aOptions.command_ + "\"") +
+      "; commands are check, publish, status, explain and log; see boragepierctl --help");
   }
 }
 
--- a/apps/boragepierctl/log_story.cc
+++ b/apps/boragepierctl/log_story.cc
@@ -184,7 +184,8 @@
   }
   const LogLine* longest = nullptr;
   for (const LogLine& line : aLines) {
-    const bool longer = longest == nullptr || line.Number("latencyMs") > longest->Number("latencyMs");
+    const bool longer =
+      longest == nullptr || line.Number("latencyMs") > longest->Number("latencyMs");
     longest = Is(line, EventId::AttemptEnded) && longer ? &line : longest;
   }
   if (longest == nullptr || longest->Number("latencyMs") < kMainShare * whole) {
@@ -193,9 +194,10 @@
   std::string cause = "most of the time passed at " + Text(*longest, "upstream");
   if (const LogLine* const start = StartOf(aLines, *longest)) {
     const double pace = start->Number("slowness");
-    cause += pace >= kSlow ? ", which was slow when it was chosen (pace " + Text(*start, "slowness") + ")"
-                           : ", which had its usual pace when it was chosen and " +
-                               Text(*start, "own") + " requests of this instance";
+    cause += pace >= kSlow
+               ? ", which was slow when it was chosen (pace " + Text(*start, "slowness") + ")"
+               : ", which had its usual pace when it was chosen and " + Text(*start, "own") +
+                   " requests of this instance";
   }
   if (longest->Field("failure") != "none") {
     cause += "; the attempt failed with " + Text(*longest, "failure");
@@ -315,8 +317,8 @@
       }
       const std::string reason = left ? "caller-left" : Text(line, "reason");
       ++tables["requests by reason"][reason + " " + Text(line, "outcome")];
-      ++tables["requests by service"][line.Field("service").empty() ? "(none)"
-                                                                    : Text(line, "service")];
+      ++tables["requests by service"]
+              [line.Field("service").empty() ? "(none)" : Text(line, "service")];
       ++tables["requests by second"][line.time_.substr(0, 19) + "Z"];
     } else if (Is(line, EventId::AttemptEnded) && line.Field("failure") != "none") {
       ++tables["attempts by failure"][Text(line, "failure")];
--- a/apps/boragepierctl/log_story.h
+++ b/apps/boragepierctl/log_story.h
@@ -13,9 +13,10 @@
 /// What the logs tell of one request.
 struct RequestStory
 {
-  std::vector<LogLine> lines_;  ///< that name the request, in order of time
-  std::vector<LogLine> around_; ///< about its upstreams and its instances, shortly before and during
-  std::string cause_;           ///< why it failed or took long, in words
+  std::vector<LogLine> lines_; ///< that name the request, in order of time
+  std::vector<LogLine>
+    around_;          ///< about its upstreams and its instances, shortly before and during
+  std::string cause_; ///< why it failed or took long, in words
 };
 
 /// @param aLines of all instances, in any order
--- a/apps/boragepierctl/log_story_test.cc
+++ b/apps/boragepierctl/log_story_test.cc
@@ -60,8 +60,10 @@
 
 TEST(LogLine, OtherLinesAreSkipped)
 {
-  for (const char* const text :
-       { "", "listening 8080", "2026-01-31T08:15:30.123Z INFO started", "2026-01-31T08:15:30.123Z" }) {
+  for (const char* const text : { "",
+                                  "listening 8080",
+                                  "2026-01-31T08:15:30.123Z INFO started",
+                                  "2026-01-31T08:15:30.123Z" }) {
     CHECK(!ParseLogLine(text));
   }
 }
@@ -121,13 +123,13 @@
 
 TEST(LogStory, SummaryCountsFailuresAndWhatWasLeftOut)
 {
-  const auto lines = Parse(
-    std::string(kSlow) +
-    "2026-01-21T04:06:26.199Z INFO event=6007 name=request-ended request=r service=s path=/a "
-    "config=7 outcome=not-run reason=overloaded abandoned=false latencyMs=3\n"
-    "2026-01-21T04:06:26.100Z INFO event=6006 name=attempt-ended request=r upstream=u-2 "
-    "outcome=unknown failure=timeout status=0 latencyMs=3\n"
-    "2026-01-21T04:06:27.100Z WARN event=1009 name=events-left-out of-event=6007 count=40\n");
+  const auto lines =
+    Parse(std::string(kSlow) +
+          "2026-01-21T04:06:26.199Z INFO event=6007 name=request-ended request=r service=s path=/a "
+          "config=7 outcome=not-run reason=overloaded abandoned=false latencyMs=3\n"
+          "2026-01-21T04:06:26.100Z INFO event=6006 name=attempt-ended request=r upstream=u-2 "
+          "outcome=unknown failure=timeout status=0 latencyMs=3\n"
+          "2026-01-21T04:06:27.100Z WARN event=1009 name=events-left-out of-event=6007 count=40\n");
   std::ostringstream json;
   WriteLogSummary(lines, true, json);
   CHECK(Contains(json.str(), "\"eventsLeftOut\":40"));
