Expect upstreams without recent reports to be as busy as the others

Cause: under overload the budget for probes runs out, and an upstream of which nothing recent was known counted as empty.

Change: the requests expected at an upstream move from its last report to the mean of all probes as the report ages (150 ms). A report of up to 300 ms without a free slot is a sign of overload.

Test: UpstreamsWithoutAReportCountAsBusyAsTheOthers (failed before).

--- a/boragepier/decision/fresh_balancer.h
+++ b/boragepier/decision/fresh_balancer.h
@@ -97,7 +97,7 @@
     std::uint32_t index_ = 0;
     bool fresh_ = false; ///< the report is recent
     bool freeSlot_ = false;
-    bool taken_ = false; ///< the report is recent: the machine has its usual pace and no free slot
+    bool taken_ = false; ///< by a recent report the machine has its usual pace and no free slot
     bool usualPace_ = false;
     bool local_ = false;
     bool mayQueue_ = false; ///< at most one request would be ahead of it in the upstream's queue
@@ -123,6 +123,8 @@
   void TakeLook(Sent& aSent, double aSlowness, MonotonicTime aNow) const;
   unsigned SlotsOf(const Upstream& aUpstream) const;
   double WorkMs(const CallInfo& aCall) const;
+  /// @return requests that are expected at an upstream, also where nothing recent is known
+  unsigned ExpectedInFlight(const Upstream& aUpstream, MonotonicTime aNow) const;
   Prospect ProspectOf(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow);
   /// @return the prospects of all upstreams that the request may be sent to, best first
   std::vector<Prospect> Prospects(const CallInfo& aCall, MonotonicTime aNow);
@@ -165,6 +167,7 @@
   std::vector<Waiting> waiting_; ///< in the order in which slots are given out
   std::deque<std::uint32_t> wantedProbes_;
   std::vector<Sent> sent_;
+  double meanInFlight_ = 0; ///< requests at an upstream, as probes found it
   MonotonicTime lastCongestedDispatch_;
   double dispatchIntervalMs_ = 0; ///< between dispatches while all slots are taken; 0 if unknown
   bool reportsLoad_ = true;       ///< false once enough probes were answered without a report
--- a/boragepier/decision/fresh_balancer_test.cc
+++ b/boragepier/decision/fresh_balancer_test.cc
@@ -253,6 +253,42 @@
   CHECK(IdOf(released[0].choice_) == "a-2");
 }
 
+// Pattern: overload beyond what the budget for probes shows. Guards against requests that are sent
+// blindly to upstreams of which nothing recent is known, as if they were empty.
+TEST(FreshBalancer, UpstreamsWithoutAReportCountAsBusyAsTheOthers)
+{
+  std::vector<UpstreamEndpoint> endpoints;
+  endpoints.reserve(12);
+  for (int i = 0; i < 12; ++i) {
+    endpoints.push_back(Endpoint("a-" + std::to_string(i), "a"));
+  }
+  balancer_.SetUpstreams(endpoints, now_);
+  const auto learn = [&](unsigned aInFlight) {
+    for (int i = 0; i < 100; ++i) {
+      const UpstreamHandle probed = *balancer_.Find(UpstreamId("a-1"));
+      balancer_.OnProbeEnded(probed, Load(aInFlight), milliseconds(3), now_);
+    }
+    now_ += milliseconds(20);
+  };
+  const auto submit = [&] {
+    const Choice choice = Submit(CallWithin(milliseconds(300)));
+    // No probe is answered, as if the budget were used up.
+    std::vector<ReleasedCall> released;
+    if (choice.kind_ != Choice::Kind::Queued) {
+      released.push_back({ lastCall_, choice });
+    }
+    for (int i = 0; i < 60 && released.empty(); ++i) {
+      now_ += milliseconds(5);
+      released = balancer_.Release(now_);
+    }
+    return released.empty() ? std::string("none") : IdOf(released[0].choice_);
+  };
+  learn(4);
+  CHECK(submit() == "refused");
+  learn(0);
+  CHECK(submit().starts_with("a-"));
+}
+
 // Pattern: time limits pass on machines that are slow for a moment. Guards against upstreams that
 // are avoided for seconds afterwards.
 TEST(FreshBalancer, TimeLimitsOnSlowMachinesAreNoFailuresOfTheUpstream)
--- a/boragepier/decision/fresh_choice.cc
+++ b/boragepier/decision/fresh_choice.cc
@@ -10,6 +10,11 @@
 
 // A younger report describes the present load well enough to send a request.
 constexpr Duration kFreshAge = std::chrono::milliseconds(40);
+// Time in which the requests at an upstream change: about the duration of one.
+constexpr double kOccupancyHoldMs = 150;
+constexpr double kMeanInFlightWeight = 0.05;
+// A younger report of an upstream without a free slot is a sign of overload.
+constexpr Duration kTakenAge = std::chrono::milliseconds(300);
 // A younger report is not asked for again.
 constexpr Duration kProbeAgainAge = std::chrono::milliseconds(8);
 // Upstreams of the own zone, and of the others, that are probed for one request.
@@ -73,13 +78,24 @@
 
 } // namespace
 
+unsigned
+FreshBalancer::ExpectedInFlight(const Upstream& aUpstream, MonotonicTime aNow) const
+{
+  // The older the report, the more the upstream is expected to be as busy as the others.
+  const UpstreamBelief& belief = aUpstream.belief_;
+  const auto age = belief.Age(aNow);
+  const double known = age ? std::exp(-ToMilliseconds(*age) / kOccupancyHoldMs) : 0;
+  const double expected = known * belief.InFlight() + (1 - known) * meanInFlight_;
+  return std::max(belief.Own(), static_cast<unsigned>(std::lround(expected)));
+}
+
 FreshBalancer::Prospect
 FreshBalancer::ProspectOf(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow)
 {
   const Upstream& upstream = upstreams_[aIndex];
   const UpstreamBelief& belief = upstream.belief_;
   const unsigned slots = std::max(1U, SlotsOf(upstream));
-  const unsigned inFlight = belief.InFlight();
+  const unsigned inFlight = ExpectedInFlight(upstream, aNow);
   const auto age = belief.Age(aNow);
 
   double slowness = pace_.MeanSlowness();
@@ -103,7 +119,7 @@
   prospect.local_ = upstream.local_;
   const double failures = belief.FailureShare(aNow);
   const bool healthy = !age || belief.Report()->healthy_;
-  prospect.taken_ = prospect.fresh_ && !prospect.freeSlot_ && slowness <= kUsualSlowness;
+  prospect.taken_ = age && *age <= kTakenAge && !prospect.freeSlot_ && slowness <= kUsualSlowness;
   prospect.usualPace_ = slowness <= kUsualSlowness && failures <= kSoundFailureShare && healthy;
   prospect.answerMs_ = belief.RoundTripMs() + ahead * service / slots + service;
   double against = kFailureCost * failures + (healthy ? 0 : kUnhealthyCost) +
@@ -225,7 +241,7 @@
     }
     // The queue of an upstream is worth it only for an answer in time: what waits here can still go
     // anywhere, or give way.
-    if (prospect.mayQueue_ && prospect.answerMs_ <= leftMs) {
+    if (prospect.mayQueue_ && prospect.answerMs_ <= kSafeShare * leftMs) {
       return prospect.index_;
     }
   }
@@ -530,6 +546,7 @@
   } else if (aLoad) {
     unreportedProbes_ = 0;
     pace_.OnReport(aLoad->slowness_);
+    meanInFlight_ += kMeanInFlightWeight * (aLoad->inFlight_ - meanInFlight_);
     belief.OnReport(*aLoad, aNow - aRoundTrip / 2);
   }
   for (Waiting& waiting : waiting_) {
