Say in the line of a refusal how busy and slow the upstreams were

Cancelled losers of hedges counted as failed attempts in the summary.

Change: candidates carry the expected wait, the line of a refusal has the number of slow upstreams and the shortest wait at the others.

--- a/apps/boragepierctl/log_story.cc
+++ b/apps/boragepierctl/log_story.cc
@@ -148,13 +148,16 @@
 {
   std::string cause = "refused (" + Text(aEnd, "reason") + ") without being run";
   if (aEnd.Number("candidates") > 0) {
-    cause += ": the best of " + Text(aEnd, "candidates") + " upstreams promised a start after " +
-             Milliseconds(aEnd.Number("leastWaitMs")) + ", " +
-             Milliseconds(aEnd.Number("deadlineMs") - aEnd.Number("latencyMs")) + " were left";
+    cause += ": of " + Text(aEnd, "candidates") + " upstreams " + Text(aEnd, "slow") +
+             " were slow, the best of the others promised a slot after " +
+             Milliseconds(aEnd.Number("leastWaitMs")) + "; the request had waited " +
+             Milliseconds(aEnd.Number("queuedMs"));
   } else if (aEnd.Field("reason") == "no-route") {
     cause += ": configuration " + Text(aEnd, "config") + " has no route for host and path";
   } else if (aEnd.Field("reason") == "no-upstream") {
     cause += ": no upstream of the service was known";
+  } else if (aEnd.Field("reason") == "not-configured") {
+    cause += ": the instance had started and did not have a configuration yet";
   }
   return cause;
 }
@@ -320,7 +323,8 @@
       ++tables["requests by service"]
               [line.Field("service").empty() ? "(none)" : Text(line, "service")];
       ++tables["requests by second"][line.time_.substr(0, 19) + "Z"];
-    } else if (Is(line, EventId::AttemptEnded) && line.Field("failure") != "none") {
+    } else if (Is(line, EventId::AttemptEnded) && line.Field("failure") != "none" &&
+               line.Field("failure") != "cancelled") {
       ++tables["attempts by failure"][Text(line, "failure")];
       ++tables["attempts by upstream"][Text(line, "upstream")];
     } else if (Is(line, EventId::EventsLeftOut)) {
--- a/apps/boragepierctl/log_story_test.cc
+++ b/apps/boragepierctl/log_story_test.cc
@@ -89,11 +89,12 @@
   const auto story = FindStory(
     Parse("2026-01-21T04:06:26.199Z INFO event=6007 name=request-ended request=r service=s path=/a "
           "config=7 outcome=not-run reason=overloaded abandoned=false latencyMs=3 queuedMs=1 "
-          "deadlineMs=800 retryAfterMs=1200 attempts=0 candidates=12 leastWaitMs=950\n"),
+          "deadlineMs=800 retryAfterMs=1200 attempts=0 candidates=12 slow=5 leastWaitMs=950\n"),
     "r");
   CHECK(Contains(story.cause_, "overloaded"));
   CHECK(Contains(story.cause_, "950 ms"));
-  CHECK(Contains(story.cause_, "797 ms were left"));
+  CHECK(Contains(story.cause_, "of 12 upstreams 5 were slow"));
+  CHECK(Contains(story.cause_, "had waited 1.0 ms"));
 }
 
 // Guards against a cause that names only the attempt that failed last.
@@ -129,12 +130,15 @@
           "config=7 outcome=not-run reason=overloaded abandoned=false latencyMs=3\n"
           "2026-01-21T04:06:26.100Z INFO event=6006 name=attempt-ended request=r upstream=u-2 "
           "outcome=unknown failure=timeout status=0 latencyMs=3\n"
+          "2026-01-21T04:06:26.100Z INFO event=6006 name=attempt-ended request=r upstream=u-3 "
+          "outcome=unknown failure=cancelled status=0 latencyMs=3\n"
           "2026-01-21T04:06:27.100Z WARN event=1009 name=events-left-out of-event=6007 count=40\n");
   std::ostringstream json;
   WriteLogSummary(lines, true, json);
   CHECK(Contains(json.str(), "\"eventsLeftOut\":40"));
   CHECK(Contains(json.str(), "\"overloaded not-run\":1"));
   CHECK(Contains(json.str(), "\"u-2\":1"));
+  CHECK(!Contains(json.str(), "cancelled"));
   std::ostringstream text;
   WriteLogSummary(lines, false, text);
   CHECK(Contains(text.str(), "2 ends of requests read, 40 events left out"));
--- a/boragepier/decision/fresh_balancer.cc
+++ b/boragepier/decision/fresh_balancer.cc
@@ -25,6 +25,7 @@
 // A request that is given up after this multiple of its expected time counts against the upstream.
 constexpr double kSlowOutcomeFactor = 3;
 constexpr double kSlowOutcomeWeight = 0.5;
+constexpr double kTypicalWorkWeight = 0.05;
 // From this slowness on a machine explains that requests take long.
 constexpr double kSlowMachine = 2;
 // The limit on probes holds over longer times, so that a burst of requests may use what was saved.
@@ -199,6 +200,7 @@
     const double workMs = sent.doneMs_ + pace_.WorkMs(sinceLook, sent.slowness_);
     const unsigned slots = SlotsOf(upstreams_[index]);
     occupancy_.Add(sent.inFlight_, slots, workMs, work_.MeanMs(sent.workClass_, 0));
+    typicalWorkMs_ += kTypicalWorkWeight * (workMs - typicalWorkMs_);
     if (OccupancyModel::IsEmpty(sent.inFlight_) || work_.MeanMs(sent.workClass_, 0) <= 0) {
       work_.Add(sent.workClass_, workMs);
     }
@@ -279,6 +281,19 @@
   return std::max(2U, config_.connectionsPerUpstream_ / static_cast<unsigned>(instances_));
 }
 
+double
+FreshBalancer::ExpectedWaitMs(const Upstream& aUpstream, MonotonicTime aNow) const
+{
+  const unsigned slots = std::max(1U, SlotsOf(aUpstream));
+  const unsigned inFlight = ExpectedInFlight(aUpstream, aNow);
+  if (inFlight < slots) {
+    return 0;
+  }
+  const auto& report = aUpstream.belief_.Report();
+  const double slowness = report ? report->slowness_ : pace_.MeanSlowness();
+  return (inFlight - slots + 1) * pace_.DurationMs(typicalWorkMs_, slowness) / slots;
+}
+
 std::vector<CandidateInfo>
 FreshBalancer::Candidates(MonotonicTime aNow) const
 {
@@ -293,6 +308,7 @@
     info.othersEstimate_ = belief.InFlight() - belief.Own();
     info.standing_ = 1 - belief.FailureShare(aNow);
     info.leaving_ = !TakesWork(upstream, aNow);
+    info.expectedWaitMs_ = ExpectedWaitMs(upstream, aNow);
     if (const auto age = belief.Age(aNow)) {
       info.slowness_ = belief.Report()->slowness_;
       info.reportAge_ = *age;
--- a/boragepier/decision/fresh_balancer.h
+++ b/boragepier/decision/fresh_balancer.h
@@ -125,6 +125,8 @@
   double WorkMs(const CallInfo& aCall) const;
   /// @return requests that are expected at an upstream, also where nothing recent is known
   unsigned ExpectedInFlight(const Upstream& aUpstream, MonotonicTime aNow) const;
+  /// @return time until a slot of an upstream is expected to be free, in milliseconds
+  double ExpectedWaitMs(const Upstream& aUpstream, MonotonicTime aNow) const;
   Prospect ProspectOf(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow);
   /// @return the prospects of all upstreams that the request may be sent to, best first
   std::vector<Prospect> Prospects(const CallInfo& aCall, MonotonicTime aNow);
@@ -162,6 +164,7 @@
   MachinePace pace_;
   WorkProfile work_;
   OccupancyModel occupancy_;
+  double typicalWorkMs_ = 0; ///< mean work of answered requests, for explain records
   WindowBudget retryBudget_;
   ProbeBudget probeBudget_;
   std::vector<Waiting> waiting_; ///< in the order in which slots are given out
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
-#include <limits>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <utility>
@@ -43,21 +42,37 @@
   return chosen == aAttempt.candidates_.end() ? CandidateInfo() : *chosen;
 }
 
-// Shortest wait that was expected at an upstream which takes new requests.
-double
-LeastWaitMs(std::span<const CandidateInfo> aCandidates)
+// From this multiple of its usual pace on a machine counts as slow in the lines of refusals.
+constexpr double kSlow = 1.6;
+
+// What the upstreams of a refused request promised.
+struct Promise
+{
+  std::size_t slow_ = 0;   ///< upstreams on slow machines
+  double leastWaitMs_ = 0; ///< shortest wait for a slot at one of the others; 0 without others
+};
+
+Promise
+PromiseOf(std::span<const CandidateInfo> aCandidates)
 {
-  double least = std::numeric_limits<double>::infinity();
+  Promise promise;
+  std::optional<double> least;
   for (const CandidateInfo& candidate : aCandidates) {
-    least = candidate.leaving_ ? least : std::min(least, candidate.expectedWaitMs_);
+    if (candidate.slowness_ >= kSlow) {
+      ++promise.slow_;
+    } else if (!candidate.leaving_) {
+      least = std::min(least.value_or(candidate.expectedWaitMs_), candidate.expectedWaitMs_);
+    }
   }
-  return std::isfinite(least) ? least : 0;
+  promise.leastWaitMs_ = least.value_or(0);
+  return promise;
 }
 
 void
 LogEnd(const ExplainRecord& aRecord, bool aAbandoned)
 {
   const bool failed = aRecord.refusal_.has_value() || aAbandoned;
+  const Promise promise = PromiseOf(aRecord.refusedCandidates_);
   LogRequest(
     EventId::RequestEnded,
     failed,
@@ -74,7 +89,8 @@
       { "retryAfterMs", aRecord.retryAfter_ },
       { "attempts", aRecord.attempts_.size() },
       { "candidates", aRecord.refusedCandidates_.size() },
-      { "leastWaitMs", LeastWaitMs(aRecord.refusedCandidates_) } });
+      { "slow", promise.slow_ },
+      { "leastWaitMs", promise.leastWaitMs_ } });
   if (aAbandoned || !aRecord.refusal_) {
     return;
   }
