--- a/testing/e2e/explain_test.cc
+++ b/testing/e2e/explain_test.cc
@@ -1,7 +1,11 @@
+#include <algorithm>
+#include <chrono>
 #include <fstream>
+#include <thread>
 
 #include "apps/boragepierctl/log_story.h"
 #include "boragepier/entry/request_checks.h"
+#include "boragepier/telemetry/events.h"
 #include "testing/e2e/fleet.h"
 
 #include <CppUTest/TestHarness.h>
@@ -29,6 +33,28 @@
     const auto result = fleet_.Client().Send(fleet_.Instance(0).caller_, order);
     CHECK(result.response_.status_ != 200);
     const std::string id(result.response_.headers_.Get(kRequestIdHeader).value_or(""));
+    return StoryWithEnd(id).cause_;
+  }
+
+  // The instance writes the line of the end after it has answered.
+  ctl::RequestStory StoryWithEnd(const std::string& aId) const
+  {
+    const auto limit = std::chrono::steady_clock::now() + ChildProcess::kPatience;
+    while (true) {
+      ctl::RequestStory story = FindStory(ReadLog(), aId);
+      const bool ended =
+        std::any_of(story.lines_.begin(), story.lines_.end(), [](const ctl::LogLine& aLine) {
+          return aLine.event_ == static_cast<int>(EventId::RequestEnded);
+        });
+      if (ended || std::chrono::steady_clock::now() > limit) {
+        return story;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  std::vector<ctl::LogLine> ReadLog() const
+  {
     std::vector<ctl::LogLine> lines;
     std::ifstream input(log_);
     std::string text;
@@ -37,7 +63,7 @@
         lines.push_back(*std::move(line));
       }
     }
-    return ctl::FindStory(lines, id).cause_;
+    return lines;
   }
 
   static void CheckNames(const std::string& aCause, std::initializer_list<const char*> aParts)
