Use the prospect that was picked instead of computing it again

Dispatch() computed the prospect of the chosen upstream a second time, for one field; it now receives the one that Pick() and Hedge() looked at. UpstreamBelief had the fading of failures in two places.

Behaviour is the same but for the sequence of random numbers, of which the second computation drew one. Left as they are: the shared declarations of the two balancers, which a concept would state, and the two loops of SetUpstreams, which keep different state per upstream.

--- a/apps/boragepierctl/log_story.cc
+++ b/apps/boragepierctl/log_story.cc
@@ -1,7 +1,6 @@
 #include "apps/boragepierctl/log_story.h"
 
 #include <algorithm>
-#include <chrono>
 #include <iomanip>
 #include <map>
 #include <ostream>
@@ -10,7 +9,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "boragepier/base/time.h"
 #include "boragepier/telemetry/events.h"
 
 namespace boragepier::ctl {
--- a/boragepier/decision/fresh_balancer.h
+++ b/boragepier/decision/fresh_balancer.h
@@ -134,9 +134,10 @@
   void BeginStage(Waiting& aWaiting, MonotonicTime aNow);
   bool StageEnded(const Waiting& aWaiting, MonotonicTime aNow) const;
   std::optional<Choice> Decide(Waiting& aWaiting, MonotonicTime aNow);
-  std::optional<std::uint32_t> Pick(const Waiting& aWaiting,
-                                    std::span<const Prospect> aProspects,
-                                    MonotonicTime aNow) const;
+  /// @return the one of aProspects that the request should be sent to now, or null
+  const Prospect* Pick(const Waiting& aWaiting,
+                       std::span<const Prospect> aProspects,
+                       MonotonicTime aNow) const;
   bool MayWait(const Waiting& aWaiting, const Prospect& aProspect, MonotonicTime aNow) const;
   /// @return whether a request that would be late is refused rather than sent
   static bool GivesWay(const Waiting& aWaiting, std::span<const Prospect> aProspects);
@@ -144,7 +145,7 @@
   bool IsLate(const Waiting& aWaiting, MonotonicTime aNow) const;
   std::optional<Duration> ExpectedWait(const CallInfo& aCall) const;
   Choice Refuse(RefusalReason aReason, Duration aRetryAfter);
-  Choice Dispatch(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow);
+  Choice Dispatch(const Prospect& aProspect, const CallInfo& aCall, MonotonicTime aNow);
   void Insert(Waiting aWaiting);
   void RequestProbe(std::uint32_t aIndex, MonotonicTime aNow);
   void LearnFrom(const AttemptReport& aReport, MonotonicTime aNow);
--- a/boragepier/decision/fresh_choice.cc
+++ b/boragepier/decision/fresh_choice.cc
@@ -215,7 +215,7 @@
   return aWaiting.awaited_.empty() || aNow >= aWaiting.stageEnds_;
 }
 
-std::optional<std::uint32_t>
+const FreshBalancer::Prospect*
 FreshBalancer::Pick(const Waiting& aWaiting,
                     std::span<const Prospect> aProspects,
                     MonotonicTime aNow) const
@@ -225,11 +225,11 @@
   for (const Prospect& prospect : aProspects) {
     if (prospect.fresh_ && prospect.freeSlot_ && prospect.usualPace_ &&
         (prospect.local_ || localKnown)) {
-      return prospect.index_;
+      return &prospect;
     }
   }
   if (!allKnown) {
-    return std::nullopt;
+    return nullptr;
   }
   const double leftMs = ToMilliseconds(aWaiting.call_.target_ - aNow);
   for (const Prospect& prospect : aProspects) {
@@ -237,15 +237,15 @@
       const bool late = prospect.answerMs_ > leftMs;
       const bool waits =
         MayWait(aWaiting, prospect, aNow) || (late && GivesWay(aWaiting, aProspects));
-      return waits ? std::nullopt : std::optional(prospect.index_);
+      return waits ? nullptr : &prospect;
     }
     // The queue of an upstream is worth it only for an answer in time: what waits here can still go
     // anywhere, or give way.
     if (prospect.mayQueue_ && prospect.answerMs_ <= kSafeShare * leftMs) {
-      return prospect.index_;
+      return &prospect;
     }
   }
-  return std::nullopt;
+  return nullptr;
 }
 
 bool
@@ -296,15 +296,20 @@
 }
 
 Choice
-FreshBalancer::Dispatch(std::uint32_t aIndex, const CallInfo& aCall, MonotonicTime aNow)
+FreshBalancer::Dispatch(const Prospect& aProspect, const CallInfo& aCall, MonotonicTime aNow)
 {
-  const Prospect prospect = ProspectOf(aIndex, aCall, aNow);
-  UpstreamBelief& belief = upstreams_[aIndex].belief_;
+  UpstreamBelief& belief = upstreams_[aProspect.index_].belief_;
   const double slowness = belief.Report() ? belief.Report()->slowness_ : pace_.MeanSlowness();
-  sent_.push_back(
-    { aIndex, aCall.workClass_, aNow, belief.InFlight(), slowness, prospect.answerMs_, 0, aNow });
+  sent_.push_back({ aProspect.index_,
+                    aCall.workClass_,
+                    aNow,
+                    belief.InFlight(),
+                    slowness,
+                    aProspect.answerMs_,
+                    0,
+                    aNow });
   belief.OnDispatch(aNow);
-  return { Choice::Kind::Dispatch, UpstreamHandle{ aIndex }, {}, {} };
+  return { Choice::Kind::Dispatch, UpstreamHandle{ aProspect.index_ }, {}, {} };
 }
 
 void
@@ -356,12 +361,12 @@
   if (prospects.empty()) {
     return Refuse(RefusalReason::NoUpstream, std::chrono::milliseconds(500));
   }
-  if (const auto picked = Pick(aWaiting, prospects, aNow)) {
+  if (const Prospect* const picked = Pick(aWaiting, prospects, aNow)) {
     return Dispatch(*picked, aWaiting.call_, aNow);
   }
   while (StageEnded(aWaiting, aNow) && aWaiting.stage_ != Stage::AllProbed) {
     BeginStage(aWaiting, aNow);
-    if (const auto picked = Pick(aWaiting, prospects, aNow)) {
+    if (const Prospect* const picked = Pick(aWaiting, prospects, aNow)) {
       return Dispatch(*picked, aWaiting.call_, aNow);
     }
   }
@@ -504,7 +509,7 @@
         return std::nullopt;
       }
       retryBudget_.TryTake(aNow);
-      return Dispatch(prospect.index_, aCall, aNow).upstream_;
+      return Dispatch(prospect, aCall, aNow).upstream_;
     }
   }
   std::size_t asked = 0;
--- a/boragepier/decision/upstream_belief.cc
+++ b/boragepier/decision/upstream_belief.cc
@@ -70,11 +70,17 @@
   sinceReport_ = 0;
 }
 
+double
+UpstreamBelief::FadeFactor(MonotonicTime aNow) const
+{
+  return std::exp2(-ToMilliseconds(aNow - fadedAt_) / kFailureHalfLifeMs);
+}
+
 void
 UpstreamBelief::Fade(MonotonicTime aNow)
 {
   if (aNow > fadedAt_) {
-    const double factor = std::exp2(-ToMilliseconds(aNow - fadedAt_) / kFailureHalfLifeMs);
+    const double factor = FadeFactor(aNow);
     failures_ *= factor;
     outcomes_ *= factor;
     fadedAt_ = aNow;
@@ -121,7 +127,7 @@
 double
 UpstreamBelief::FailureShare(MonotonicTime aNow) const
 {
-  const double factor = std::exp2(-ToMilliseconds(aNow - fadedAt_) / kFailureHalfLifeMs);
+  const double factor = FadeFactor(aNow);
   return failures_ * factor / (outcomes_ * factor + kPriorOutcomes);
 }
 
--- a/boragepier/decision/upstream_belief.h
+++ b/boragepier/decision/upstream_belief.h
@@ -48,6 +48,7 @@
   double FailureShare(MonotonicTime aNow) const;
 
 private:
+  double FadeFactor(MonotonicTime aNow) const;
   void Fade(MonotonicTime aNow);
 
   std::vector<MonotonicTime> sent_; ///< own outstanding requests
