Count the requests of split routes by service, and name the route in logs

No metric and no alert showed it: requests were counted by service only, and log lines named no route, so a split route could not be told from others to the same services.

Change: boragepier_split_requests_total counts by route and service, boragepier_routing_tables_total counts the tables that were applied; request-ended and explain records name the route; `log summary` counts requests by route, version and service.

--- a/apps/boragepierctl/log_analysis.cc
+++ b/apps/boragepierctl/log_analysis.cc
@@ -318,11 +318,16 @@
 {
   using Counts = std::map<std::string, std::uint64_t>;
   std::map<std::string, Counts> tables;
+  Counts routed;
   std::uint64_t requests = 0;
   std::uint64_t leftOut = 0;
   for (const LogLine& line : aLines) {
     if (IsEvent(line, EventId::RequestEnded)) {
       ++requests;
+      if (!line.Field("route").empty()) {
+        ++routed[TextField(line, "route") + " config=" + TextField(line, "config") + " " +
+                 TextField(line, "service")];
+      }
       const bool abandoned = line.Field("abandoned") == "true";
       if (!abandoned && line.Field("reason") == "none") {
         continue;
@@ -343,17 +348,24 @@
   if (aJson) {
     aOutput << nlohmann::json{ { "requests", requests },
                                { "eventsLeftOut", leftOut },
-                               { "failed", tables } }
+                               { "failed", tables },
+                               { "routed", routed } }
                  .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
             << "\n";
     return;
   }
   aOutput << requests << " requests ended, " << leftOut << " events left out by instances\n";
-  for (const auto& [title, counts] : tables) {
-    aOutput << "\nfailed " << title << "\n";
-    for (const auto& [name, count] : counts) {
+  const auto writeTable = [&](const std::string& aTitle, const Counts& aCounts) {
+    aOutput << "\n" << aTitle << "\n";
+    for (const auto& [name, count] : aCounts) {
       aOutput << std::setw(8) << count << "  " << name << "\n";
     }
+  };
+  for (const auto& [title, counts] : tables) {
+    writeTable("failed " + title, counts);
+  }
+  if (!routed.empty()) {
+    writeTable("requests by route, configuration and service", routed);
   }
 }
 
--- a/apps/boragepierctl/log_analysis_test.cc
+++ b/apps/boragepierctl/log_analysis_test.cc
@@ -147,4 +147,21 @@
   CHECK(Contains(text.str(), "2 requests ended, 40 events left out"));
 }
 
+// Guards against a split whose shares cannot be told from the logs.
+TEST(LogAnalysis, SummaryCountsRequestsByRouteVersionAndService)
+{
+  std::string log;
+  for (const char* service : { "a", "b", "a" }) {
+    log += std::string("2026-01-21T04:06:26.199Z INFO event=6007 name=request-ended request=r ") +
+           "service=" + service + " route=split path=/a config=7 outcome=answered reason=none\n";
+  }
+  std::ostringstream json;
+  WriteLogSummary(ParseLog(log), true, json);
+  CHECK(Contains(json.str(), "\"split config=7 a\":2"));
+  CHECK(Contains(json.str(), "\"split config=7 b\":1"));
+  std::ostringstream text;
+  WriteLogSummary(ParseLog(log), false, text);
+  CHECK(Contains(text.str(), "       2  split config=7 a\n"));
+}
+
 } // namespace boragepier::ctl
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -114,6 +114,10 @@
     record_.configVersion_ = service_->Version();
     if (match.route_) {
       const RouteConfig& route = match.route_->Config();
+      record_.route_ = route.name_;
+      if (route.services_.size() > 1) {
+        deps_.observer_.OnSplitRequest(route.name_, serviceConfig_->name_);
+      }
       callOptions_ = ResolveCallOptions(request, route, deps_.dialect_);
       requestInfo_.maxAttempts_ = route.maxAttempts_;
       requestInfo_.priority_ = route.priority_;
--- a/boragepier/entry/call_observer.h
+++ b/boragepier/entry/call_observer.h
@@ -1,6 +1,8 @@
 #ifndef BORAGEPIER_ENTRY_CALL_OBSERVER_H
 #define BORAGEPIER_ENTRY_CALL_OBSERVER_H
 
+#include <string_view>
+
 #include "boragepier/base/ids.h"
 #include "boragepier/base/outcome.h"
 #include "boragepier/config/upstream_endpoint.h"
@@ -15,6 +17,9 @@
 {
 public:
   virtual ~CallObserver() = default;
+  /// A service was selected for a request of a route with several services.
+  /// @param aRoute name of the route
+  virtual void OnSplitRequest(std::string_view aRoute, const ServiceName& aService) = 0;
   /// An attempt was sent.
   /// @param aRecord record of the request; the attempt is the last one in it
   virtual void OnAttemptStarted(const ExplainRecord& aRecord) = 0;
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -78,6 +78,7 @@
     failed,
     { { "request", aRecord.id_ },
       { "service", aRecord.service_ },
+      { "route", aRecord.route_ },
       { "path", aRecord.path_ },
       { "config", aRecord.configVersion_ },
       { "outcome", aRecord.outcome_ },
@@ -134,6 +135,12 @@
   explain_.Add(std::move(aRecord));
 }
 
+void
+CallTelemetry::OnSplitRequest(std::string_view aRoute, const ServiceName& aService)
+{
+  metrics_.OnSplitRequest(aRoute, aService);
+}
+
 void
 CallTelemetry::OnAttemptStarted(const ExplainRecord& aRecord)
 {
--- a/boragepier/entry/call_telemetry.h
+++ b/boragepier/entry/call_telemetry.h
@@ -21,6 +21,7 @@
   ///   all traffic threads
   CallTelemetry(Metrics& aMetrics, ExplainStore& aExplain, UpstreamLeavingCallback aOnLeaving);
 
+  void OnSplitRequest(std::string_view aRoute, const ServiceName& aService) override;
   void OnAttemptStarted(const ExplainRecord& aRecord) override;
   void OnAttemptEnded(const ExplainRecord& aRecord, const ExplainAttempt& aAttempt) override;
   void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) override;
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -83,6 +83,7 @@
 EntryInstance::OnRoutingTable(const std::shared_ptr<const RoutingTable>& aTable)
 {
   router_.Apply(*aTable, std::chrono::steady_clock::now());
+  metrics_.OnRoutingTable();
   instanceCount_ = aTable->instances_.size();
   traffic_.SetFleetSize(instanceCount_);
   if (aTable->callerLimits_) {
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -188,6 +188,7 @@
 class FakeObserver : public CallObserver
 {
 public:
+  void OnSplitRequest(std::string_view, const ServiceName&) override {}
   void OnAttemptStarted(const ExplainRecord&) override {}
   void OnAttemptEnded(const ExplainRecord&, const ExplainAttempt&) override {}
   void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) override
--- a/boragepier/telemetry/explain.h
+++ b/boragepier/telemetry/explain.h
@@ -36,6 +36,7 @@
 {
   RequestId id_;
   ServiceName service_; ///< empty if no route matched
+  std::string route_;   ///< name of the route; empty if the path prefix of the service matched
   std::string method_;
   std::string path_; ///< without the query
   WallTime arrival_;
--- a/boragepier/telemetry/metrics.cc
+++ b/boragepier/telemetry/metrics.cc
@@ -101,6 +101,18 @@
   return *service;
 }
 
+void
+Metrics::OnSplitRequest(std::string_view aRoute, const ServiceName& aService)
+{
+  std::pair key(std::string(aRoute), aService.Text());
+  const std::lock_guard lock(mutex_);
+  if (const auto found = splitRequests_.find(key); found != splitRequests_.end()) {
+    ++found->second;
+  } else if (splitRequests_.size() < kMaxSplitCounters) {
+    splitRequests_.emplace(std::move(key), 1);
+  }
+}
+
 void
 Metrics::SetControlThreadUsage(Duration aCpuTime, std::uint64_t aBytesSent)
 {
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -4,10 +4,12 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 
@@ -148,6 +150,14 @@
   /// @return the metrics of the service; valid as long as this object
   ServiceMetrics& Service(const ServiceName& aName);
 
+  /// Counts a request of a route with several services. Only the first kMaxSplitCounters pairs of
+  /// route and service are counted, because a pair is never removed.
+  /// @param aRoute name of the route
+  /// @param aService service that was selected for the request
+  void OnSplitRequest(std::string_view aRoute, const ServiceName& aService);
+  /// Counts a routing table that was applied.
+  void OnRoutingTable() { routingTableCount_.fetch_add(1, std::memory_order_relaxed); }
+
   void SetReady(bool aReady) { ready_ = aReady; }
   void SetDraining(bool aDraining) { draining_ = aDraining; }
   void SetPeerCount(std::uint64_t aCount) { peerCount_ = aCount; }
@@ -163,8 +173,13 @@
 private:
   friend class PrometheusWriter;
 
-  mutable std::mutex mutex_; ///< guards services_
+  static constexpr std::size_t kMaxSplitCounters = 1000;
+
+  mutable std::mutex mutex_; ///< guards services_ and splitRequests_
   std::unordered_map<ServiceName, std::unique_ptr<ServiceMetrics>> services_;
+  /// Number of requests by route and service.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> splitRequests_;
+  std::atomic<std::uint64_t> routingTableCount_ = 0;
   std::atomic<bool> ready_ = false;
   std::atomic<bool> draining_ = false;
   std::atomic<std::uint64_t> peerCount_ = 0;
--- a/boragepier/telemetry/metrics_test.cc
+++ b/boragepier/telemetry/metrics_test.cc
@@ -99,6 +99,34 @@
   CheckContains(text, "boragepier_queue_wait_seconds_bucket{service=\"a\",le=\"0.0025\"} 3\n");
 }
 
+// Guards against a split whose shares no operator can compare with its weights.
+TEST(Metrics, SplitRequestsAreCountedByRouteAndService)
+{
+  Metrics metrics;
+  metrics.OnSplitRequest("r1", ServiceName("a"));
+  metrics.OnSplitRequest("r1", ServiceName("a"));
+  metrics.OnSplitRequest("r1", ServiceName("b"));
+  metrics.OnSplitRequest("r2", ServiceName("a"));
+  metrics.OnRoutingTable();
+  const std::string text = metrics.WritePrometheus(MonotonicTime());
+  CheckContains(text, "boragepier_split_requests_total{route=\"r1\",service=\"a\"} 2\n");
+  CheckContains(text, "boragepier_split_requests_total{route=\"r1\",service=\"b\"} 1\n");
+  CheckContains(text, "boragepier_split_requests_total{route=\"r2\",service=\"a\"} 1\n");
+  CheckContains(text, "boragepier_routing_tables_total 1\n");
+}
+
+// Guards against memory that grows with every route that a configuration ever had.
+TEST(Metrics, NumberOfSplitCountersIsBounded)
+{
+  Metrics metrics;
+  for (int i = 0; i < 3000; ++i) {
+    metrics.OnSplitRequest("r" + std::to_string(i), ServiceName("a"));
+  }
+  const std::string text = metrics.WritePrometheus(MonotonicTime());
+  CheckContains(text, "{route=\"r999\",service=\"a\"} 1\n");
+  CHECK(text.find("route=\"r1000\"") == std::string::npos);
+}
+
 TEST(Metrics, ProbeBudgetShareCoversTheLastCompleteWindow)
 {
   Metrics metrics;
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -20,6 +20,12 @@
               "counter",
               "CPU time of the control thread" },
   MetricInfo{ "boragepier_control_bytes_total", "counter", "bytes sent by the control thread" },
+  MetricInfo{ "boragepier_routing_tables_total",
+              "counter",
+              "changes of the routes, services, upstreams or instances that were applied" },
+  MetricInfo{ "boragepier_split_requests_total",
+              "counter",
+              "requests of routes with several services, by the service selected" },
   MetricInfo{ "boragepier_config_version",
               "gauge",
               "version of the configuration in force; 0 without a configuration" },
@@ -208,6 +214,19 @@
   WriteGauge("boragepier_control_processor_seconds_total",
              static_cast<double>(metrics_.controlThreadCpuNs_.load()) / 1e9);
   WriteGauge("boragepier_control_bytes_total", LoadAsDouble(metrics_.controlThreadBytesSent_));
+  WriteGauge("boragepier_routing_tables_total", LoadAsDouble(metrics_.routingTableCount_));
+}
+
+void
+PrometheusWriter::WriteSplitRequests()
+{
+  constexpr std::string_view kName = "boragepier_split_requests_total";
+  WriteHeader(kName);
+  const std::lock_guard lock(metrics_.mutex_);
+  for (const auto& [key, count] : metrics_.splitRequests_) {
+    const auto& [route, service] = key;
+    WriteSample(kName, { { "route", route }, { "service", service } }, static_cast<double>(count));
+  }
 }
 
 void
@@ -242,6 +261,7 @@
 PrometheusWriter::Write() &&
 {
   WriteInstance();
+  WriteSplitRequests();
   WriteServices();
   return std::move(text_);
 }
