Keep the rotation of a split route over routing tables and start it by weight

Each change of an upstream applies a routing table, which replaced every ActiveRoute and with it the round-robin credits. In a fleet of a hundred instances nearly every request of such a route was the first after a table, and the first selection did not follow the weights: the start credit was uniform over the services, so it gave 0.75 : 0.25 half each, and 0.25 : 0.75 all to the second.

Change: WeightedRotation, a golden-ratio sequence from a random start, whose position belongs to the route (host and prefix) and is handed from table to table. Each selection follows the weights, the first one too, so a restart of the fleet keeps the shares; the position does not depend on the weights, so changed weights take effect with the next request. It needs no lock.

--- a/boragepier/entry/service_router.cc
+++ b/boragepier/entry/service_router.cc
@@ -105,66 +105,62 @@
 }
 
 ActiveRoute::ActiveRoute(RouteConfig aConfig,
-                         std::vector<WeightedTarget> aTargets,
-                         double aInitialPhase)
+                         std::span<const WeightedTarget> aTargets,
+                         std::shared_ptr<WeightedRotation> aRotation)
   : config_(std::move(aConfig))
   , workClass_(std::hash<std::string>()(config_.name_))
-  , targets_(std::move(aTargets))
-  , credits_(targets_.size())
+  , rotation_(std::move(aRotation))
 {
-  if (!targets_.empty()) {
-    credits_[static_cast<std::size_t>(aInitialPhase * static_cast<double>(targets_.size())) %
-             targets_.size()] = aInitialPhase;
+  for (const WeightedTarget& target : aTargets) {
+    services_.push_back(target.service_);
+    weights_.push_back(target.weight_);
   }
 }
 
 std::shared_ptr<ActiveService>
-ActiveRoute::NextService()
+ActiveRoute::NextService() const
 {
-  if (targets_.size() <= 1) {
-    return targets_.empty() ? nullptr : targets_.front().service_;
-  }
-  const std::lock_guard lock(mutex_);
-  double totalWeight = 0;
-  for (const WeightedTarget& target : targets_) {
-    totalWeight += target.weight_;
-  }
-  if (totalWeight <= 0) {
-    return nullptr;
-  }
-  std::size_t selected = 0;
-  for (std::size_t i = 0; i < targets_.size(); ++i) {
-    credits_[i] += targets_[i].weight_ / totalWeight;
-    if (credits_[i] > credits_[selected]) {
-      selected = i;
-    }
-  }
-  credits_[selected] -= 1;
-  return targets_[selected].service_;
+  const auto selected = rotation_->Next(weights_);
+  return selected ? services_[*selected] : nullptr;
+}
+
+namespace {
+
+// Returns the key of a route in Snapshot::routesByHostAndPrefix_.
+std::string
+RouteKey(std::string_view aHost, std::string_view aPathPrefix)
+{
+  return std::string(aHost).append(aPathPrefix);
 }
 
+} // namespace
+
 std::shared_ptr<ActiveRoute>
 ServiceRouter::MakeRoute(
   const RouteConfig& aConfig,
-  const std::unordered_map<ServiceName, std::shared_ptr<ActiveService>>& aServices)
+  const std::unordered_map<ServiceName, std::shared_ptr<ActiveService>>& aServices,
+  const Snapshot& aPrevious)
 {
   std::vector<ActiveRoute::WeightedTarget> targets;
   for (const WeightedService& target : aConfig.services_) {
-    if (const auto found = aServices.find(target.service_);
-        found != aServices.end() && target.weight_ > 0) {
+    if (const auto found = aServices.find(target.service_); found != aServices.end()) {
       targets.push_back({ found->second, target.weight_ });
     }
   }
-  Random random(nextSeed_++);
-  return std::make_shared<ActiveRoute>(
-    aConfig, std::move(targets), static_cast<double>(random(1000)) / 1000);
+  const auto previous =
+    aPrevious.routesByHostAndPrefix_.find(RouteKey(aConfig.host_, aConfig.pathPrefix_));
+  auto rotation = previous != aPrevious.routesByHostAndPrefix_.end()
+                    ? previous->second->Rotation()
+                    : std::make_shared<WeightedRotation>(Random(nextSeed_++)());
+  return std::make_shared<ActiveRoute>(aConfig, targets, std::move(rotation));
 }
 
 void
 ServiceRouter::Apply(const RoutingTable& aTable, MonotonicTime aNow)
 {
+  const auto previous = CurrentSnapshot();
   std::unordered_map<ServiceName, std::shared_ptr<ActiveService>> servicesByName;
-  for (const auto& service : *Services()) {
+  for (const auto& service : previous->services_) {
     servicesByName.emplace(service->Config()->name_, service);
   }
   auto snapshot = std::make_shared<Snapshot>();
@@ -179,8 +175,8 @@
   }
   snapshot->hasRoutes_ = !aTable.routes_.empty();
   for (const RouteConfig& route : aTable.routes_) {
-    snapshot->routesByHostAndPrefix_.emplace(route.host_ + route.pathPrefix_,
-                                             MakeRoute(route, servicesByName));
+    snapshot->routesByHostAndPrefix_.emplace(RouteKey(route.host_, route.pathPrefix_),
+                                             MakeRoute(route, servicesByName, *previous));
   }
   const std::lock_guard lock(mutex_);
   snapshot_ = std::move(snapshot);
@@ -234,7 +230,7 @@
   }
   const std::string host = NormalizeHost(aHost);
   const auto route = FindLongestPrefix(aPath, [&](std::string_view aPrefix) {
-    const auto found = snapshot->routesByHostAndPrefix_.find(host + std::string(aPrefix));
+    const auto found = snapshot->routesByHostAndPrefix_.find(RouteKey(host, aPrefix));
     return found == snapshot->routesByHostAndPrefix_.end() ? nullptr : found->second;
   });
   if (!route) {
--- a/boragepier/entry/service_router.h
+++ b/boragepier/entry/service_router.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -15,6 +16,7 @@
 #include "boragepier/base/time.h"
 #include "boragepier/decision/fresh_probe_balancer.h"
 #include "boragepier/decision/service_balancer.h"
+#include "boragepier/decision/weighted_rotation.h"
 #include "boragepier/state/routing_table.h"
 
 namespace boragepier {
@@ -74,8 +76,7 @@
   std::unordered_map<std::uint64_t, ReleaseCallback> releaseCallbacks_;
 };
 
-/// A route that is currently served. Distributes requests to its services by smooth weighted
-/// round-robin. Thread-safe.
+/// A route that is currently served. Distributes requests to its services by weight. Thread-safe.
 class ActiveRoute
 {
 public:
@@ -88,23 +89,27 @@
 
   /// @param aConfig configuration of the route
   /// @param aTargets services of the route, in the order of the configuration
-  /// @param aInitialPhase position in the rotation at which the distribution starts, from 0 to 1;
-  ///   should differ between instances, so that they do not all start with the same service
-  ActiveRoute(RouteConfig aConfig, std::vector<WeightedTarget> aTargets, double aInitialPhase);
+  /// @param aRotation selects the service of each request. Belongs to the route, not to this
+  /// object,
+  ///   so that it continues when a routing table replaces the object; not null
+  ActiveRoute(RouteConfig aConfig,
+              std::span<const WeightedTarget> aTargets,
+              std::shared_ptr<WeightedRotation> aRotation);
 
   const RouteConfig& Config() const { return config_; }
   /// @return a hash of the route's name; requests of one route need similar work
   std::uint64_t WorkClass() const { return workClass_; }
   /// Selects the service for the next request. Over many requests each service gets its share.
   /// @return the service, or null if the route has none
-  std::shared_ptr<ActiveService> NextService();
+  std::shared_ptr<ActiveService> NextService() const;
+  const std::shared_ptr<WeightedRotation>& Rotation() const { return rotation_; }
 
 private:
   const RouteConfig config_;
   const std::uint64_t workClass_;
-  std::vector<WeightedTarget> targets_;
-  std::mutex mutex_;
-  std::vector<double> credits_; ///< round-robin credit of each target
+  std::vector<std::shared_ptr<ActiveService>> services_;
+  std::vector<double> weights_; ///< of services_, in the same order
+  const std::shared_ptr<WeightedRotation> rotation_;
 };
 
 /// Result of routing a request.
@@ -123,10 +128,12 @@
 
   /// @param aSelf this instance
   /// @param aZone availability zone of this instance
-  /// @param aSeed seeds the balancers and the initial phases of the routes
+  /// @param aSeed seeds the balancers and the rotations of the routes; should differ between
+  ///   instances, so that they do not all select the same service first
   ServiceRouter(InstanceId aSelf, ZoneName aZone, std::uint64_t aSeed);
 
-  /// Applies a routing table. Services that remain keep their state. Called by one thread only.
+  /// Applies a routing table. Services and routes that remain keep their state. Called by one
+  /// thread only.
   void Apply(const RoutingTable& aTable, MonotonicTime aNow);
 
   /// Finds the route or service with the longest matching path prefix. A prefix matches whole
@@ -165,7 +172,8 @@
 
   std::shared_ptr<ActiveRoute> MakeRoute(
     const RouteConfig& aConfig,
-    const std::unordered_map<ServiceName, std::shared_ptr<ActiveService>>& aServices);
+    const std::unordered_map<ServiceName, std::shared_ptr<ActiveService>>& aServices,
+    const Snapshot& aPrevious);
 
   const InstanceId self_;
   const ZoneName zone_;
