Resolve routes to services of the same routing table only

What callers would see: a route that names a service which the table no longer has went on sending it its share, to upstreams of the last table that had it.

Cause: the map for reusing services of the previous table was also the map in which routes were resolved.

--- a/boragepier/entry/service_router.cc
+++ b/boragepier/entry/service_router.cc
@@ -159,16 +159,18 @@
 ServiceRouter::Apply(const RoutingTable& aTable, MonotonicTime aNow)
 {
   const auto previous = CurrentSnapshot();
-  std::unordered_map<ServiceName, std::shared_ptr<ActiveService>> servicesByName;
+  std::unordered_map<ServiceName, std::shared_ptr<ActiveService>> previousServices;
   for (const auto& service : previous->services_) {
-    servicesByName.emplace(service->Config()->name_, service);
+    previousServices.emplace(service->Config()->name_, service);
   }
   auto snapshot = std::make_shared<Snapshot>();
+  std::unordered_map<ServiceName, std::shared_ptr<ActiveService>> servicesByName;
   for (const ServiceRoute& route : aTable.services_) {
-    auto& service = servicesByName[route.config_.name_];
-    if (!service) {
-      service = std::make_shared<ActiveService>(route, zone_, nextSeed_++);
-    }
+    const auto found = previousServices.find(route.config_.name_);
+    const auto service = found != previousServices.end()
+                           ? found->second
+                           : std::make_shared<ActiveService>(route, zone_, nextSeed_++);
+    servicesByName.emplace(route.config_.name_, service);
     service->Update(route, self_, aTable.instances_, aNow);
     snapshot->services_.push_back(service);
     snapshot->servicesByPrefix_.emplace(route.config_.pathPrefix_, service);
--- a/boragepier/entry/service_router_test.cc
+++ b/boragepier/entry/service_router_test.cc
@@ -144,6 +144,20 @@
   }
 }
 
+// Guards against requests to a service that a routing table removed while a route still names it.
+TEST(TrafficSplit, RemovedServiceGetsNoRequests)
+{
+  StartInstances(1);
+  RoutingTable table = MakeSplitTable(0.5);
+  ApplyEverywhere(table);
+  table.services_.erase(table.services_.begin());
+  ApplyEverywhere(table);
+  for (int i = 0; i < 3; ++i) {
+    RouteEverywhere();
+  }
+  LONGS_EQUAL(0, requestsToA_);
+}
+
 // Guards against a split that favors some services of a route with more than two.
 TEST(TrafficSplit, ThreeServicesGetTheirShares)
 {
