Retry a failed call to the store counted from its start, and ask for one topic until it answers

Cause: a call failed after its wait and 1.5 s, then paused for 2 s, and each topic did so on its own.

Change: the delay counts from the start of the call. While the store does not answer, an instance other than the root asks for the configuration only, without a long poll; the first answer to any call makes it read all topics at once.

Why this works: a call is sent at most 2.3 s (2 s and the jitter) after the one before, so the store's first answer comes within that time, and contact_ms is 3 s.

Result: the new test of DirectoryWatch failed before (version 20 instead of 21, an instance cut off for 7.9 s) and passes, with the bound on calls in an outage unchanged.

--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -590,6 +590,34 @@
   CHECK(TotalCalls() - before <= 40);
 }
 
+// Guards against an instance that takes a change long after the store answers it again, because its
+// calls of each topic time out and pause one after the other. An instance must have the change
+// kContactTime after the end of the disturbance, whenever in its cycle of calls that is.
+TEST(DirectoryWatch, InstanceThatWasCutOffTakesChangesSoonAfterTheStoreAnswersAgain)
+{
+  constexpr Duration kContactTime = std::chrono::milliseconds(3000);
+  constexpr Duration kLongestCycle = std::chrono::milliseconds(5000);
+  StartAll(16);
+  const InstanceId cutOff("i-7");
+  std::uint64_t version = 1;
+  for (Duration phase{}; phase < kLongestCycle; phase += std::chrono::milliseconds(100)) {
+    network_.isolated_ = { cutOff };
+    store_.unansweredInstances_ = { cutOff };
+    RunFor(std::chrono::seconds(6) + phase);
+    const std::string upstream = "u-" + std::to_string(++version);
+    store_.Put(FeedTopic::Configuration, "config", std::to_string(version));
+    store_.Put(FeedTopic::Upstreams, upstream, {});
+    store_.unansweredInstances_ = {};
+    RunFor(kContactTime);
+    CheckConfigVersion(version);
+    CHECK_EQUAL(
+      version - 1,
+      instances_[7]->watch_.State().MakeRoutingTable()->services_.at(0).upstreams_.size());
+    network_.isolated_ = {};
+    RunFor(std::chrono::seconds(8));
+  }
+}
+
 // Guards against all instances calling an unavailable store at a high rate.
 TEST(DirectoryWatch, OutageCausesFewCallsAndAllInstancesRecover)
 {
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -37,9 +37,9 @@
   /// failure up to maxBackoff_.
   Duration initialBackoff_ = std::chrono::milliseconds(100);
   Duration maxBackoff_ = std::chrono::milliseconds(800);
-  /// Delay before the other instances retry a failed call, also for the registration and the first
-  /// read of the list of instances. Bounds on the age of the data of such an instance hold only
-  /// once the store has answered it again for longer than this.
+  /// Time from the start of a failed call to its retry by the other instances, also for the
+  /// registration and the first read of the list of instances. Bounds on the age of the data of
+  /// such an instance hold only once the store has answered it again for longer than this.
   Duration nonRootRetryDelay_ = std::chrono::milliseconds(2000);
   /// Time between two PeerSubscribe messages to the current source.
   Duration subscribeInterval_ = std::chrono::milliseconds(250);
@@ -157,12 +157,18 @@
                                                                       FeedTopic::Upstreams,
                                                                       FeedTopic::Instances };
 
+  /// While the store does not answer, instances other than the root ask for this topic only.
+  static constexpr FeedTopic kProbeTopic = FeedTopic::Configuration;
+  using TimerId = decltype(std::declval<S&>().After(std::declval<Duration>(),
+                                                    std::declval<std::function<void()>>()));
+
   struct TopicState
   {
     FeedMirror mirror_;
     bool synced_ = false;  ///< the mirror has all rows up to its position
     bool reading_ = false; ///< a call to the store, or the delay before the next, is pending
-    Duration backoff_{};   ///< delay before the last retry; 0 after a success
+    std::optional<TimerId> nextRequest_; ///< end of the delay before the next call, if pending
+    Duration backoff_{};                 ///< delay before the last retry; 0 after a success
     std::optional<MonotonicTime> confirmedAt_; ///< when the store last held nothing newer
   };
 
@@ -205,12 +211,12 @@
 
   void ReadInstanceList()
   {
-    feed_.Read(FeedTopic::Instances, [this](FeedResponse aPage) {
+    feed_.Read(FeedTopic::Instances, [this, startedAt = scheduler_.Now()](FeedResponse aPage) {
       TopicState& topicState = TopicStateOf(FeedTopic::Instances);
       if (aPage.status_ != FeedStatus::Ok) {
         instanceListRead_ = true;
         OnStoreFailed(aPage.error_);
-        scheduler_.After(Jittered(timing_.nonRootRetryDelay_), [this] { ReadInstanceList(); });
+        scheduler_.After(NonRootRetryPause(startedAt), [this] { ReadInstanceList(); });
         StartStoreReads();
         return;
       }
@@ -242,23 +248,29 @@
 
   void Register(const InstanceEntry& aSelfEntry)
   {
-    feed_.Register(aSelfEntry, [this, aSelfEntry](const FeedResponse& aPage) {
-      if (aPage.status_ != FeedStatus::Ok) {
-        // Registration is idempotent, so it is safe to repeat a call whose answer was lost.
-        scheduler_.After(Jittered(timing_.nonRootRetryDelay_),
-                         [this, aSelfEntry] { Register(aSelfEntry); });
-      }
-    });
+    feed_.Register(aSelfEntry,
+                   [this, aSelfEntry, startedAt = scheduler_.Now()](const FeedResponse& aPage) {
+                     if (aPage.status_ != FeedStatus::Ok) {
+                       // Registration is idempotent, so it is safe to repeat a call whose answer
+                       // was lost.
+                       scheduler_.After(NonRootRetryPause(startedAt),
+                                        [this, aSelfEntry] { Register(aSelfEntry); });
+                     }
+                   });
+  }
+
+  bool ShouldReadTopic(FeedTopic aTopic)
+  {
+    return ShouldReadStore(scheduler_.Now()) &&
+           (relayRole_.isRoot_ ||
+            (IsRoutingTopic(aTopic) && (!storeFailing_ || aTopic == kProbeTopic)));
   }
 
   // Starts to read each topic that should come from the store and is not being read yet.
   void StartStoreReads()
   {
-    if (!ShouldReadStore(scheduler_.Now())) {
-      return;
-    }
     for (const FeedTopic topic : kTopics) {
-      if (!TopicStateOf(topic).reading_ && (IsRoutingTopic(topic) || relayRole_.isRoot_)) {
+      if (!TopicStateOf(topic).reading_ && ShouldReadTopic(topic)) {
         TopicStateOf(topic).reading_ = true;
         RequestTopic(topic);
       }
@@ -266,42 +278,49 @@
     ReportSource();
   }
 
+  // A call to the store that was sent.
+  struct PendingCall
+  {
+    FeedTopic topic_;
+    bool changesOnly_; ///< reads the changes since a position rather than all rows
+    MonotonicTime startedAt_;
+    Duration wait_; ///< longest time that the store holds the call
+  };
+
   void RequestTopic(FeedTopic aTopic)
   {
     const TopicState& topicState = TopicStateOf(aTopic);
-    const Duration wait =
-      IsRoutingTopic(aTopic) ? timing_.longPollWait_ : timing_.instancesLongPollWait_;
-    // An answer without changes describes the store at the end of the wait, however late it
-    // arrives.
-    const MonotonicTime longPollEnd = scheduler_.Now() + wait;
-    const auto done =
-      [this, aTopic, longPollEnd, wasSynced = topicState.synced_](const FeedResponse& aPage) {
-        OnStoreReply(aTopic, wasSynced, longPollEnd, aPage);
-      };
-    if (topicState.synced_) {
+    // A long poll would show only after its wait that the store still does not answer.
+    const Duration wait = storeFailing_            ? Duration(0)
+                          : IsRoutingTopic(aTopic) ? timing_.longPollWait_
+                                                   : timing_.instancesLongPollWait_;
+    const PendingCall call{ aTopic, topicState.synced_, scheduler_.Now(), wait };
+    const auto done = [this, call](const FeedResponse& aPage) { OnStoreReply(call, aPage); };
+    if (call.changesOnly_) {
       feed_.Wait(aTopic, topicState.mirror_.Position(), wait, done);
     } else {
       feed_.Read(aTopic, done);
     }
   }
 
-  void OnStoreReply(FeedTopic aTopic,
-                    bool aChangesOnly,
-                    MonotonicTime aLongPollEnd,
-                    const FeedResponse& aPage)
+  void OnStoreReply(const PendingCall& aCall, const FeedResponse& aPage)
   {
     const MonotonicTime now = scheduler_.Now();
-    TopicState& topicState = TopicStateOf(aTopic);
+    const FeedTopic topic = aCall.topic_;
+    TopicState& topicState = TopicStateOf(topic);
     Duration pause{};
     if (aPage.status_ == FeedStatus::Ok && aPage.position_ >= topicState.mirror_.Position()) {
       OnStoreAnswered();
-      const bool waitTimedOut = aChangesOnly && aPage.rows_.empty();
-      const MonotonicTime observedAt = waitTimedOut ? std::min(now, aLongPollEnd) : now;
-      RecordObservation(aTopic, observedAt, now);
-      const auto changed = aChangesOnly
+      // An answer without changes describes the store at the end of the wait, however late it
+      // arrives.
+      const bool waitTimedOut = aCall.changesOnly_ && aPage.rows_.empty();
+      const MonotonicTime observedAt =
+        waitTimedOut ? std::min(now, aCall.startedAt_ + aCall.wait_) : now;
+      RecordObservation(topic, observedAt, now);
+      const auto changed = aCall.changesOnly_
                              ? topicState.mirror_.ApplyChanges(aPage.rows_, aPage.position_)
                              : topicState.mirror_.ApplySnapshot(aPage.rows_, aPage.position_);
-      ApplyRows(aTopic, changed, now);
+      ApplyRows(topic, changed, now);
       topicState.synced_ = true;
       topicState.confirmedAt_ = observedAt;
       topicState.backoff_ = {};
@@ -318,24 +337,49 @@
       OnStoreFailed(isStale ? std::string("stale answer") : aPage.error_);
       topicState.backoff_ =
         std::clamp(2 * topicState.backoff_, timing_.initialBackoff_, timing_.maxBackoff_);
-      pause = Jittered(relayRole_.isRoot_ ? topicState.backoff_ : timing_.nonRootRetryDelay_);
+      pause =
+        relayRole_.isRoot_ ? Jittered(topicState.backoff_) : NonRootRetryPause(aCall.startedAt_);
     }
     Publish();
-    scheduler_.After(pause, [this, aTopic] {
-      if (ShouldReadStore(scheduler_.Now()) && (IsRoutingTopic(aTopic) || relayRole_.isRoot_)) {
-        RequestTopic(aTopic);
-      } else {
-        TopicStateOf(aTopic).reading_ = false;
-        ReportSource();
-      }
-    });
+    topicState.nextRequest_ = scheduler_.After(pause, [this, topic] { ContinueReading(topic); });
+  }
+
+  // Sends the next call for a topic that is being read, or stops to read it.
+  void ContinueReading(FeedTopic aTopic)
+  {
+    TopicState& topicState = TopicStateOf(aTopic);
+    topicState.nextRequest_.reset();
+    if (ShouldReadTopic(aTopic)) {
+      RequestTopic(aTopic);
+    } else {
+      topicState.reading_ = false;
+      ReportSource();
+    }
+  }
+
+  // Returns the delay before the retry of a call that failed now.
+  Duration NonRootRetryPause(MonotonicTime aStartedAt)
+  {
+    const Duration elapsed = scheduler_.Now() - aStartedAt;
+    return std::max(timing_.initialBackoff_, Jittered(timing_.nonRootRetryDelay_) - elapsed);
   }
 
   void OnStoreAnswered()
   {
-    if (std::exchange(storeFailing_, false) && onStoreReachableChanged_) {
+    if (!std::exchange(storeFailing_, false)) {
+      return;
+    }
+    if (onStoreReachableChanged_) {
       onStoreReachableChanged_(true, {});
     }
+    // The other topics need not wait until their retry delays end.
+    for (const FeedTopic topic : kTopics) {
+      if (const auto timer = TopicStateOf(topic).nextRequest_) {
+        scheduler_.Cancel(*timer);
+        ContinueReading(topic);
+      }
+    }
+    StartStoreReads();
   }
 
   void OnStoreFailed(const std::string& aError)
