Honor an upstream's own word that it is leaving, for as long as that start of it lasts

What callers would see: requests to an upstream that had said in its answers that it leaves, cut off when it went.

Every choice (first attempt, queue, retry, hedge, probe) already asks AcceptsRequests.

--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -90,7 +90,9 @@
     Upstream& upstream = upstreams_[index];
     if (!isNew && endpoint.startNumber_ > upstream.endpoint_->startNumber_) {
       upstream.estimate_.Reset();
-      upstream.leavingUntil_ = MonotonicTime();
+    }
+    if (!isNew && EndsLeavingMark(*upstream.endpoint_, endpoint)) {
+      upstream.markedLeaving_ = false;
     }
     if (isNew || *upstream.endpoint_ != endpoint) {
       upstream.endpoint_ = std::make_shared<const UpstreamEndpoint>(endpoint);
@@ -148,15 +150,15 @@
 }
 
 void
-FreshProbeBalancer::MarkLeaving(UpstreamHandle aUpstream, MonotonicTime aNow)
+FreshProbeBalancer::MarkLeaving(UpstreamHandle aUpstream)
 {
-  upstreams_.at(static_cast<std::size_t>(aUpstream)).leavingUntil_ = aNow + kLeavingMarkLifetime;
+  upstreams_.at(static_cast<std::size_t>(aUpstream)).markedLeaving_ = true;
 }
 
 bool
-FreshProbeBalancer::AcceptsRequests(const Upstream& aUpstream, MonotonicTime aNow) const
+FreshProbeBalancer::AcceptsRequests(const Upstream& aUpstream)
 {
-  return aUpstream.listed_ && !aUpstream.endpoint_->leaving_ && aUpstream.leavingUntil_ <= aNow;
+  return aUpstream.listed_ && !aUpstream.endpoint_->leaving_ && !aUpstream.markedLeaving_;
 }
 
 unsigned
@@ -232,7 +234,7 @@
   upstream.estimate_.OnAttemptEnded(aReport.latency_, aNow);
   UpdateModels(aReport, aNow);
   if (aReport.draining_) {
-    MarkLeaving(aReport.upstream_, aNow);
+    MarkLeaving(aReport.upstream_);
   }
   if (aReport.failure_ == AttemptFailure::Refused) {
     upstream.estimate_.OnRejected(SlotsOf(upstream), aNow);
@@ -324,7 +326,7 @@
     info.ownOutstanding_ = estimate.OwnOutstanding();
     info.othersEstimate_ = estimate.InFlight() - estimate.OwnOutstanding();
     info.healthWeight_ = 1 - estimate.FailureProbability(aNow);
-    info.leaving_ = !AcceptsRequests(upstream, aNow);
+    info.leaving_ = !AcceptsRequests(upstream);
     info.expectedWaitMs_ = ExpectedWaitMs(upstream, aNow);
     if (const auto reportAge = estimate.ReportAge(aNow)) {
       info.slowness_ = estimate.Report()->slowness_;
--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -46,7 +46,7 @@
                 MonotonicTime aNow);
   RoutingDecision Submit(const CallInfo& aCall, MonotonicTime aNow);
   void OnAttemptEnded(const AttemptReport& aReport, MonotonicTime aNow);
-  void MarkLeaving(UpstreamHandle aUpstream, MonotonicTime aNow);
+  void MarkLeaving(UpstreamHandle aUpstream);
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
   std::optional<MonotonicTime> NextRelease() const;
   bool CancelQueued(std::uint64_t aCallId, MonotonicTime aNow);
@@ -79,7 +79,7 @@
     bool local_ = false;  ///< in the availability zone of this instance
     /// Position in this instance's order of the upstreams by hash, from 0 (first) to below 1.
     double affinityRank_ = 0;
-    MonotonicTime leavingUntil_; ///< end of the effect of MarkLeaving()
+    bool markedLeaving_ = false; ///< by MarkLeaving(), for this start at this address
   };
 
   /// Upstreams that have been probed for a queued request.
@@ -128,7 +128,7 @@
   };
 
   /// @return whether an upstream is listed and not leaving
-  bool AcceptsRequests(const Upstream& aUpstream, MonotonicTime aNow) const;
+  static bool AcceptsRequests(const Upstream& aUpstream);
   /// @return the latest attempt of a request, or null if it is not in flight
   const OutstandingAttempt* FindOutstanding(const CallInfo& aCall) const;
   /// Adds the work done since the last update, given the present slowness of the machine.
--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -154,7 +154,7 @@
   std::vector<ScoredUpstream> ranked;
   const auto addUpstreams = [&](std::span<const std::uint32_t> aIndices, bool aIncludeTried) {
     for (const std::uint32_t index : aIndices) {
-      if (AcceptsRequests(upstreams_[index], aNow) && (aIncludeTried || !WasTried(aCall, index))) {
+      if (AcceptsRequests(upstreams_[index]) && (aIncludeTried || !WasTried(aCall, index))) {
         ranked.push_back(ScoreUpstream(index, aCall, aNow));
       }
     }
@@ -358,7 +358,7 @@
     return Refuse(RefusalReason::DeadlineExpired, {});
   }
   const bool anyAccepts = std::any_of(listed_.begin(), listed_.end(), [&](std::uint32_t aIndex) {
-    return AcceptsRequests(upstreams_[aIndex], aNow);
+    return AcceptsRequests(upstreams_[aIndex]);
   });
   if (!anyAccepts) {
     return Refuse(RefusalReason::NoUpstream, std::chrono::milliseconds(500));
@@ -564,12 +564,12 @@
 }
 
 std::optional<UpstreamHandle>
-FreshProbeBalancer::NextProbe(MonotonicTime aNow)
+FreshProbeBalancer::NextProbe(MonotonicTime)
 {
   while (!pendingProbes_.empty()) {
     const std::uint32_t index = pendingProbes_.front();
     pendingProbes_.pop_front();
-    if (upstreamsReportLoad_ && AcceptsRequests(upstreams_[index], aNow)) {
+    if (upstreamsReportLoad_ && AcceptsRequests(upstreams_[index])) {
       upstreams_[index].estimate_.OnProbeSent();
       return UpstreamHandle{ index };
     }
--- a/boragepier/decision/fresh_probe_balancer_test.cc
+++ b/boragepier/decision/fresh_probe_balancer_test.cc
@@ -420,6 +420,29 @@
   CHECK(Submit(MakeCall(Repeatability::Repeatable)).reason_ == RefusalReason::NoUpstream);
 }
 
+// Guards against requests to an upstream that said in an answer that it is leaving, while the store
+// is silent or still lists it, and against a mark that outlives that start of the upstream.
+TEST(FreshProbeBalancer, UpstreamThatAnnouncedItsLeavingReceivesNoRequestsUntilItRestarts)
+{
+  std::vector endpoints{ MakeEndpoint("a-1", "a"), MakeEndpoint("a-2", "a") };
+  balancer_.SetUpstreams(endpoints, now_);
+  AttemptReport report;
+  report.upstream_ = *balancer_.Find(UpstreamId("a-1"));
+  report.status_ = 200;
+  report.draining_ = true;
+  balancer_.OnAttemptEnded(report, now_);
+  for (int i = 0; i < 5; ++i) {
+    now_ += std::chrono::minutes(1);
+    balancer_.SetUpstreams(endpoints, now_);
+    CHECK(SubmitAndGetUpstream({ { "a-1", MakeLoad(0) }, { "a-2", MakeLoad(1, 1.5) } }) == "a-2");
+    EndAttempt("a-2", milliseconds(20));
+  }
+  endpoints[0].startNumber_ = 2;
+  balancer_.SetUpstreams(endpoints, now_);
+  now_ += milliseconds(50);
+  CHECK(SubmitAndGetUpstream({ { "a-1", MakeLoad(0) }, { "a-2", MakeLoad(2) } }) == "a-1");
+}
+
 // Guards against more attempts of a request than its route allows.
 TEST(FreshProbeBalancer, AttemptsAreLimitedByTheRoute)
 {
--- a/boragepier/decision/service_balancer.cc
+++ b/boragepier/decision/service_balancer.cc
@@ -44,9 +44,9 @@
 }
 
 void
-ServiceBalancer::MarkLeaving(UpstreamHandle aUpstream, MonotonicTime aNow)
+ServiceBalancer::MarkLeaving(UpstreamHandle aUpstream)
 {
-  impl_->MarkLeaving(aUpstream, aNow);
+  impl_->MarkLeaving(aUpstream);
 }
 
 std::vector<ReleasedCall>
@@ -94,9 +94,9 @@
 }
 
 std::optional<UpstreamHandle>
-ServiceBalancer::NextProbe(MonotonicTime aNow)
+ServiceBalancer::NextProbe(MonotonicTime)
 {
-  return impl_->NextProbe(aNow);
+  return impl_->NextProbe();
 }
 
 void
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -160,9 +160,9 @@
   /// Records the end of an attempt. Call Release() afterwards.
   void OnAttemptEnded(const AttemptReport& aReport, MonotonicTime aNow);
 
-  /// Records that an upstream is leaving, for example as announced by a peer. The upstream receives
-  /// no new requests for 60 s or until its startNumber_ rises.
-  void MarkLeaving(UpstreamHandle aUpstream, MonotonicTime aNow);
+  /// Records that an upstream is leaving, for example as announced in its answers. The upstream
+  /// receives no new requests until its startNumber_ rises or its address changes.
+  void MarkLeaving(UpstreamHandle aUpstream);
 
   /// @return the requests that leave the queue now, to be dispatched or refused, in order
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
--- a/boragepier/decision/service_balancer_attempts.cc
+++ b/boragepier/decision/service_balancer_attempts.cc
@@ -90,7 +90,7 @@
   }
   lastAttemptEnd_ = aNow;
   if (aReport.draining_) {
-    MarkLeaving(aReport.upstream_, aNow);
+    MarkLeaving(aReport.upstream_);
   }
   const bool answered = aReport.failure_ == AttemptFailure::None && aReport.status_ < 500;
   if (answered && aReport.load_ && aReport.load_->inFlight_ > 0) {
--- a/boragepier/decision/service_balancer_choice.cc
+++ b/boragepier/decision/service_balancer_choice.cc
@@ -62,7 +62,7 @@
                                      MonotonicTime aNow)
 {
   for (const std::uint32_t index : aIndices) {
-    if (!AcceptsRequests(index, aNow) || WasTried(aCall, index)) {
+    if (!AcceptsRequests(index) || WasTried(aCall, index)) {
       continue;
     }
     if (aApplyHealthWeight) {
--- a/boragepier/decision/service_balancer_impl.h
+++ b/boragepier/decision/service_balancer_impl.h
@@ -30,7 +30,7 @@
   void SetFleet(const InstanceId& aSelf, std::span<const InstanceId> aInstances);
   RoutingDecision Submit(const CallInfo& aCall, MonotonicTime aNow);
   void OnAttemptEnded(const AttemptReport& aReport, MonotonicTime aNow);
-  void MarkLeaving(UpstreamHandle aUpstream, MonotonicTime aNow);
+  void MarkLeaving(UpstreamHandle aUpstream);
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
   std::optional<MonotonicTime> NextRelease() const;
   bool CancelQueued(std::uint64_t aCallId);
@@ -40,7 +40,7 @@
   std::optional<Duration> HedgeDelay(const CallInfo& aCall, MonotonicTime aNow) const;
   std::optional<UpstreamHandle> DecideHedge(const CallInfo& aCall, MonotonicTime aNow);
   Duration AttemptTimeout(const CallInfo& aCall, MonotonicTime aNow) const;
-  std::optional<UpstreamHandle> NextProbe(MonotonicTime aNow);
+  std::optional<UpstreamHandle> NextProbe();
   void OnProbeEnded(UpstreamHandle aUpstream,
                     std::optional<LoadReport> aLoad,
                     Duration aRoundTrip,
@@ -59,7 +59,7 @@
     bool listed_ = false;        ///< in the list of the last SetUpstreams()
     bool preferred_ = false;     ///< in the preferred subset of this instance
     double crossZoneRttMs_ = 0;  ///< round trip between availability zones; 0 in the own zone
-    MonotonicTime leavingUntil_; ///< end of the effect of MarkLeaving()
+    bool markedLeaving_ = false; ///< by MarkLeaving(), for this start at this address
   };
   struct PickedUpstream
   {
@@ -83,7 +83,7 @@
   /// Dispatches requests from the front of the queue while the upstreams are not congested.
   void ReleaseQueued(std::vector<ReleasedCall>& aReleased, MonotonicTime aNow);
   /// @return whether an upstream is listed and not leaving
-  bool AcceptsRequests(std::size_t aIndex, MonotonicTime aNow) const;
+  bool AcceptsRequests(std::size_t aIndex) const;
   /// @return expected response time in ms, with penalties
   double Cost(std::size_t aIndex, bool aPreferSubset, MonotonicTime aNow) const;
   /// Adds those of aIndices to candidates_ that accept requests and were not tried yet.
--- a/boragepier/decision/service_balancer_probes.cc
+++ b/boragepier/decision/service_balancer_probes.cc
@@ -82,13 +82,13 @@
 }
 
 std::optional<UpstreamHandle>
-ServiceBalancer::Impl::NextProbe(MonotonicTime aNow)
+ServiceBalancer::Impl::NextProbe()
 {
   while (!pendingProbes_.empty()) {
     const std::uint32_t index = pendingProbes_.front();
     pendingProbes_.pop_front();
     // While requests are queued there is no spare capacity for probes.
-    if (AcceptsRequests(index, aNow) && queue_.Size() == 0) {
+    if (AcceptsRequests(index) && queue_.Size() == 0) {
       return UpstreamHandle{ index };
     }
   }
--- a/boragepier/decision/service_balancer_test.cc
+++ b/boragepier/decision/service_balancer_test.cc
@@ -67,7 +67,7 @@
   auto endpoints = MakeEndpoints(2);
   balancer.SetUpstreams(endpoints, kStart);
   const UpstreamHandle leaving = *balancer.Find(UpstreamId("u0"));
-  balancer.MarkLeaving(leaving, kStart);
+  balancer.MarkLeaving(leaving);
   for (std::uint64_t i = 0; i < 6; ++i) {
     const RoutingDecision decision = balancer.Submit(MakeCall(i, kStart), kStart);
     CHECK(decision.kind_ != RoutingDecision::Kind::Dispatch || decision.upstream_ != leaving);
--- a/boragepier/decision/service_balancer_upstreams.cc
+++ b/boragepier/decision/service_balancer_upstreams.cc
@@ -58,10 +58,14 @@
       upstreams_.emplace_back();
       loadEstimator_.Add();
       outlierEjection_.Add(!firstList);
-    } else if (endpoint.startNumber_ > upstreams_[index].endpoint_->startNumber_) {
-      loadEstimator_.Reset(index);
-      outlierEjection_.Restart(index);
-      upstreams_[index].leavingUntil_ = MonotonicTime();
+    } else {
+      if (endpoint.startNumber_ > upstreams_[index].endpoint_->startNumber_) {
+        loadEstimator_.Reset(index);
+        outlierEjection_.Restart(index);
+      }
+      if (EndsLeavingMark(*upstreams_[index].endpoint_, endpoint)) {
+        upstreams_[index].markedLeaving_ = false;
+      }
     }
     upstreams_[index].endpoint_ = std::make_shared<const UpstreamEndpoint>(endpoint);
     upstreams_[index].listed_ = true;
@@ -99,16 +103,16 @@
 }
 
 void
-ServiceBalancer::Impl::MarkLeaving(UpstreamHandle aUpstream, MonotonicTime aNow)
+ServiceBalancer::Impl::MarkLeaving(UpstreamHandle aUpstream)
 {
-  upstreams_.at(static_cast<std::size_t>(aUpstream)).leavingUntil_ = aNow + kLeavingMarkLifetime;
+  upstreams_.at(static_cast<std::size_t>(aUpstream)).markedLeaving_ = true;
 }
 
 bool
-ServiceBalancer::Impl::AcceptsRequests(std::size_t aIndex, MonotonicTime aNow) const
+ServiceBalancer::Impl::AcceptsRequests(std::size_t aIndex) const
 {
   const Upstream& upstream = upstreams_[aIndex];
-  return upstream.listed_ && !upstream.endpoint_->leaving_ && upstream.leavingUntil_ <= aNow;
+  return upstream.listed_ && !upstream.endpoint_->leaving_ && !upstream.markedLeaving_;
 }
 
 std::shared_ptr<const UpstreamEndpoint>
@@ -148,7 +152,7 @@
     info.expectedWaitMs_ =
       loadEstimator_.ExpectedWaitServiceTimes(index, aNow) * loadEstimator_.ServiceTimeMs(index);
     info.healthWeight_ = outlierEjection_.HealthWeight(index, aNow);
-    info.leaving_ = !AcceptsRequests(index, aNow);
+    info.leaving_ = !AcceptsRequests(index);
   }
   return candidates;
 }
--- a/boragepier/entry/balancer_driver.h
+++ b/boragepier/entry/balancer_driver.h
@@ -124,8 +124,8 @@
     const bool fromOtherUpstream = aResult.outcome_ == Outcome::Answered &&
                                    !deps_.dialect_.isFromUpstream_(aResult.response_, aEndpoint);
     aService->WithBalancer([&](auto& aBalancer) {
-      if (fromOtherUpstream) {
-        aBalancer.MarkLeaving(aUpstream, now);
+      if (fromOtherUpstream || feedback.draining_) {
+        aBalancer.MarkLeaving(aUpstream);
       }
       aBalancer.OnProbeEnded(
         aUpstream, fromOtherUpstream ? std::nullopt : feedback.load_, aResult.latency_, now);
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -415,7 +415,7 @@
     service_->WithBalancer([&](auto& aBalancer) {
       aBalancer.OnAttemptEnded(aReport, now);
       if (aReport.draining_) {
-        aBalancer.MarkLeaving(aReport.upstream_, now);
+        aBalancer.MarkLeaving(aReport.upstream_);
         leaving = aBalancer.Endpoint(aReport.upstream_);
       }
     });
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -260,6 +260,24 @@
   }
 }
 
+// Guards against requests to a leaving upstream after a time without requests to it, or over a
+// routing table from a store that does not know yet that it leaves.
+TEST(Call, LeavingUpstreamIsAvoidedAfterALongTimeAndANewRoutingTable)
+{
+  Send("GET");
+  const http::Target leavingTarget = sender_.sentRequests_[0].target_;
+  http::Response response = MakeResponse(200);
+  response.headers_.Add(kDrainingHeader, "true");
+  sender_.Answer(0, response);
+  scheduler_.Advance(std::chrono::minutes(5));
+  setup();
+  for (int i = 0; i < 50; ++i) {
+    Send("GET");
+    CHECK(sender_.sentRequests_.back().target_ != leavingTarget);
+    sender_.Answer(sender_.sentRequests_.size() - 1, MakeResponse(200));
+  }
+}
+
 TEST(Call, UnknownPathsAndExpiredDeadlinesAreRefusedWithoutAnAttempt)
 {
   http::Request request{ "GET", "/elsewhere/1", {}, "" };
