--- a/boragepier/decision/weighted_rotation_test.cc
+++ b/boragepier/decision/weighted_rotation_test.cc
@@ -23,6 +23,7 @@
   const std::vector<double> weights = { 0.6, 0.3, 0.1 };
   WeightedRotation rotation(12345);
   std::vector<std::size_t> selections;
+  selections.reserve(kSelections);
   for (int i = 0; i < kSelections; ++i) {
     selections.push_back(rotation.Next(weights).value());
   }
