Ignore the word of an earlier start of an upstream that it is leaving

What callers would see: an upstream that restarted gets no requests any more, because an answer of its earlier start, which was leaving, arrived after the new start was listed. Since marks last as long as a start, nothing would end that.

Cause: answers were attributed to the upstream's id, not to the start to which the request was sent.

Change: an attempt and a probe keep the endpoint to which they were sent; the word counts only if that is the present start at the present address.

--- a/boragepier/decision/attempt_rules.cc
+++ b/boragepier/decision/attempt_rules.cc
@@ -39,11 +39,4 @@
   return std::find(tried.begin(), tried.end(), UpstreamHandle{ aIndex }) != tried.end();
 }
 
-bool
-EndsLeavingMark(const UpstreamEndpoint& aMarked, const UpstreamEndpoint& aListed)
-{
-  return aListed.startNumber_ > aMarked.startNumber_ || aListed.address_ != aMarked.address_ ||
-         aListed.port_ != aMarked.port_;
-}
-
 } // namespace boragepier
--- a/boragepier/decision/attempt_rules.h
+++ b/boragepier/decision/attempt_rules.h
@@ -11,12 +11,6 @@
 
 namespace boragepier {
 
-/// @param aMarked endpoint of an upstream that is marked as leaving
-/// @param aListed endpoint of the same upstream in a new list
-/// @return whether the mark no longer applies: it is for one start of the upstream at one address
-bool
-EndsLeavingMark(const UpstreamEndpoint& aMarked, const UpstreamEndpoint& aListed);
-
 /// @return the reason for a retry after this attempt; nothing if the attempt needs no retry or a
 /// retry would end in the same way
 std::optional<RetryReason>
--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "boragepier/decision/attempt_rules.h"
+#include "boragepier/decision/upstream_start.h"
 
 namespace boragepier {
 
@@ -91,7 +92,7 @@
     if (!isNew && endpoint.startNumber_ > upstream.endpoint_->startNumber_) {
       upstream.estimate_.Reset();
     }
-    if (!isNew && EndsLeavingMark(*upstream.endpoint_, endpoint)) {
+    if (!isNew && !IsSameStart(*upstream.endpoint_, endpoint)) {
       upstream.markedLeaving_ = false;
     }
     if (isNew || *upstream.endpoint_ != endpoint) {
--- a/boragepier/decision/service_balancer_upstreams.cc
+++ b/boragepier/decision/service_balancer_upstreams.cc
@@ -4,6 +4,7 @@
 
 #include "boragepier/decision/attempt_rules.h"
 #include "boragepier/decision/preferred_subset.h"
+#include "boragepier/decision/upstream_start.h"
 
 namespace boragepier {
 
@@ -63,7 +64,7 @@
         loadEstimator_.Reset(index);
         outlierEjection_.Restart(index);
       }
-      if (EndsLeavingMark(*upstreams_[index].endpoint_, endpoint)) {
+      if (!IsSameStart(*upstreams_[index].endpoint_, endpoint)) {
         upstreams_[index].markedLeaving_ = false;
       }
     }
--- a/boragepier/entry/balancer_driver.h
+++ b/boragepier/entry/balancer_driver.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "boragepier/decision/upstream_start.h"
 #include "boragepier/entry/pipeline_dependencies.h"
 #include "boragepier/entry/request_checks.h"
 #include "boragepier/entry/service_router.h"
@@ -124,7 +125,8 @@
     const bool fromOtherUpstream = aResult.outcome_ == Outcome::Answered &&
                                    !deps_.dialect_.isFromUpstream_(aResult.response_, aEndpoint);
     aService->WithBalancer([&](auto& aBalancer) {
-      if (fromOtherUpstream || feedback.draining_) {
+      const bool leaving = fromOtherUpstream || feedback.draining_;
+      if (leaving && IsSameStart(aEndpoint, *aBalancer.Endpoint(aUpstream))) {
         aBalancer.MarkLeaving(aUpstream);
       }
       aBalancer.OnProbeEnded(
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "boragepier/decision/upstream_start.h"
 #include "boragepier/entry/attempt_reports.h"
 #include "boragepier/entry/balancer_driver.h"
 #include "boragepier/entry/call_observer.h"
@@ -87,6 +88,7 @@
   struct Attempt
   {
     UpstreamHandle upstream_{};
+    std::shared_ptr<const UpstreamEndpoint> endpoint_; ///< as it was when the request was sent
     http::SendId sendId_{};
     MonotonicTime startedAt_;
     bool active_ = true; ///< has neither ended nor been cancelled
@@ -290,7 +292,7 @@
     sendOptions.maxResponseBody_ = serviceConfig_->maxResponseBody_;
 
     const std::size_t index = attempts_.size();
-    attempts_.push_back({ aUpstream, {}, now, true });
+    attempts_.push_back({ aUpstream, endpoint, {}, now, true });
     ExplainAttempt attempt;
     attempt.upstream_ = endpoint->id_;
     attempt.retryReason_ = aReason;
@@ -372,8 +374,9 @@
   void OnAttemptEnded(std::size_t aIndex, http::SendResult aResult)
   {
     attempts_[aIndex].active_ = false;
-    const AttemptReport report =
-      MakeAttemptReport(attempts_[aIndex].upstream_, aResult, deps_.dialect_);
+    AttemptReport report = MakeAttemptReport(attempts_[aIndex].upstream_, aResult, deps_.dialect_);
+    // A late answer of an earlier start says nothing about the present one.
+    report.draining_ = report.draining_ && IsCurrentStart(attempts_[aIndex]);
     RecordAttemptEnd(aIndex, report);
     ReportToBalancer(report);
     if (finished_) {
@@ -393,6 +396,14 @@
     }
   }
 
+  // Whether the upstream of an attempt is still the one to which it was sent.
+  bool IsCurrentStart(const Attempt& aAttempt)
+  {
+    return service_->WithBalancer([&](auto& aBalancer) {
+      return IsSameStart(*aAttempt.endpoint_, *aBalancer.Endpoint(aAttempt.upstream_));
+    });
+  }
+
   // Reports that a dispatched request was not sent, so that the balancer no longer counts it as
   // outstanding at the upstream.
   void ReportUnsentAttempt(UpstreamHandle aUpstream)
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -278,6 +278,33 @@
   }
 }
 
+// Guards against an upstream that receives nothing after a restart, because an answer of its
+// earlier start, which was leaving, arrived late.
+TEST(Call, LateAnswerOfALeavingStartDoesNotAffectTheNextStart)
+{
+  const auto exchange = Send("GET");
+  const http::Target target = sender_.sentRequests_[0].target_;
+  RoutingTable table;
+  table.services_.push_back(MakeServiceRoute());
+  table.instances_.emplace_back("i1");
+  for (UpstreamEndpoint& endpoint : table.services_[0].upstreams_) {
+    endpoint.startNumber_ = 2;
+  }
+  router_.Apply(table, scheduler_.Now());
+  http::Response response = MakeResponse(200);
+  response.headers_.Add(kDrainingHeader, "true");
+  sender_.Answer(0, response);
+  CHECK_EQUAL(200, exchange->response_->status_);
+  CHECK(observer_.leavingUpstreams_.empty());
+  bool used = false;
+  for (int i = 0; i < 50; ++i) {
+    Send("GET");
+    used = used || sender_.sentRequests_.back().target_ == target;
+    sender_.Answer(sender_.sentRequests_.size() - 1, MakeResponse(200));
+  }
+  CHECK(used);
+}
+
 TEST(Call, UnknownPathsAndExpiredDeadlinesAreRefusedWithoutAnAttempt)
 {
   http::Request request{ "GET", "/elsewhere/1", {}, "" };
