--- a/boragepier/entry/service_router.h
+++ b/boragepier/entry/service_router.h
@@ -89,9 +89,8 @@
 
   /// @param aConfig configuration of the route
   /// @param aTargets services of the route, in the order of the configuration
-  /// @param aRotation selects the service of each request. Belongs to the route, not to this
-  /// object,
-  ///   so that it continues when a routing table replaces the object; not null
+  /// @param aRotation selects the service of each request; not null. Belongs to the route and
+  ///   continues when a routing table replaces this object
   ActiveRoute(RouteConfig aConfig,
               std::span<const WeightedTarget> aTargets,
               std::shared_ptr<WeightedRotation> aRotation);
