Index the rows of a mirror by version

A relay looked through all rows of a topic, and sorted those that had changed, for each message to a subscriber, also when nothing had changed since its position. With 1,080 upstreams and 25 subscribers this was the largest part of the processor time of the fleet in virtual time (22 % of the samples of relay_fleet_test). The rows are now kept in the order of their versions too.

--- a/boragepier/directory/feed_mirror.cc
+++ b/boragepier/directory/feed_mirror.cc
@@ -2,22 +2,19 @@
 
 #include <algorithm>
 #include <set>
-#include <string_view>
+#include <utility>
 
 namespace boragepier {
 
-bool
-FeedMirror::ApplyRow(const FeedRow& aRow)
+void
+FeedMirror::SetRow(const FeedRow& aRow)
 {
   const auto [it, isNew] = rows_.try_emplace(aRow.key_, aRow);
-  if (isNew) {
-    return true;
+  if (!isNew) {
+    rowsByVersion_.erase({ it->second.version_, it->first });
+    it->second = aRow;
   }
-  if (aRow.version_ <= it->second.version_) {
-    return false;
-  }
-  it->second = aRow;
-  return true;
+  rowsByVersion_.emplace(std::pair(aRow.version_, std::string_view(it->first)), &it->second);
 }
 
 std::vector<FeedRow>
@@ -28,7 +25,9 @@
     return changed;
   }
   for (const FeedRow& row : aRows) {
-    if (ApplyRow(row)) {
+    const auto known = rows_.find(row.key_);
+    if (known == rows_.end() || known->second.version_ < row.version_) {
+      SetRow(row);
       changed.push_back(row);
     }
   }
@@ -47,40 +46,36 @@
   for (const FeedRow& row : aRows) {
     listedKeys.insert(row.key_);
   }
-  for (auto& [key, row] : rows_) {
+  std::vector<FeedRow> removed;
+  for (const auto& [key, row] : rows_) {
     if (!row.removed_ && !listedKeys.contains(key)) {
-      row = { key, aPosition, true, {} };
-      changed.push_back(row);
+      removed.push_back({ key, aPosition, true, {} });
     }
   }
+  for (FeedRow& row : removed) {
+    SetRow(row);
+    changed.push_back(std::move(row));
+  }
   return changed;
 }
 
 FeedMirror::Changes
 FeedMirror::ChangesSince(std::uint64_t aPosition, std::size_t aMaxBytes) const
 {
-  std::vector<const FeedRow*> changedRows;
-  for (const auto& [key, row] : rows_) {
-    if (row.version_ > aPosition) {
-      changedRows.push_back(&row);
-    }
-  }
-  std::sort(
-    changedRows.begin(), changedRows.end(), [](const FeedRow* aLeft, const FeedRow* aRight) {
-      return aLeft->version_ < aRight->version_;
-    });
   Changes changes;
   changes.position_ = std::max(position_, aPosition);
   std::size_t bytes = 0;
-  for (std::size_t i = 0; i < changedRows.size(); ++i) {
-    const FeedRow& row = *changedRows[i];
+  std::uint64_t lastVersion = 0;
+  for (auto it = rowsByVersion_.lower_bound({ aPosition + 1, {} }); it != rowsByVersion_.end();
+       ++it) {
+    const FeedRow& row = *it->second;
     bytes += row.key_.size() + row.value_.size();
     // Rows of one transaction share a version and must not be split.
-    const bool startsVersion = i > 0 && changedRows[i - 1]->version_ < row.version_;
-    if (bytes > aMaxBytes && startsVersion) {
-      changes.position_ = changedRows[i - 1]->version_;
+    if (bytes > aMaxBytes && lastVersion > 0 && lastVersion < row.version_) {
+      changes.position_ = lastVersion;
       break;
     }
+    lastVersion = row.version_;
     changes.rows_.push_back(row);
   }
   return changes;
--- a/boragepier/directory/feed_mirror.h
+++ b/boragepier/directory/feed_mirror.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <span>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "boragepier/ports/directory_feed.h"
@@ -16,6 +18,10 @@
 class FeedMirror
 {
 public:
+  FeedMirror() = default;
+  FeedMirror(const FeedMirror&) = delete;
+  FeedMirror& operator=(const FeedMirror&) = delete;
+
   /// Applies all rows of the topic as of a position. A row of the mirror that is not among them is
   /// marked as removed.
   /// @return the rows that changed the mirror; none if aPosition is below Position()
@@ -38,10 +44,12 @@
   std::uint64_t Position() const { return position_; }
 
 private:
-  bool ApplyRow(const FeedRow& aRow);
+  void SetRow(const FeedRow& aRow);
 
   std::uint64_t position_ = 0;
   std::map<std::string, FeedRow> rows_;
+  /// The same rows, ordered by version and key. Refers to the elements of rows_.
+  std::map<std::pair<std::uint64_t, std::string_view>, const FeedRow*> rowsByVersion_;
 };
 
 } // namespace boragepier
