--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -197,6 +197,14 @@
                         [](Settings& aSettings, const KeyValue& aValue) {
                           Assign(aSettings.heartbeatInterval_, aValue);
                         } },
+  KeyBinding<Settings>{
+    { .section_ = "fleet",
+      .name_ = "first-start",
+      .type_ = KeyType::Flag,
+      .default_ = "false",
+      .meaning_ = "all instances start now, for the first time; those with a slower link then wait "
+                  "for up to 1.5 s, so that few read the store" },
+    [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.fleetStarts_, aValue); } },
   KeyBinding<Settings>{ { .section_ = "peers",
                           .name_ = "seeds",
                           .type_ = KeyType::AddressList,
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -54,6 +54,7 @@
   /// Interval at which upstreams renew their entries in the store.
   Duration heartbeatInterval_ = std::chrono::milliseconds(1500);
   double probesPerUpstreamSecond_ = 20; ///< probe rate limit
+  bool fleetStarts_ = false;            ///< all instances start now, for the first time
 
   LogLevel logLevel_ = LogLevel::Info;
   std::string logFile_;              ///< path; if empty, logToStandardOutput_ applies
--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -58,7 +58,7 @@
   const bool wasLeaving = !isNew && upstream.entry_.endpoint_.leaving_;
   const bool unchanged = !isNew && upstream.entry_.service_ == aEntry.service_ &&
                          upstream.entry_.endpoint_ == aEntry.endpoint_;
-  upstream.missing_ = false;
+  SetMissing(upstream, false);
   if (unchanged) {
     return;
   }
@@ -75,8 +75,14 @@
 void
 DirectoryState::ApplyValue(const std::string& aKey, const InstanceEntry& aEntry, MonotonicTime)
 {
+  const auto [it, isNew] = instances_.try_emplace(aKey);
+  if (!isNew && it->second == aEntry) {
+    return;
+  }
+  it->second = aEntry;
   routingChanged_ = true;
-  if (instances_.insert_or_assign(aKey, aEntry).second) {
+  instancesChanged_ = true;
+  if (isNew) {
     events_.push_back({ DirectoryEventType::InstanceAdded, aKey, {} });
   }
 }
@@ -93,7 +99,10 @@
 void
 DirectoryState::ApplyValue(const std::string& aKey, const RemovedEntry&, MonotonicTime aNow)
 {
-  routingChanged_ = instances_.erase(aKey) > 0 || routingChanged_;
+  if (instances_.erase(aKey) > 0) {
+    routingChanged_ = true;
+    instancesChanged_ = true;
+  }
   RemoveUpstream(aKey, aNow);
 }
 
@@ -106,12 +115,12 @@
   }
   // An upstream that was leaving does not register again.
   if (aNow < graceUntil_ && !found->second.entry_.endpoint_.leaving_) {
-    found->second.missing_ = true;
+    SetMissing(found->second, true);
     events_.push_back({ DirectoryEventType::UpstreamEntryMissing, aKey, {} });
     return;
   }
   events_.push_back({ DirectoryEventType::UpstreamRemoved, aKey, {} });
-  upstreams_.erase(found);
+  upstreams_.erase(found); // not missing, see above
   routingChanged_ = true;
 }
 
@@ -138,7 +147,7 @@
 void
 DirectoryState::RemoveMissingUpstreams(MonotonicTime aNow)
 {
-  if (aNow < graceUntil_) {
+  if (aNow < graceUntil_ || missingCount_ == 0) {
     return;
   }
   std::erase_if(upstreams_, [&](const auto& aUpstream) {
@@ -149,15 +158,21 @@
     }
     return upstream.missing_;
   });
+  missingCount_ = 0;
 }
 
 std::optional<MonotonicTime>
 DirectoryState::NextRemoval() const
 {
-  const bool missing = std::any_of(upstreams_.begin(), upstreams_.end(), [](const auto& aUpstream) {
-    return aUpstream.second.missing_;
-  });
-  return missing ? std::optional(graceUntil_) : std::nullopt;
+  return missingCount_ > 0 ? std::optional(graceUntil_) : std::nullopt;
+}
+
+void
+DirectoryState::SetMissing(Upstream& aUpstream, bool aMissing)
+{
+  if (std::exchange(aUpstream.missing_, aMissing) != aMissing) {
+    missingCount_ += aMissing ? 1 : -1;
+  }
 }
 
 bool
@@ -166,6 +181,12 @@
   return std::exchange(routingChanged_, false);
 }
 
+bool
+DirectoryState::TakeInstancesChanged()
+{
+  return std::exchange(instancesChanged_, false);
+}
+
 std::vector<DirectoryEvent>
 DirectoryState::TakeEvents()
 {
@@ -182,6 +203,13 @@
   return instances;
 }
 
+bool
+DirectoryState::IsListed(const InstanceEntry& aInstance) const
+{
+  const auto found = instances_.find(aInstance.id_.Text());
+  return found != instances_.end() && found->second == aInstance;
+}
+
 std::shared_ptr<const RoutingTable>
 DirectoryState::MakeRoutingTable() const
 {
--- a/boragepier/directory/directory_state.h
+++ b/boragepier/directory/directory_state.h
@@ -38,6 +38,7 @@
   GracePeriodStarted,   ///< grace period began: entries may have expired in an outage of the store
   EntryUnreadable,
   InstanceAdded,
+  RegistrationFailed, ///< a call that registers instances failed
 };
 
 /// One change in the directory.
@@ -84,6 +85,8 @@
 
   /// @return whether the routing table or the registered instances changed since the last call
   bool TakeRoutingChanged();
+  /// @return whether the registered instances changed since the last call
+  bool TakeInstancesChanged();
   /// @return the changes since the last call
   std::vector<DirectoryEvent> TakeEvents();
   /// Builds the routing table.
@@ -91,6 +94,10 @@
   std::shared_ptr<const RoutingTable> MakeRoutingTable() const;
   /// @return the registered instances, with this one only if it is registered
   std::vector<InstanceEntry> Instances() const;
+  /// @return whether the instance is registered with exactly these data
+  bool IsListed(const InstanceEntry& aInstance) const;
+  /// @return the number of upstreams of all services
+  std::size_t UpstreamCount() const { return upstreams_.size(); }
   /// @return version of the active configuration, or 0 if none is known yet
   std::uint64_t ConfigVersion() const { return config_ ? config_->version_ : 0; }
 
@@ -112,16 +119,19 @@
   void ApplyValue(const std::string& aKey, const UnreadableEntry& aEntry, MonotonicTime aNow);
   void ApplyValue(const std::string& aKey, const RemovedEntry& aEntry, MonotonicTime aNow);
   void RemoveUpstream(const std::string& aKey, MonotonicTime aNow);
+  void SetMissing(Upstream& aUpstream, bool aMissing);
 
   const InstanceId self_;
   FleetSettings settings_;
   std::uint64_t settingsVersion_ = 0; ///< increases with each change of settings_
   std::shared_ptr<const FleetConfig> config_;
   std::map<std::string, Upstream> upstreams_;
+  int missingCount_ = 0; ///< number of them that are missing
   std::map<std::string, InstanceEntry> instances_;
   std::optional<MonotonicTime> upstreamsObservedAt_; ///< latest OnUpstreamsObserved()
   MonotonicTime graceUntil_{};
   bool routingChanged_ = false;
+  bool instancesChanged_ = false;
   std::vector<DirectoryEvent> events_;
 };
 
--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -1,9 +1,7 @@
 #include <map>
 #include <memory>
-#include <set>
 
-#include "boragepier/directory/directory_watch.h"
-#include "boragepier/entry/pipeline_fakes.h"
+#include "boragepier/directory/directory_fakes.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,61 +11,6 @@
 
 constexpr MonotonicTime kStart{ std::chrono::hours(1) };
 
-FleetConfig
-MakeConfig(std::uint64_t aVersion)
-{
-  FleetConfig config;
-  config.version_ = aVersion;
-  config.routes_.push_back({ "r", "a.example", "/x/", { { ServiceName("s"), 1 } } });
-  config.services_.emplace_back().name_ = ServiceName("s");
-  return config;
-}
-
-DecodedFeedRow
-ConfigItem(std::uint64_t aVersion)
-{
-  return { "config", MakeConfig(aVersion) };
-}
-
-DecodedFeedRow
-UpstreamItem(const std::string& aId, bool aLeaving = false)
-{
-  UpstreamEntry entry;
-  entry.service_ = ServiceName("s");
-  entry.endpoint_ = { UpstreamId(aId), "127.0.0.1", 80, ZoneName("z"), 1, aLeaving };
-  return { aId, entry };
-}
-
-// A row of the fake store. The value of a configuration is its version, that of an instance its
-// relay capacity; that of an upstream is empty.
-FeedRow
-MakeRow(const std::string& aKey, std::uint64_t aVersion, const std::string& aValue = {})
-{
-  return { aKey, aVersion, false, aValue };
-}
-
-// Decodes the rows of the fake store.
-class RowDecoder
-{
-public:
-  DecodedFeedRow Decode(FeedTopic aTopic, const FeedRow& aRow, MonotonicTime) const
-  {
-    if (aRow.removed_) {
-      return { aRow.key_, RemovedEntry{} };
-    }
-    switch (aTopic) {
-      case FeedTopic::Configuration:
-        return ConfigItem(std::stoull(aRow.value_));
-      case FeedTopic::Upstreams:
-        return UpstreamItem(aRow.key_);
-      case FeedTopic::Instances:
-        break;
-    }
-    return { aRow.key_,
-             InstanceEntry{ InstanceId(aRow.key_), "127.0.0.1", 7, std::stod(aRow.value_) } };
-  }
-};
-
 } // namespace
 
 TEST_GROUP(DirectoryState)
@@ -238,235 +181,24 @@
   CHECK_EQUAL(7, mirror_.ChangesSince(2, 150).position_);
 }
 
-TEST_GROUP(RelayRole){};
-
-// Guards against a tree in which instances subscribe to each other in a cycle, or one sends to all.
-TEST(RelayRole, SourcesRankAboveTheirSubscribersWhoseNumberIsBounded)
-{
-  std::vector<InstanceEntry> instances;
-  instances.reserve(110);
-  for (int i = 0; i < 110; ++i) {
-    instances.push_back(
-      { InstanceId("i-" + std::to_string(i)), "127.0.0.1", 7, i % 3 == 0 ? 200.0 : 10.0 });
-  }
-  std::map<InstanceId, int> subscriberCounts;
-  std::map<InstanceId, InstanceId> sourceOf;
-  int roots = 0;
-  for (const InstanceEntry& instance : instances) {
-    const RelayRole role = ComputeRelayRole(instances, instance.id_, 4);
-    roots += role.isRoot_ ? 1 : 0;
-    if (!role.isRoot_) {
-      ++subscriberCounts[role.sources_[0].id_];
-      sourceOf[instance.id_] = role.sources_[0].id_;
-      DOUBLES_EQUAL(200, role.sources_[0].relayCapacity_, 0);
-    }
-  }
-  CHECK_EQUAL(1, roots);
-  for (const auto& [id, count] : subscriberCounts) {
-    CHECK(count <= 11);
-  }
-  for (auto [id, source] : sourceOf) {
-    int depth = 1;
-    for (; sourceOf.contains(source); source = sourceOf[source]) {
-      CHECK(++depth <= 3);
-    }
-  }
-}
-
-TEST(RelayRole, UnlistedInstanceIsRoot)
-{
-  CHECK(ComputeRelayRole({}, InstanceId("i"), 4).isRoot_);
-}
-
-namespace {
-
-// Carries messages between the instances of one test in virtual time.
-class FakeTransport
-{
-public:
-  struct Network
-  {
-    FakeScheduler& scheduler_;
-    std::map<InstanceId, FakeTransport*> transports_;
-    std::set<InstanceId> isolated_;
-    Duration delay_ = std::chrono::milliseconds(2);
-  };
-
-  explicit FakeTransport(Network& aNetwork)
-    : network_(aNetwork)
-  {
-  }
-
-  void Start(const PeerEndpoint& aSelf,
-             PeerMessageCallback aOnMessage,
-             const PeerUnreachableCallback& /*aOnUnreachable*/)
-  {
-    self_ = aSelf;
-    onMessage_ = std::move(aOnMessage);
-    network_.transports_[aSelf.id_] = this;
-  }
-
-  std::size_t Send(const PeerEndpoint& aPeer, const PeerMessage& aMessage)
-  {
-    network_.scheduler_.After(network_.delay_, [this, to = aPeer.id_, aMessage] {
-      const auto found = network_.transports_.find(to);
-      if (found != network_.transports_.end() && !network_.isolated_.contains(to) &&
-          !network_.isolated_.contains(self_.id_)) {
-        found->second->onMessage_(self_, aMessage, 1);
-      }
-    });
-    return 1;
-  }
-
-  PeerCounters Counters() const { return {}; }
-
-private:
-  Network& network_;
-  PeerEndpoint self_;
-  PeerMessageCallback onMessage_;
-};
-
-// State of the store that the instances of one test share.
-class FakeStore
-{
-public:
-  explicit FakeStore(FakeScheduler& aScheduler)
-    : scheduler_(aScheduler)
-  {
-  }
-
-  void Put(FeedTopic aTopic, const std::string& aKey, const std::string& aValue)
-  {
-    const FeedRow row = MakeRow(aKey, ++position_, aValue);
-    rows_[aTopic][aKey] = row;
-  }
-
-  void Remove(FeedTopic aTopic, const std::string& aKey)
-  {
-    rows_[aTopic][aKey] = { aKey, ++position_, true, {} };
-  }
-
-  std::vector<FeedRow> ChangesSince(FeedTopic aTopic, std::uint64_t aPosition)
-  {
-    std::vector<FeedRow> rows;
-    for (const auto& [key, row] : rows_[aTopic]) {
-      if (row.version_ > aPosition) {
-        rows.push_back(row);
-      }
-    }
-    return rows;
-  }
-
-  FakeScheduler& scheduler_;
-  std::uint64_t position_ = 1;
-  std::map<FeedTopic, std::map<std::string, FeedRow>> rows_;
-  std::map<InstanceId, int> callCounts_;
-  std::set<InstanceId> unansweredInstances_; ///< whose calls are never answered
-};
-
-// Calls of one instance to the fake store, in virtual time. A call that is not answered fails after
-// 1.5 s.
-class FakeFeed : public RowDecoder
-{
-public:
-  FakeFeed(FakeStore& aStore, InstanceId aSelf)
-    : store_(aStore)
-    , self_(std::move(aSelf))
-  {
-  }
-
-  void Read(FeedTopic aTopic, const FeedCallback& aDone) { Wait(aTopic, 0, Duration(0), aDone); }
-
-  void Wait(FeedTopic aTopic, std::uint64_t aPosition, Duration aWait, const FeedCallback& aDone)
-  {
-    ++store_.callCounts_[self_];
-    Poll(aTopic, aPosition, store_.scheduler_.Now() + aWait, aDone);
-  }
-
-  void Register(const InstanceEntry& aInstance, const FeedCallback& aDone)
-  {
-    ++store_.callCounts_[self_];
-    store_.Put(
-      FeedTopic::Instances, aInstance.id_.Text(), std::to_string(aInstance.relayCapacity_));
-    store_.scheduler_.After(kStoreDelay, [aDone] { aDone({ FeedStatus::Ok, {}, 0, {} }); });
-  }
-
-private:
-  static constexpr Duration kStoreDelay = std::chrono::milliseconds(4);
-  static constexpr Duration kTimeout = std::chrono::milliseconds(1500);
-
-  void Poll(FeedTopic aTopic,
-            std::uint64_t aPosition,
-            MonotonicTime aUntil,
-            const FeedCallback& aDone)
-  {
-    store_.scheduler_.After(kStoreDelay, [=, this] {
-      if (store_.unansweredInstances_.contains(self_)) {
-        store_.scheduler_.After(kTimeout, [aDone] {
-          aDone({ FeedStatus::Unreachable, {}, 0, "timeout" });
-        });
-        return;
-      }
-      auto rows = store_.ChangesSince(aTopic, aPosition);
-      if (rows.empty() && store_.scheduler_.Now() < aUntil) {
-        Poll(aTopic, aPosition, aUntil, aDone);
-      } else {
-        aDone({ FeedStatus::Ok, std::move(rows), store_.position_, {} });
-      }
-    });
-  }
-
-  FakeStore& store_;
-  const InstanceId self_;
-};
-
-} // namespace
-
 TEST_GROUP(DirectoryWatch)
 {
-  using Watch = DirectoryWatch<FakeScheduler, FakeFeed, FakeTransport>;
-
-  struct Instance
-  {
-    Instance(FakeScheduler& aScheduler,
-             FakeStore& aStore,
-             FakeTransport::Network& aNetwork,
-             const InstanceId& aId,
-             double aCapacity)
-      : feed_(aStore, aId)
-      , peers_(aNetwork)
-      , watch_(aScheduler,
-               feed_,
-               peers_,
-               PeerEndpoint{ aId, "127.0.0.1", 7 },
-               aCapacity,
-               FleetSettings{},
-               DirectoryTiming{},
-               aCapacity > 0 ? static_cast<std::uint64_t>(aCapacity) : 1)
-    {
-      watch_.OnStoreReachableChanged(
-        [this](bool aReachable, const auto&) { reachabilityReports_.push_back(aReachable); });
-    }
-
-    FakeFeed feed_;
-    FakeTransport peers_;
-    Watch watch_;
-    std::vector<bool> reachabilityReports_;
-  };
-
   FakeScheduler scheduler_;
   FakeStore store_{ scheduler_ };
-  FakeTransport::Network network_{ scheduler_, {}, {}, std::chrono::milliseconds(2) };
-  std::vector<std::unique_ptr<Instance>> instances_;
+  FakeNetwork network_{ scheduler_ };
+  std::vector<std::unique_ptr<FakeInstance>> instances_;
 
   // Instance i-0 has the largest capacity and is the root of the relay tree.
   void StartAll(int aCount)
   {
     store_.Put(FeedTopic::Configuration, "config", "1");
     for (int i = 0; i < aCount; ++i) {
-      const InstanceId id("i-" + std::to_string(i));
-      instances_.push_back(std::make_unique<Instance>(scheduler_, store_, network_, id, 100.0 - i));
-      instances_.back()->watch_.Start();
+      const InstanceEntry entry{
+        InstanceId("i-" + std::to_string(i)), "127.0.0.1", 7, 100.0 - i, ZoneName("z")
+      };
+      instances_.push_back(std::make_unique<FakeInstance>(
+        scheduler_, store_, network_, entry, static_cast<std::uint64_t>(100 - i)));
+      instances_.back()->watch_.Start(false);
     }
     RunFor(std::chrono::seconds(5));
   }
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -2,63 +2,28 @@
 #define BORAGEPIER_DIRECTORY_DIRECTORY_WATCH_H
 
 #include <algorithm>
-#include <array>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "boragepier/base/random.h"
 #include "boragepier/directory/directory_state.h"
-#include "boragepier/directory/feed_mirror.h"
+#include "boragepier/directory/directory_timing.h"
+#include "boragepier/directory/instance_registrar.h"
 #include "boragepier/directory/relay_tree.h"
+#include "boragepier/directory/source_follower.h"
+#include "boragepier/directory/store_reader.h"
+#include "boragepier/directory/store_view.h"
+#include "boragepier/directory/subscriber_set.h"
 #include "boragepier/ports/peer_transport.h"
 #include "boragepier/ports/scheduler.h"
 
 namespace boragepier {
 
-/// Intervals and timeouts of a DirectoryWatch. Retry delays, the coalescing delay and the subscribe
-/// interval get a random jitter of up to 15 %.
-struct DirectoryTiming
-{
-  /// Longest time for which the store holds a long poll for configuration or upstreams. Bounds the
-  /// age of the data of a reader whose connection to the store goes silent.
-  Duration longPollWait_ = std::chrono::milliseconds(1000);
-  /// The same for the list of instances, which may be out of date.
-  Duration instancesLongPollWait_ = std::chrono::seconds(25);
-  /// Delay before the next read after an answer with changes, so that changes in quick succession
-  /// arrive in one answer.
-  Duration coalescingDelay_ = std::chrono::milliseconds(150);
-  /// Delay before the root of the relay tree retries a failed call; doubles with each further
-  /// failure up to maxBackoff_.
-  Duration initialBackoff_ = std::chrono::milliseconds(100);
-  Duration maxBackoff_ = std::chrono::milliseconds(800);
-  /// Time from the start of a failed call to its retry by the other instances, also for the
-  /// registration and the first read of the list of instances. Bounds on the age of the data of
-  /// such an instance hold only once the store has answered it again for longer than this.
-  Duration nonRootRetryDelay_ = std::chrono::milliseconds(2000);
-  /// Time between two PeerSubscribe messages to the current source.
-  Duration subscribeInterval_ = std::chrono::milliseconds(250);
-  /// A source that has not confirmed its data for this time is replaced. Covers three subscribe
-  /// intervals and the network delay. A subscriber that is silent for twice this time is dropped.
-  Duration sourceTimeout_ = std::chrono::milliseconds(900);
-  /// Data counts as fresh if the store was observed to hold nothing newer less than this ago. Must
-  /// cover longPollWait_ and two subscribe intervals, and leave enough time to read the store
-  /// before a change must be active.
-  Duration stalenessBound_ = std::chrono::milliseconds(1700);
-  /// Delay between registration and the second read of the list of instances. Instances that are
-  /// started together have all registered after this time.
-  Duration registrationSettleTime_ = std::chrono::milliseconds(400);
-  /// After the start, time that a source has to send all data before the store is read instead.
-  Duration initialSyncTimeout_ = std::chrono::milliseconds(300);
-  /// Time between two attempts to return to the preferred source.
-  Duration preferredSourceRetryInterval_ = std::chrono::seconds(4);
-};
-
 /// Keeps a DirectoryState up to date from a store that many instances share.
 ///
 /// One instance, the root, reads the store with long polls. The others receive the changes over
@@ -68,6 +33,11 @@
 /// longer fresh (see DirectoryTiming::stalenessBound_), reads the store itself. It can do so at any
 /// time, so no instance depends on the tree.
 ///
+/// An instance that starts reads the list of instances and subscribes. While its source has no data
+/// itself, it waits for it, so that instances that start together do not all read the store. An
+/// instance that is not listed yet asks its source to register it; the requests go up the tree to
+/// the root, which writes them in batches.
+///
 /// All functions are called, and all callbacks run, in the thread of the scheduler.
 template<Scheduler S, DirectoryFeed F, PeerTransport P>
 class DirectoryWatch
@@ -83,16 +53,14 @@
   /// @param aScheduler must outlive this object, like aFeed and aPeers
   /// @param aFeed calls to the store
   /// @param aPeers messages to and from other instances
-  /// @param aSelf id of this instance and the address at which others reach it
-  /// @param aCapacity relay capacity of this instance; see InstanceEntry::capacity_
+  /// @param aSelf this instance as it registers itself
   /// @param aSettings settings that apply to all instances together
   /// @param aTiming intervals and timeouts
   /// @param aSeed seed of the random jitter
   DirectoryWatch(S& aScheduler,
                  F& aFeed,
                  P& aPeers,
-                 PeerEndpoint aSelf,
-                 double aCapacity,
+                 InstanceEntry aSelf,
                  const FleetSettings& aSettings,
                  DirectoryTiming aTiming,
                  std::uint64_t aSeed)
@@ -100,10 +68,22 @@
     , feed_(aFeed)
     , peers_(aPeers)
     , self_(std::move(aSelf))
-    , capacity_(aCapacity)
     , timing_(aTiming)
-    , random_(aSeed)
+    , jitter_(aSeed)
     , state_(self_.id_, aSettings)
+    , follower_(timing_)
+    , subscribers_(aPeers, view_, timing_)
+    , reader_(aScheduler, aFeed, view_, timing_, jitter_, ReaderCallbacks())
+    , registrar_(
+        aScheduler,
+        aFeed,
+        timing_,
+        [this](auto aBatch) { OnRegistrationBatch(std::move(aBatch)); },
+        [this](std::size_t aCount, const std::string& aError) {
+          if (onEvent_) {
+            onEvent_({ DirectoryEventType::RegistrationFailed, std::to_string(aCount), aError });
+          }
+        })
   {
   }
 
@@ -119,17 +99,18 @@
   /// Called when the origin of the data changes; set before Start().
   void OnSourceChanged(SourceCallback aCallback) { onSourceChanged_ = std::move(aCallback); }
 
-  /// Registers this instance and starts to read the store and to subscribe to a source.
-  void Start()
+  /// Starts to follow the store, directly or through a source.
+  /// @param aFleetStarts all instances start now, and none is listed yet. Those with more capacity
+  /// then begin earlier, so that the others find relays in the list.
+  void Start(bool aFleetStarts)
   {
-    startedAt_ = scheduler_.Now();
     peers_.Start(
-      self_,
+      { self_.id_, self_.address_, self_.port_ },
       [this](const PeerEndpoint& aSender, PeerMessage aMessage, std::size_t) {
         OnMessage(aSender, aMessage);
       },
       [this](const InstanceId& aPeer) { OnUnreachable(aPeer); });
-    ReadInstanceList();
+    scheduler_.After(aFleetStarts ? DiscoveryDelay() : Duration(0), [this] { ReadInstanceList(); });
     OnSubscribeTimer();
   }
 
@@ -145,327 +126,208 @@
   void BeginShutdown()
   {
     shuttingDown_ = true;
-    SendStoreUpdateToAll(false);
+    subscribers_.SendToAll(Status(), scheduler_.Now());
   }
 
   const DirectoryState& State() const { return state_; }
 
 private:
   /// Number of sources that are tried before the store is read instead.
-  static constexpr std::size_t kMaxSources = 4;
-  static constexpr std::array<FeedTopic, kFeedTopicCount> kTopics = { FeedTopic::Configuration,
-                                                                      FeedTopic::Upstreams,
-                                                                      FeedTopic::Instances };
-
+  static constexpr std::size_t kMaxSources = 5;
   /// While the store does not answer, instances other than the root ask for this topic only.
   static constexpr FeedTopic kProbeTopic = FeedTopic::Configuration;
-  using TimerId = decltype(std::declval<S&>().After(std::declval<Duration>(),
-                                                    std::declval<std::function<void()>>()));
 
-  struct TopicState
-  {
-    FeedMirror mirror_;
-    bool synced_ = false;  ///< the mirror has all rows up to its position
-    bool reading_ = false; ///< a call to the store, or the delay before the next, is pending
-    std::optional<TimerId> nextRequest_; ///< end of the delay before the next call, if pending
-    Duration backoff_{};                 ///< delay before the last retry; 0 after a success
-    std::optional<MonotonicTime> confirmedAt_; ///< when the store last held nothing newer
-  };
-
-  struct Subscriber
-  {
-    PeerEndpoint endpoint_;
-    MonotonicTime heardAt_;      ///< arrival of its last PeerSubscribe
-    std::uint64_t sentAtMs_ = 0; ///< PeerSubscribe::sentAtMs_ of that message
-    std::array<std::uint64_t, kFeedTopicCount> positions_{}; ///< up to which it has the rows
-  };
-
-  TopicState& TopicStateOf(FeedTopic aTopic) { return topics_[static_cast<std::size_t>(aTopic)]; }
-  // Routing needs the topic up to date; the list of instances may be out of date.
-  static bool IsRoutingTopic(FeedTopic aTopic) { return aTopic != FeedTopic::Instances; }
-
-  // Whether configuration and upstreams were both confirmed within the staleness bound.
-  bool IsFresh(MonotonicTime aNow)
-  {
-    return std::all_of(kTopics.begin(), kTopics.end(), [&](FeedTopic aTopic) {
-      const auto& confirmed = TopicStateOf(aTopic).confirmedAt_;
-      return !IsRoutingTopic(aTopic) || (confirmed && aNow - *confirmed <= timing_.stalenessBound_);
-    });
+  typename StoreReader<S, F>::Callbacks ReaderCallbacks()
+  {
+    return { .shouldRead_ = [this](FeedTopic aTopic) { return ShouldReadTopic(aTopic); },
+             .isRoot_ = [this] { return follower_.Role().IsRoot(); },
+             .onRows_ =
+               [this](FeedTopic aTopic, const auto& aRows, MonotonicTime aObservedAt) {
+                 ApplyRows(aTopic, aRows, aObservedAt);
+               },
+             .onCallEnded_ =
+               [this] {
+                 Publish();
+                 subscribers_.SendChanges(Status(), scheduler_.Now());
+                 ReportSource();
+               },
+             .onReachableChanged_ =
+               [this](bool aReachable, const std::string& aError) {
+                 if (!aReachable) {
+                   subscribers_.SendToAll(Status(), scheduler_.Now());
+                 }
+                 if (onStoreReachableChanged_) {
+                   onStoreReachableChanged_(aReachable, aError);
+                 }
+               } };
   }
 
-  bool IsReadingStore() const
-  {
-    return std::any_of(
-      topics_.begin(), topics_.end(), [](const TopicState& aState) { return aState.reading_; });
-  }
+  // --- reading the store ---
 
-  bool ShouldReadStore(MonotonicTime aNow)
+  // Returns the delay of the first read when the whole fleet starts: the time in which the instance
+  // could relay a first copy of the rows, so that instances with more capacity begin earlier.
+  Duration DiscoveryDelay()
   {
-    if (!instanceListRead_ || (sourceIndex_ && aNow - startedAt_ < timing_.initialSyncTimeout_)) {
-      return false;
-    }
-    return !sourceIndex_ || !IsFresh(aNow);
+    const double seconds = timing_.discoveryMegabits_ / std::max(self_.relayCapacity_, 1e-9);
+    const Duration delay = std::min(
+      timing_.maxDiscoveryDelay_,
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(seconds, 1e6))));
+    return delay + jitter_.UpTo(delay / 2);
   }
 
-  // --- reading the store ---
-
   void ReadInstanceList()
   {
-    feed_.Read(FeedTopic::Instances, [this, startedAt = scheduler_.Now()](FeedResponse aPage) {
-      TopicState& topicState = TopicStateOf(FeedTopic::Instances);
-      if (aPage.status_ != FeedStatus::Ok) {
-        instanceListRead_ = true;
-        OnStoreFailed(aPage.error_);
-        scheduler_.After(NonRootRetryPause(startedAt), [this] { ReadInstanceList(); });
-        StartStoreReads();
-        return;
+    reader_.ReadInstanceList([this](std::optional<Duration> aRetryAfter) {
+      if (!std::exchange(instanceListRead_, true)) {
+        syncStartedAt_ = scheduler_.Now();
       }
-      OnStoreAnswered();
-      ApplyRows(FeedTopic::Instances,
-                topicState.mirror_.ApplySnapshot(aPage.rows_, aPage.position_),
-                scheduler_.Now());
-      topicState.synced_ = true;
-      Publish();
-      if (!registrationSent_ && !IsSelfListed()) {
-        // Other instances may start at the same moment, so the list is read again after a delay.
-        registrationSent_ = true;
-        Register(SelfEntry());
-        scheduler_.After(timing_.registrationSettleTime_, [this] { ReadInstanceList(); });
-        return;
+      if (aRetryAfter) {
+        scheduler_.After(*aRetryAfter, [this] { ReadInstanceList(); });
+      } else {
+        Publish();
+        UpdateRelayRole(); // also if the list is empty
       }
-      instanceListRead_ = true;
-      startedAt_ = scheduler_.Now();
-      SubscribeToPreferredSource();
-      StartStoreReads();
+      reader_.Start();
+      ReportSource();
     });
   }
 
-  bool IsSelfListed() const
-  {
-    const auto instances = state_.Instances();
-    return std::find(instances.begin(), instances.end(), SelfEntry()) != instances.end();
-  }
-
-  void Register(const InstanceEntry& aSelfEntry)
+  bool IsFresh() const
   {
-    feed_.Register(aSelfEntry,
-                   [this, aSelfEntry, startedAt = scheduler_.Now()](const FeedResponse& aPage) {
-                     if (aPage.status_ != FeedStatus::Ok) {
-                       // Registration is idempotent, so it is safe to repeat a call whose answer
-                       // was lost.
-                       scheduler_.After(NonRootRetryPause(startedAt),
-                                        [this, aSelfEntry] { Register(aSelfEntry); });
-                     }
-                   });
+    const auto confirmedAt = view_.ConfirmedAt();
+    return confirmedAt && scheduler_.Now() - *confirmedAt <= StalenessBound();
   }
 
-  bool ShouldReadTopic(FeedTopic aTopic)
+  Duration StalenessBound() const
   {
-    return ShouldReadStore(scheduler_.Now()) &&
-           (relayRole_.isRoot_ ||
-            (IsRoutingTopic(aTopic) && (!storeFailing_ || aTopic == kProbeTopic)));
+    const auto levelsAboveLeaves =
+      static_cast<int>(RelayLevel::Leaf) - static_cast<int>(follower_.Role().level_);
+    return timing_.stalenessBound_ - levelsAboveLeaves * timing_.stalenessBoundStep_;
   }
 
-  // Starts to read each topic that should come from the store and is not being read yet.
-  void StartStoreReads()
+  bool ShouldReadStore() const
   {
-    for (const FeedTopic topic : kTopics) {
-      if (!TopicStateOf(topic).reading_ && ShouldReadTopic(topic)) {
-        TopicStateOf(topic).reading_ = true;
-        RequestTopic(topic);
-      }
-    }
-    ReportSource();
-  }
-
-  // A call to the store that was sent.
-  struct PendingCall
-  {
-    FeedTopic topic_;
-    bool changesOnly_; ///< reads the changes since a position rather than all rows
-    MonotonicTime startedAt_;
-    Duration wait_; ///< longest time that the store holds the call
-  };
-
-  void RequestTopic(FeedTopic aTopic)
-  {
-    const TopicState& topicState = TopicStateOf(aTopic);
-    // A long poll would show only after its wait that the store still does not answer.
-    const Duration wait = storeFailing_            ? Duration(0)
-                          : IsRoutingTopic(aTopic) ? timing_.longPollWait_
-                                                   : timing_.instancesLongPollWait_;
-    const PendingCall call{ aTopic, topicState.synced_, scheduler_.Now(), wait };
-    const auto done = [this, call](const FeedResponse& aPage) { OnStoreReply(call, aPage); };
-    if (call.changesOnly_) {
-      feed_.Wait(aTopic, topicState.mirror_.Position(), wait, done);
-    } else {
-      feed_.Read(aTopic, done);
+    if (!instanceListRead_) {
+      return false;
     }
-  }
-
-  void OnStoreReply(const PendingCall& aCall, const FeedResponse& aPage)
-  {
-    const MonotonicTime now = scheduler_.Now();
-    const FeedTopic topic = aCall.topic_;
-    TopicState& topicState = TopicStateOf(topic);
-    Duration pause{};
-    if (aPage.status_ == FeedStatus::Ok && aPage.position_ >= topicState.mirror_.Position()) {
-      OnStoreAnswered();
-      // An answer without changes describes the store at the end of the wait, however late it
-      // arrives.
-      const bool waitTimedOut = aCall.changesOnly_ && aPage.rows_.empty();
-      const MonotonicTime observedAt =
-        waitTimedOut ? std::min(now, aCall.startedAt_ + aCall.wait_) : now;
-      RecordObservation(topic, observedAt, now);
-      const auto changed = aCall.changesOnly_
-                             ? topicState.mirror_.ApplyChanges(aPage.rows_, aPage.position_)
-                             : topicState.mirror_.ApplySnapshot(aPage.rows_, aPage.position_);
-      ApplyRows(topic, changed, now);
-      topicState.synced_ = true;
-      topicState.confirmedAt_ = observedAt;
-      topicState.backoff_ = {};
-      if (!changed.empty()) {
-        pause = Jittered(timing_.coalescingDelay_);
-        SendStoreUpdateToAll(true);
-      }
-    } else if (aPage.status_ == FeedStatus::HistoryLost) {
-      OnStoreAnswered();
-      topicState.synced_ = false;
-    } else {
-      // The answer is older than the mirror if its position is lower.
-      const bool isStale = aPage.status_ == FeedStatus::Ok;
-      OnStoreFailed(isStale ? std::string("stale answer") : aPage.error_);
-      topicState.backoff_ =
-        std::clamp(2 * topicState.backoff_, timing_.initialBackoff_, timing_.maxBackoff_);
-      pause =
-        relayRole_.isRoot_ ? Jittered(topicState.backoff_) : NonRootRetryPause(aCall.startedAt_);
+    if (ActsAsRoot()) {
+      return true;
     }
-    Publish();
-    topicState.nextRequest_ = scheduler_.After(pause, [this, topic] { ContinueReading(topic); });
+    return view_.HasRoutingData() ? !IsFresh() : !IsAwaitingFirstData();
   }
 
-  // Sends the next call for a topic that is being read, or stops to read it.
-  void ContinueReading(FeedTopic aTopic)
+  // Whether this instance has no data and leaves its sources more time to send it.
+  bool IsAwaitingFirstData() const
   {
-    TopicState& topicState = TopicStateOf(aTopic);
-    topicState.nextRequest_.reset();
-    if (ShouldReadTopic(aTopic)) {
-      RequestTopic(aTopic);
-    } else {
-      topicState.reading_ = false;
-      ReportSource();
-    }
+    const Duration limit =
+      sourceReplied_ ? timing_.initialSyncTimeout_ : timing_.initialReplyTimeout_;
+    return !view_.HasRoutingData() && scheduler_.Now() - syncStartedAt_ < limit;
   }
 
-  // Returns the delay before the retry of a call that failed now.
-  Duration NonRootRetryPause(MonotonicTime aStartedAt)
-  {
-    const Duration elapsed = scheduler_.Now() - aStartedAt;
-    return std::max(timing_.initialBackoff_, Jittered(timing_.nonRootRetryDelay_) - elapsed);
-  }
+  // Whether this instance reads the store for its subscribers: the root does, and one that finds no
+  // source in its place.
+  bool ActsAsRoot() const { return follower_.Role().IsRoot() || !follower_.Source(); }
 
-  void OnStoreAnswered()
+  bool ShouldReadTopic(FeedTopic aTopic) const
   {
-    if (!std::exchange(storeFailing_, false)) {
-      return;
-    }
-    if (onStoreReachableChanged_) {
-      onStoreReachableChanged_(true, {});
-    }
-    // The other topics need not wait until their retry delays end.
-    for (const FeedTopic topic : kTopics) {
-      if (const auto timer = TopicStateOf(topic).nextRequest_) {
-        scheduler_.Cancel(*timer);
-        ContinueReading(topic);
-      }
-    }
-    StartStoreReads();
-  }
-
-  void OnStoreFailed(const std::string& aError)
-  {
-    if (!std::exchange(storeFailing_, true)) {
-      SendStoreUpdateToAll(false);
-      if (onStoreReachableChanged_) {
-        onStoreReachableChanged_(false, aError);
-      }
+    if (!ShouldReadStore() || (!IsRoutingTopic(aTopic) && !ActsAsRoot())) {
+      return false;
     }
+    return follower_.Role().IsRoot() || !reader_.IsFailing() || aTopic == kProbeTopic;
   }
 
   // --- sources and subscribers ---
 
-  // Subscribes to the preferred source, after the start or a change of the tree.
-  void SubscribeToPreferredSource()
+  ViewStatus Status() const
   {
-    sourceIndex_.reset();
-    if (instanceListRead_ && !relayRole_.sources_.empty()) {
-      SubscribeToSource(0);
+    if (reader_.IsFailing() || shuttingDown_) {
+      return ViewStatus::Unconfirmed;
+    }
+    if (!view_.HasRoutingData()) {
+      return ViewStatus::Pending;
     }
+    return IsFresh() ? ViewStatus::Fresh : ViewStatus::Unconfirmed;
   }
 
-  void SubscribeToSource(std::size_t aSourceIndex)
+  void SendSubscribe(const InstanceEntry& aSource, std::vector<InstanceEntry> aRegistrations)
   {
-    sourceIndex_ = aSourceIndex;
-    sourceAliveAt_ = scheduler_.Now();
-    SendSubscribe(aSourceIndex);
+    PeerSubscribe subscribe;
+    subscribe.sentAtMs_ = ToClockMs(scheduler_.Now());
+    const FeedPositions positions = view_.Positions();
+    subscribe.positions_.assign(positions.begin(), positions.end());
+    subscribe.registrations_ = std::move(aRegistrations);
+    peers_.Send({ aSource.id_, aSource.address_, aSource.port_ }, subscribe);
   }
 
-  // Gives up the current source. After the last one, the store is read until the preferred source
-  // is back.
-  void SubscribeToNextSource()
+  // Renews the subscription, and asks for the registration of this instance if it is due.
+  void SendSubscribes()
   {
-    if (*sourceIndex_ + 1 < relayRole_.sources_.size()) {
-      SubscribeToSource(*sourceIndex_ + 1);
-    } else {
-      sourceIndex_.reset();
-      preferredSourceTriedAt_ = scheduler_.Now();
-      StartStoreReads();
+    const MonotonicTime now = scheduler_.Now();
+    std::vector<InstanceEntry> registrations;
+    if (IsRegistrationDue(now)) {
+      registrationTriedAt_ = now;
+      registrationInterval_ = std::min(2 * registrationInterval_, timing_.maxRegistrationInterval_);
+      if (ActsAsRoot() || now - syncStartedAt_ > timing_.registrationTimeout_) {
+        registrar_.Write(std::span(&self_, 1));
+      } else {
+        registrations.push_back(self_);
+      }
+    }
+    for (const InstanceEntry& source : follower_.Renewals(now)) {
+      SendSubscribe(source, registrations);
     }
   }
 
-  bool IsCurrentSource(const InstanceId& aId) const
+  bool IsRegistrationDue(MonotonicTime aNow) const
   {
-    return sourceIndex_ && relayRole_.sources_[*sourceIndex_].id_ == aId;
+    return view_.IsSynced(FeedTopic::Instances) && !IsSelfListed() &&
+           (!registrationTriedAt_ || aNow - *registrationTriedAt_ >= registrationInterval_);
   }
 
-  void SendSubscribe(std::size_t aSourceIndex)
+  void OnSubscribeTimer()
   {
-    PeerSubscribe subscribe;
-    subscribe.sentAtMs_ = ToClockMs(scheduler_.Now());
-    for (const TopicState& topicState : topics_) {
-      subscribe.positions_.push_back(topicState.mirror_.Position());
+    const MonotonicTime now = scheduler_.Now();
+    subscribers_.RemoveExpired(now);
+    if (ShouldChangeSource(now)) {
+      follower_.SelectNext(IsAwaitingFirstData(), now);
     }
-    const InstanceEntry& source = relayRole_.sources_[aSourceIndex];
-    peers_.Send({ source.id_, source.address_, source.port_ }, subscribe);
+    SendSubscribes();
+    reader_.Start();
+    ReportSource();
+    const bool awaitsReply = IsAwaitingFirstData() && !sourceReplied_;
+    scheduler_.After(
+      jitter_(awaitsReply ? timing_.initialSubscribeInterval_ : timing_.subscribeInterval_),
+      [this] { OnSubscribeTimer(); });
   }
 
-  void OnSubscribeTimer()
+  bool ShouldChangeSource(MonotonicTime aNow) const
   {
-    const MonotonicTime now = scheduler_.Now();
-    std::erase_if(subscribers_, [&](const auto& aSubscriber) {
-      return now - aSubscriber.second.heardAt_ > 2 * timing_.sourceTimeout_;
-    });
-    if (sourceIndex_ && now - sourceAliveAt_ > timing_.sourceTimeout_) {
-      SubscribeToNextSource();
-    } else if (sourceIndex_) {
-      SendSubscribe(*sourceIndex_);
+    if (IsAwaitingFirstData()) {
+      return follower_.IsSilentFor(timing_.initialSourceTimeout_, aNow);
     }
-    // While the store or another source is used, the preferred source is tried again at intervals.
-    if (sourceIndex_ != 0 && instanceListRead_ && !relayRole_.sources_.empty() &&
-        now - preferredSourceTriedAt_ > timing_.preferredSourceRetryInterval_) {
-      preferredSourceTriedAt_ = now;
-      SendSubscribe(0);
+    if (follower_.IsSilentFor(timing_.sourceTimeout_, aNow)) {
+      return true;
     }
-    StartStoreReads();
-    scheduler_.After(Jittered(timing_.subscribeInterval_), [this] { OnSubscribeTimer(); });
+    // The heads of the zones have no other source with newer data than the root.
+    const auto confirmedAt = view_.ConfirmedAt();
+    return follower_.Role().level_ > RelayLevel::Head && confirmedAt &&
+           aNow - *confirmedAt > StalenessBound() - timing_.sourceChangeMargin_ &&
+           follower_.IsInUseFor(timing_.sourceChangeMargin_, aNow);
   }
 
   void OnUnreachable(const InstanceId& aPeer)
   {
-    if (IsCurrentSource(aPeer)) {
-      SubscribeToNextSource();
+    subscribers_.Remove(aPeer);
+    // A source that starts at the same time may not listen yet, so it is tried again.
+    if (!follower_.IsCurrent(aPeer) || IsAwaitingFirstData()) {
+      return;
     }
-    subscribers_.erase(aPeer);
+    follower_.SelectNext(false, scheduler_.Now());
+    if (const auto& source = follower_.Source()) {
+      SendSubscribe(*source, {});
+    }
+    reader_.Start();
+    ReportSource();
   }
 
   void OnMessage(const PeerEndpoint& aSender, const PeerMessage& aMessage)
@@ -482,66 +344,26 @@
     if (aSubscribe.positions_.size() != kFeedTopicCount) {
       return;
     }
-    Subscriber& subscriber = subscribers_[aSender.id_];
-    subscriber.endpoint_ = aSender;
-    subscriber.heardAt_ = scheduler_.Now();
-    subscriber.sentAtMs_ = aSubscribe.sentAtMs_;
-    std::copy(
-      aSubscribe.positions_.begin(), aSubscribe.positions_.end(), subscriber.positions_.begin());
-    SendStoreUpdate(subscriber);
-  }
-
-  // Sends a store update to all subscribers, or only to those that lack rows.
-  void SendStoreUpdateToAll(bool aOnlyIfBehind)
-  {
-    for (auto& [id, subscriber] : subscribers_) {
-      bool behind = false;
-      for (std::size_t i = 0; i < kFeedTopicCount; ++i) {
-        behind = behind || subscriber.positions_[i] < topics_[i].mirror_.Position();
-      }
-      if (behind || !aOnlyIfBehind) {
-        SendStoreUpdate(subscriber);
+    subscribers_.OnSubscribe(aSender, aSubscribe, Status(), scheduler_.Now());
+    for (const InstanceEntry& instance : aSubscribe.registrations_) {
+      if (!state_.IsListed(instance)) {
+        registrar_.Add(instance);
       }
     }
   }
 
-  void SendStoreUpdate(Subscriber& aSubscriber)
+  void OnRegistrationBatch(std::vector<InstanceEntry> aBatch)
   {
-    const MonotonicTime now = scheduler_.Now();
-    PeerStoreUpdate storeUpdate;
-    storeUpdate.storeAnswers_ = !storeFailing_ && !shuttingDown_ && IsFresh(now);
-    storeUpdate.subscribeSentAtMs_ = aSubscriber.sentAtMs_;
-    storeUpdate.subscribeHeldMs_ =
-      static_cast<std::uint64_t>(ToMilliseconds(now - aSubscriber.heardAt_));
-    for (const FeedTopic topic : kTopics) {
-      const TopicState& topicState = TopicStateOf(topic);
-      std::uint64_t& position = aSubscriber.positions_[static_cast<std::size_t>(topic)];
-      PeerStoreUpdate::Topic& update = storeUpdate.topics_.emplace_back();
-      if (!topicState.confirmedAt_) {
-        continue; // position 0 tells the subscriber to ignore this topic
-      }
-      update.from_ = position;
-      update.position_ = position;
-      update.complete_ = true;
-      update.ageMs_ = static_cast<std::uint64_t>(ToMilliseconds(now - *topicState.confirmedAt_));
-      if (topicState.synced_ && topicState.mirror_.Position() > position) {
-        auto changes =
-          topicState.mirror_.ChangesSince(position, kMaxStoreUpdateBytes / kFeedTopicCount);
-        update.complete_ = changes.position_ >= topicState.mirror_.Position();
-        update.rows_ = std::move(changes.rows_);
-        update.position_ = changes.position_;
-        position = changes.position_;
-      }
+    if (ActsAsRoot()) {
+      registrar_.Write(aBatch);
+    } else {
+      SendSubscribe(*follower_.Source(), std::move(aBatch));
     }
-    peers_.Send(aSubscriber.endpoint_, storeUpdate);
   }
 
   void OnStoreUpdate(const PeerEndpoint& aSender, const PeerStoreUpdate& aStoreUpdate)
   {
-    const bool fromCurrentSource = IsCurrentSource(aSender.id_);
-    const bool fromPreferredSource =
-      !relayRole_.sources_.empty() && relayRole_.sources_.front().id_ == aSender.id_;
-    if ((!fromCurrentSource && !fromPreferredSource) ||
+    if ((!follower_.IsCurrent(aSender.id_) && !follower_.IsPreferred(aSender.id_)) ||
         aStoreUpdate.topics_.size() != kFeedTopicCount) {
       return;
     }
@@ -555,64 +377,47 @@
       return;
     }
     bool moreRowsPending = false;
-    bool changed = false;
-    for (const FeedTopic topic : kTopics) {
+    for (const FeedTopic topic : kFeedTopics) {
       const PeerStoreUpdate::Topic& update = aStoreUpdate.topics_[static_cast<std::size_t>(topic)];
-      TopicState& topicState = TopicStateOf(topic);
-      if (update.position_ == 0 || update.from_ > topicState.mirror_.Position()) {
-        continue;
-      }
       const MonotonicTime observedAt =
         FromClockMs(composedAtMs - std::min(update.ageMs_, composedAtMs));
-      RecordObservation(topic, observedAt, now);
-      ApplyRows(topic, topicState.mirror_.ApplyChanges(update.rows_, update.position_), now);
-      topicState.synced_ = true;
-      changed = changed || !update.rows_.empty();
-      moreRowsPending = moreRowsPending || (!update.rows_.empty() && !update.complete_);
-      if (update.complete_ && update.position_ >= topicState.mirror_.Position()) {
-        topicState.confirmedAt_ =
-          std::max(topicState.confirmedAt_.value_or(observedAt), observedAt);
+      if (const auto changed = view_.ApplyUpdate(topic, update, observedAt)) {
+        ApplyRows(topic, *changed, observedAt);
+        moreRowsPending = moreRowsPending || (!update.rows_.empty() && !update.complete_);
       }
     }
-    if (changed) {
-      SendStoreUpdateToAll(true);
-    }
-    if (aStoreUpdate.storeAnswers_ && !IsReadingStore()) {
+    if (aStoreUpdate.storeAnswers_ && !reader_.IsReading()) {
       // This instance does not read the store now, so a working source ends the reported failure.
-      OnStoreAnswered();
+      reader_.OnAnswered();
     }
     Publish();
-    if (fromPreferredSource && !fromCurrentSource && aStoreUpdate.storeAnswers_) {
-      sourceIndex_ = 0;
+    // A source that cannot confirm its data times out like a silent one.
+    const bool awaitsData = aStoreUpdate.pending_ && !view_.HasRoutingData();
+    if (aStoreUpdate.storeAnswers_ || awaitsData) {
+      sourceReplied_ = true;
+      follower_.OnReply(aSender.id_, aStoreUpdate.storeAnswers_, now);
     }
-    if (IsCurrentSource(aSender.id_)) {
-      // A source that cannot confirm its data times out like a silent one.
-      if (aStoreUpdate.storeAnswers_) {
-        sourceAliveAt_ = now;
-      }
-      if (moreRowsPending) {
-        SendSubscribe(*sourceIndex_);
-      }
+    if (moreRowsPending && follower_.IsCurrent(aSender.id_)) {
+      SendSubscribe(*follower_.Source(), {});
     }
+    subscribers_.SendChanges(Status(), now);
     ReportSource();
   }
 
   // --- directory state ---
 
-  void RecordObservation(FeedTopic aTopic, MonotonicTime aObservedAt, MonotonicTime aNow)
+  void ApplyRows(FeedTopic aTopic, std::span<const FeedRow> aRows, MonotonicTime aObservedAt)
   {
+    const MonotonicTime now = scheduler_.Now();
     if (aTopic == FeedTopic::Upstreams) {
-      state_.OnUpstreamsObserved(aObservedAt, aNow);
+      state_.OnUpstreamsObserved(aObservedAt, now);
     }
-  }
-
-  void ApplyRows(FeedTopic aTopic, std::span<const FeedRow> aRows, MonotonicTime aNow)
-  {
     std::vector<DecodedFeedRow> items;
+    items.reserve(aRows.size());
     for (const FeedRow& row : aRows) {
-      items.push_back(feed_.Decode(aTopic, row, aNow));
+      items.push_back(feed_.Decode(aTopic, row, now));
     }
-    state_.ApplyChanges(items, aNow);
+    state_.ApplyChanges(items, now);
   }
 
   void Publish()
@@ -622,11 +427,11 @@
         onEvent_(event);
       }
     }
-    if (state_.TakeRoutingChanged()) {
+    if (state_.TakeInstancesChanged()) {
       UpdateRelayRole();
-      if (onRoutingChanged_) {
-        onRoutingChanged_(state_.MakeRoutingTable());
-      }
+    }
+    if (state_.TakeRoutingChanged() && onRoutingChanged_) {
+      onRoutingChanged_(state_.MakeRoutingTable());
     }
     if (const auto nextRemoval = state_.NextRemoval(); nextRemoval && !removalTimerArmed_) {
       removalTimerArmed_ = true;
@@ -638,28 +443,23 @@
     }
   }
 
+  bool IsSelfListed() const { return state_.IsListed(self_); }
+
   void UpdateRelayRole()
   {
-    std::vector<InstanceEntry> instances = state_.Instances();
-    if (!IsSelfListed()) {
-      std::erase_if(instances,
-                    [&](const InstanceEntry& aInstance) { return aInstance.id_ == self_.id_; });
-      instances.push_back(SelfEntry());
-    }
-    RelayRole role = ComputeRelayRole(instances, self_.id_, kMaxSources);
-    if (role.sources_ != relayRole_.sources_ || role.isRoot_ != relayRole_.isRoot_) {
-      relayRole_ = std::move(role);
-      SubscribeToPreferredSource();
+    RelayRole role = ComputeRelayRole(state_.Instances(), self_, kMaxSources);
+    if (role != follower_.Role()) {
+      follower_.SetRole(std::move(role), scheduler_.Now());
+      SendSubscribes();
+      reader_.Start();
     }
   }
 
-  InstanceEntry SelfEntry() const { return { self_.id_, self_.address_, self_.port_, capacity_ }; }
-
   void ReportSource()
   {
     std::optional<InstanceId> source;
-    if (!IsReadingStore() && sourceIndex_) {
-      source = relayRole_.sources_[*sourceIndex_].id_;
+    if (follower_.Source() && !reader_.IsReading()) {
+      source = follower_.Source()->id_;
     }
     if (!sourceReported_ || source != reportedSource_) {
       sourceReported_ = true;
@@ -670,12 +470,6 @@
     }
   }
 
-  // Returns the duration times a random factor of 0.85 to 1.14.
-  Duration Jittered(Duration aDuration)
-  {
-    return aDuration * (85 + static_cast<int>(random_(30))) / 100;
-  }
-
   static std::uint64_t ToClockMs(MonotonicTime aTime)
   {
     return static_cast<std::uint64_t>(ToMilliseconds(aTime.time_since_epoch()));
@@ -688,24 +482,22 @@
   S& scheduler_;
   F& feed_;
   P& peers_;
-  const PeerEndpoint self_;
-  const double capacity_;
+  const InstanceEntry self_;
   const DirectoryTiming timing_;
-  Random random_;
+  Jitter jitter_;
   DirectoryState state_;
-  std::array<TopicState, kFeedTopicCount> topics_{};
-  MonotonicTime startedAt_;       ///< begin of initialSyncTimeout_
-  bool instanceListRead_ = false; ///< the first reads of the list of instances have ended
-  bool registrationSent_ = false;
-  bool storeFailing_ = false; ///< as last reported by the callback
+  StoreView view_;
+  SourceFollower follower_;
+  SubscriberSet<P> subscribers_;
+  StoreReader<S, F> reader_;
+  InstanceRegistrar<S, F> registrar_;
+  MonotonicTime syncStartedAt_;   ///< end of the first read of the list of instances
+  bool instanceListRead_ = false; ///< the first read of the list of instances has ended
+  bool sourceReplied_ = false;    ///< a source has sent data, or that it waits for data
   bool shuttingDown_ = false;
   bool removalTimerArmed_ = false;
-
-  RelayRole relayRole_;
-  std::optional<std::size_t> sourceIndex_; ///< of the current source in relayRole_, if any
-  MonotonicTime sourceAliveAt_;          ///< when the source was chosen or last confirmed its data
-  MonotonicTime preferredSourceTriedAt_; ///< when it was last tried again
-  std::map<InstanceId, Subscriber> subscribers_;
+  std::optional<MonotonicTime> registrationTriedAt_;
+  Duration registrationInterval_ = timing_.initialRegistrationInterval_; ///< until the next try
 
   bool sourceReported_ = false;              ///< reportedSource_ holds a reported value
   std::optional<InstanceId> reportedSource_; ///< nothing if the store
--- /dev/null
+++ b/boragepier/directory/relay_parts_test.cc
@@ -0,0 +1,321 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "boragepier/directory/directory_fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+// Tests of the parts of DirectoryWatch, each on its own.
+
+namespace boragepier {
+
+namespace {
+
+constexpr MonotonicTime kNow{ std::chrono::hours(1) };
+const std::vector<FeedRow> kNoRows;
+
+InstanceEntry
+MakeInstance(const std::string& aId)
+{
+  return { InstanceId(aId), "127.0.0.1", 7, 100, ZoneName("z") };
+}
+
+RelayRole
+MakeRole(const std::vector<std::string>& aSources)
+{
+  RelayRole role;
+  for (const std::string& source : aSources) {
+    role.sources_.push_back(MakeInstance(source));
+  }
+  return role;
+}
+
+FeedResponse
+MakeResponse(std::uint64_t aPosition, std::vector<FeedRow> aRows)
+{
+  return { FeedStatus::Ok, std::move(aRows), aPosition, {} };
+}
+
+} // namespace
+
+TEST_GROUP(StoreView)
+{
+  StoreView view_;
+};
+
+// Guards against data that counts as up to date while a part of it is still missing.
+TEST(StoreView, PartOfTheRowsIsNoConfirmation)
+{
+  view_.ApplyResponse(FeedTopic::Configuration, MakeResponse(3, kNoRows), false, kNow);
+  PeerStoreUpdate::Topic part{ 0, 2, 0, false, { MakeRow("u-1", 2) } };
+  CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, part, kNow).has_value());
+  CHECK(!view_.HasRoutingData());
+  PeerStoreUpdate::Topic rest{ 2, 5, 0, true, { MakeRow("u-2", 4) } };
+  CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, rest, kNow).has_value());
+  CHECK(view_.HasRoutingData());
+}
+
+// Guards against rows that are skipped because a message before them was lost.
+TEST(StoreView, UpdateThatDoesNotContinueThePositionIsIgnored)
+{
+  const PeerStoreUpdate::Topic late{ 2, 5, 0, true, { MakeRow("u-2", 4) } };
+  CHECK(!view_.ApplyUpdate(FeedTopic::Upstreams, late, kNow).has_value());
+  CHECK_EQUAL(0, view_.Position(FeedTopic::Upstreams));
+}
+
+// Guards against a late answer of the store that replaces newer rows.
+TEST(StoreView, OlderResponseIsIgnored)
+{
+  view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(9, { MakeRow("u-1", 8) }), false, kNow);
+  CHECK(!view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(5, kNoRows), false, kNow));
+  CHECK_EQUAL(9, view_.Position(FeedTopic::Upstreams));
+}
+
+TEST_GROUP(SourceFollower)
+{
+  DirectoryTiming timing_;
+  SourceFollower follower_{ timing_ };
+};
+
+// Guards against instances that are without a source whenever the list of instances changes.
+TEST(SourceFollower, SourceStaysInUseUntilTheNewPreferredOneHasReplied)
+{
+  follower_.SetRole(MakeRole({ "a", "b" }), kNow);
+  follower_.SetRole(MakeRole({ "c", "d" }), kNow);
+  CHECK(follower_.IsCurrent(InstanceId("a")));
+  CHECK_EQUAL(2, follower_.Renewals(kNow).size());
+  follower_.OnReply(InstanceId("c"), false, kNow);
+  CHECK(follower_.IsCurrent(InstanceId("a")));
+  follower_.OnReply(InstanceId("c"), true, kNow);
+  CHECK(follower_.IsCurrent(InstanceId("c")));
+}
+
+TEST(SourceFollower, NoSourceIsLeftAfterTheLastOneUnlessTheSearchStartsAgain)
+{
+  follower_.SetRole(MakeRole({ "a", "b" }), kNow);
+  follower_.SelectNext(false, kNow);
+  CHECK(follower_.IsCurrent(InstanceId("b")));
+  follower_.SelectNext(true, kNow);
+  CHECK(follower_.IsCurrent(InstanceId("a")));
+  follower_.SelectNext(false, kNow);
+  follower_.SelectNext(false, kNow);
+  CHECK(!follower_.Source());
+}
+
+TEST(SourceFollower, RootHasNoSource)
+{
+  follower_.SetRole(MakeRole({ "a" }), kNow);
+  RelayRole root;
+  root.level_ = RelayLevel::Root;
+  follower_.SetRole(root, kNow);
+  CHECK(!follower_.Source());
+  CHECK(follower_.Renewals(kNow).empty());
+}
+
+namespace {
+
+// Keeps the messages that are sent.
+class RecordingTransport
+{
+public:
+  void Start(const PeerEndpoint&, const PeerMessageCallback&, const PeerUnreachableCallback&) {}
+  std::size_t Send(const PeerEndpoint&, const PeerMessage& aMessage)
+  {
+    sent_.push_back(std::get<PeerStoreUpdate>(aMessage));
+    return 1;
+  }
+  PeerCounters Counters() const { return {}; }
+
+  std::vector<PeerStoreUpdate> sent_;
+};
+
+} // namespace
+
+TEST_GROUP(SubscriberSet)
+{
+  DirectoryTiming timing_;
+  StoreView view_;
+  RecordingTransport transport_;
+  SubscriberSet<RecordingTransport> subscribers_{ transport_, view_, timing_ };
+  MonotonicTime now_ = kNow;
+
+  void setup() override
+  {
+    std::vector<FeedRow> rows;
+    for (std::uint64_t i = 1; i <= 500; ++i) {
+      rows.push_back(MakeRow("u-" + std::to_string(i), i, std::string(200, 'x')));
+    }
+    view_.ApplyResponse(FeedTopic::Configuration, MakeResponse(600, kNoRows), false, now_);
+    view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(600, rows), false, now_);
+  }
+
+  void Subscribe(std::uint64_t aUpstreamsPosition)
+  {
+    const PeerEndpoint sender{ InstanceId("i"), "127.0.0.1", 7 };
+    subscribers_.OnSubscribe(
+      sender, { 1, { 0, aUpstreamsPosition, 0 }, {} }, ViewStatus::Fresh, now_);
+  }
+  // Returns the number of rows of upstreams in the last message.
+  std::size_t LastRowCount() const
+  {
+    return transport_.sent_.back()
+      .topics_.at(static_cast<std::size_t>(FeedTopic::Upstreams))
+      .rows_.size();
+  }
+  std::uint64_t LastPosition() const
+  {
+    return transport_.sent_.back()
+      .topics_.at(static_cast<std::size_t>(FeedTopic::Upstreams))
+      .position_;
+  }
+};
+
+// Guards against rows that are sent again with each renewal of the subscription while the link is
+// slow, so that the link carries less and less.
+TEST(SubscriberSet, RenewalDoesNotRepeatRowsThatAreOnTheirWay)
+{
+  Subscribe(0);
+  const std::uint64_t firstPart = LastPosition();
+  CHECK(LastRowCount() > 0);
+  now_ += timing_.subscribeInterval_;
+  Subscribe(0);
+  CHECK_EQUAL(0, LastRowCount());
+  Subscribe(firstPart);
+  CHECK(LastRowCount() > 0);
+  CHECK(LastPosition() > firstPart);
+}
+
+// Guards against a subscriber that never receives rows of a message that was lost.
+TEST(SubscriberSet, RowsAreSentAgainIfTheyAreNotConfirmed)
+{
+  Subscribe(0);
+  const std::uint64_t firstPart = LastPosition();
+  now_ += timing_.sourceTimeout_ + std::chrono::milliseconds(1);
+  Subscribe(0);
+  CHECK_EQUAL(firstPart, LastPosition());
+  CHECK(LastRowCount() > 0);
+}
+
+// Guards against a change that waits for the next renewal of the subscription.
+TEST(SubscriberSet, ChangesAndConfirmationsAreSentAtOnce)
+{
+  Subscribe(600);
+  const std::size_t sentBefore = transport_.sent_.size();
+  subscribers_.SendChanges(ViewStatus::Fresh, now_);
+  CHECK_EQUAL(sentBefore, transport_.sent_.size());
+  view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(601, { MakeRow("u-1", 601) }), true, now_);
+  subscribers_.SendChanges(ViewStatus::Fresh, now_);
+  CHECK_EQUAL(1, LastRowCount());
+  const MonotonicTime later = now_ + std::chrono::seconds(1);
+  view_.ApplyResponse(FeedTopic::Configuration, MakeResponse(601, kNoRows), true, later);
+  view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(601, kNoRows), true, later);
+  subscribers_.SendChanges(ViewStatus::Fresh, later);
+  CHECK_EQUAL(sentBefore + 2, transport_.sent_.size());
+}
+
+TEST_GROUP(InstanceRegistrar)
+{
+  FakeScheduler scheduler_;
+  FakeStore store_{ scheduler_ };
+  FakeNetwork network_{ scheduler_ };
+  FakeFeed feed_{ store_, network_, InstanceId("i") };
+  DirectoryTiming timing_;
+  std::vector<std::vector<InstanceEntry>> batches_;
+  std::vector<std::string> errors_;
+  InstanceRegistrar<FakeScheduler, FakeFeed> registrar_{
+    scheduler_,
+    feed_,
+    timing_,
+    [this](auto aBatch) { batches_.push_back(std::move(aBatch)); },
+    [this](std::size_t, const std::string& aError) { errors_.push_back(aError); }
+  };
+};
+
+TEST(InstanceRegistrar, BatchesHoldEachInstanceOnceAndAreBounded)
+{
+  const int count = 2 * static_cast<int>(kMaxRegistrations) + 1;
+  for (int i = 0; i < 2 * count; ++i) {
+    registrar_.Add(MakeInstance("i-" + std::to_string(i % count)));
+  }
+  CHECK(batches_.empty());
+  scheduler_.Advance(timing_.registrationBatchDelay_);
+  CHECK_EQUAL(3, batches_.size());
+  CHECK_EQUAL(kMaxRegistrations, batches_[0].size());
+  CHECK_EQUAL(1, batches_[2].size());
+}
+
+// Guards against a failure to register that nobody sees.
+TEST(InstanceRegistrar, FailedCallIsReported)
+{
+  store_.writingUntil_ = scheduler_.Now() + std::chrono::seconds(5);
+  const InstanceEntry instance = MakeInstance("i");
+  registrar_.Write(std::span(&instance, 1));
+  scheduler_.Advance(std::chrono::seconds(1));
+  CHECK_EQUAL(1, errors_.size());
+}
+
+TEST_GROUP(StoreReader)
+{
+  FakeScheduler scheduler_;
+  FakeStore store_{ scheduler_ };
+  FakeNetwork network_{ scheduler_ };
+  FakeFeed feed_{ store_, network_, InstanceId("i") };
+  DirectoryTiming timing_;
+  Jitter jitter_{ 1 };
+  StoreView view_;
+  bool wanted_ = true;
+  std::vector<bool> reachable_;
+  StoreReader<FakeScheduler, FakeFeed> reader_{
+    scheduler_,
+    feed_,
+    view_,
+    timing_,
+    jitter_,
+    { .shouldRead_ = [this](FeedTopic aTopic) { return wanted_ && IsRoutingTopic(aTopic); },
+      .isRoot_ = [] { return false; },
+      .onRows_ = [](FeedTopic, const auto&, MonotonicTime) {},
+      .onCallEnded_ = [] {},
+      .onReachableChanged_ = [this](bool aReachable,
+                                    const auto&) { reachable_.push_back(aReachable); } }
+  };
+
+  void setup() override
+  {
+    store_.Put(FeedTopic::Configuration, "config", "1");
+    reader_.Start();
+    scheduler_.Advance(std::chrono::milliseconds(100));
+  }
+};
+
+// Guards against an instance that starts to read the store and learns only after a long poll that
+// nothing has changed.
+TEST(StoreReader, FirstCallAfterAPauseIsAnsweredAtOnce)
+{
+  wanted_ = false;
+  scheduler_.Advance(std::chrono::seconds(3));
+  CHECK(!reader_.IsReading());
+  wanted_ = true;
+  reader_.Start();
+  scheduler_.Advance(std::chrono::milliseconds(20));
+  CHECK(*view_.ConfirmedAt() >= scheduler_.Now() - std::chrono::milliseconds(20));
+}
+
+// The store becomes silent: calls made in its last moments are never answered. Guards against a
+// reader that waits for them for good, and against a change that is in force late afterwards.
+TEST(StoreReader, CallsOfASilentOutageEndAndTheNextChangeArrives)
+{
+  store_.unansweredInstances_.insert(InstanceId("i"));
+  scheduler_.Advance(std::chrono::milliseconds(3300));
+  CHECK(reader_.IsFailing());
+  store_.unansweredInstances_.clear();
+  store_.Put(FeedTopic::Configuration, "config", "2");
+  const std::uint64_t changed = store_.position_;
+  scheduler_.Advance(std::chrono::milliseconds(3000));
+  CHECK(!reader_.IsFailing());
+  CHECK(view_.Position(FeedTopic::Configuration) >= changed);
+  CHECK(!reachable_.front());
+  CHECK(reachable_.back());
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/directory/store_reader.h
@@ -0,0 +1,235 @@
+#ifndef BORAGEPIER_DIRECTORY_STORE_READER_H
+#define BORAGEPIER_DIRECTORY_STORE_READER_H
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "boragepier/directory/directory_timing.h"
+#include "boragepier/directory/store_view.h"
+#include "boragepier/ports/directory_feed.h"
+#include "boragepier/ports/scheduler.h"
+
+namespace boragepier {
+
+/// Reads topics of the store into a StoreView, with long polls, for as long as its owner wants them
+/// to come from the store.
+template<Scheduler S, DirectoryFeed F>
+class StoreReader
+{
+public:
+  struct Callbacks
+  {
+    /// Whether the topic is to be read from the store.
+    std::function<bool(FeedTopic)> shouldRead_;
+    /// Whether this instance reads for others, so that failed calls are repeated soon.
+    std::function<bool()> isRoot_;
+    /// Receives the rows that changed and the time at which the store held nothing newer.
+    std::function<void(FeedTopic, const std::vector<FeedRow>&, MonotonicTime)> onRows_;
+    /// Runs after each response or failure of a call.
+    std::function<void()> onCallEnded_;
+    /// Receives whether the store answers this instance, and the error of the failed call if not.
+    std::function<void(bool, const std::string&)> onReachableChanged_;
+  };
+
+  /// @param aScheduler must outlive this object, like aFeed, aView and aJitter
+  StoreReader(S& aScheduler,
+              F& aFeed,
+              StoreView& aView,
+              const DirectoryTiming& aTiming,
+              Jitter& aJitter,
+              Callbacks aCallbacks)
+    : scheduler_(aScheduler)
+    , feed_(aFeed)
+    , view_(aView)
+    , timing_(aTiming)
+    , jitter_(aJitter)
+    , callbacks_(std::move(aCallbacks))
+  {
+  }
+
+  /// Reads the list of instances once.
+  /// @param aDone receives whether the store answered; if not, ReadInstanceList() is to be repeated
+  /// after the returned delay
+  void ReadInstanceList(std::function<void(std::optional<Duration>)> aDone)
+  {
+    feed_.Read(
+      FeedTopic::Instances,
+      [this, startedAt = scheduler_.Now(), done = std::move(aDone)](const FeedResponse& aResponse) {
+        if (aResponse.status_ != FeedStatus::Ok) {
+          OnFailed(aResponse.error_);
+          done(NonRootRetryDelay(startedAt));
+          return;
+        }
+        OnAnswered();
+        Apply({ FeedTopic::Instances, false, startedAt, {} }, aResponse);
+        done(std::nullopt);
+      });
+  }
+
+  /// Starts to read each topic that should come from the store and is not being read yet.
+  void Start()
+  {
+    for (const FeedTopic topic : kFeedTopics) {
+      if (!StateOf(topic).reading_ && callbacks_.shouldRead_(topic)) {
+        StateOf(topic).reading_ = true;
+        Request(topic, true);
+      }
+    }
+  }
+
+  /// @return whether any topic is read from the store
+  bool IsReading() const
+  {
+    return std::any_of(
+      topics_.begin(), topics_.end(), [](const auto& aState) { return aState.reading_; });
+  }
+  /// @return whether the last call failed
+  bool IsFailing() const { return failing_; }
+
+  /// Ends the failure of the store: a call was answered, or another instance reads it. Topics whose
+  /// retry is pending are requested at once.
+  void OnAnswered()
+  {
+    if (!std::exchange(failing_, false)) {
+      return;
+    }
+    callbacks_.onReachableChanged_(true, {});
+    for (const FeedTopic topic : kFeedTopics) {
+      if (const auto timer = StateOf(topic).nextRequest_) {
+        scheduler_.Cancel(*timer);
+        Continue(topic);
+      }
+    }
+    Start();
+  }
+
+  /// Records a failed call.
+  void OnFailed(const std::string& aError)
+  {
+    if (!std::exchange(failing_, true)) {
+      callbacks_.onReachableChanged_(false, aError);
+    }
+  }
+
+private:
+  using TimerId = decltype(std::declval<S&>().After(std::declval<Duration>(),
+                                                    std::declval<std::function<void()>>()));
+
+  struct TopicState
+  {
+    bool reading_ = false; ///< a call to the store, or the delay before the next, is pending
+    std::optional<TimerId> nextRequest_; ///< end of the delay before the next call, if pending
+    Duration backoff_{};                 ///< delay before the last retry; 0 after a success
+  };
+
+  // A call to the store that was sent.
+  struct PendingCall
+  {
+    FeedTopic topic_;
+    bool changesOnly_; ///< reads the changes since a position rather than all rows
+    MonotonicTime startedAt_;
+    Duration wait_; ///< longest time that the store holds the call
+  };
+
+  TopicState& StateOf(FeedTopic aTopic) { return topics_[static_cast<std::size_t>(aTopic)]; }
+
+  void Request(FeedTopic aTopic, bool aFirst)
+  {
+    // A long poll would show only after its wait that nothing has changed so far, or that the store
+    // still does not answer.
+    const Duration wait = aFirst || failing_       ? Duration(0)
+                          : IsRoutingTopic(aTopic) ? timing_.longPollWait_
+                                                   : timing_.instancesLongPollWait_;
+    const PendingCall call{ aTopic, view_.IsSynced(aTopic), scheduler_.Now(), wait };
+    const auto done = [this, call](const FeedResponse& aResponse) { OnReply(call, aResponse); };
+    if (call.changesOnly_) {
+      feed_.Wait(aTopic, view_.Position(aTopic), wait, done);
+    } else {
+      feed_.Read(aTopic, done);
+    }
+  }
+
+  // Applies a response. Returns the number of rows that changed, or nothing if the response is
+  // older than what is known.
+  std::optional<std::size_t> Apply(const PendingCall& aCall, const FeedResponse& aResponse)
+  {
+    const MonotonicTime now = scheduler_.Now();
+    // A response without changes describes the store at the end of the wait, however late it
+    // arrives.
+    const bool waitTimedOut = aCall.changesOnly_ && aResponse.rows_.empty();
+    const MonotonicTime observedAt =
+      waitTimedOut ? std::min(now, aCall.startedAt_ + aCall.wait_) : now;
+    const auto changed =
+      view_.ApplyResponse(aCall.topic_, aResponse, aCall.changesOnly_, observedAt);
+    if (!changed) {
+      return std::nullopt;
+    }
+    callbacks_.onRows_(aCall.topic_, *changed, observedAt);
+    return changed->size();
+  }
+
+  void OnReply(const PendingCall& aCall, const FeedResponse& aResponse)
+  {
+    TopicState& state = StateOf(aCall.topic_);
+    Duration delay{};
+    std::optional<std::size_t> changedCount;
+    if (aResponse.status_ == FeedStatus::Ok) {
+      changedCount = Apply(aCall, aResponse);
+    }
+    if (changedCount) {
+      OnAnswered();
+      state.backoff_ = {};
+      if (*changedCount > 0) {
+        delay = jitter_(timing_.coalescingDelay_);
+      }
+    } else if (aResponse.status_ == FeedStatus::HistoryLost) {
+      OnAnswered();
+      view_.OnHistoryLost(aCall.topic_);
+    } else {
+      const bool isStale = aResponse.status_ == FeedStatus::Ok;
+      OnFailed(isStale ? std::string("stale answer") : aResponse.error_);
+      state.backoff_ = std::clamp(2 * state.backoff_, timing_.initialBackoff_, timing_.maxBackoff_);
+      delay = callbacks_.isRoot_() ? jitter_(state.backoff_) : NonRootRetryDelay(aCall.startedAt_);
+    }
+    state.nextRequest_ = scheduler_.After(delay, [this, topic = aCall.topic_] { Continue(topic); });
+    callbacks_.onCallEnded_();
+  }
+
+  // Sends the next call for a topic that is being read, or stops to read it.
+  void Continue(FeedTopic aTopic)
+  {
+    TopicState& state = StateOf(aTopic);
+    state.nextRequest_.reset();
+    if (callbacks_.shouldRead_(aTopic)) {
+      Request(aTopic, false);
+    } else {
+      state.reading_ = false;
+      callbacks_.onCallEnded_();
+    }
+  }
+
+  // Returns the delay before the retry of a call that failed now.
+  Duration NonRootRetryDelay(MonotonicTime aStartedAt)
+  {
+    const Duration elapsed = scheduler_.Now() - aStartedAt;
+    return std::max(timing_.initialBackoff_, jitter_(timing_.nonRootRetryDelay_) - elapsed);
+  }
+
+  S& scheduler_;
+  F& feed_;
+  StoreView& view_;
+  const DirectoryTiming& timing_;
+  Jitter& jitter_;
+  const Callbacks callbacks_;
+  std::array<TopicState, kFeedTopicCount> topics_{};
+  bool failing_ = false; ///< as last reported by the callback
+};
+
+} // namespace boragepier
+
+#endif
--- /dev/null
+++ b/boragepier/directory/store_view.cc
@@ -0,0 +1,97 @@
+#include "boragepier/directory/store_view.h"
+
+#include <algorithm>
+
+namespace boragepier {
+
+std::optional<std::vector<FeedRow>>
+StoreView::ApplyResponse(FeedTopic aTopic,
+                         const FeedResponse& aResponse,
+                         bool aChangesOnly,
+                         MonotonicTime aObservedAt)
+{
+  TopicState& topic = StateOf(aTopic);
+  if (aResponse.position_ < topic.mirror_.Position()) {
+    return std::nullopt;
+  }
+  topic.synced_ = true;
+  topic.confirmedAt_ = aObservedAt;
+  return aChangesOnly ? topic.mirror_.ApplyChanges(aResponse.rows_, aResponse.position_)
+                      : topic.mirror_.ApplySnapshot(aResponse.rows_, aResponse.position_);
+}
+
+std::optional<std::vector<FeedRow>>
+StoreView::ApplyUpdate(FeedTopic aTopic,
+                       const PeerStoreUpdate::Topic& aUpdate,
+                       MonotonicTime aObservedAt)
+{
+  TopicState& topic = StateOf(aTopic);
+  if (aUpdate.position_ == 0 || aUpdate.from_ > topic.mirror_.Position()) {
+    return std::nullopt;
+  }
+  std::vector<FeedRow> changed = topic.mirror_.ApplyChanges(aUpdate.rows_, aUpdate.position_);
+  topic.synced_ = true;
+  if (aUpdate.complete_ && aUpdate.position_ >= topic.mirror_.Position()) {
+    topic.confirmedAt_ = std::max(topic.confirmedAt_.value_or(aObservedAt), aObservedAt);
+  }
+  return changed;
+}
+
+FeedPositions
+StoreView::Positions() const
+{
+  FeedPositions positions{};
+  for (const FeedTopic topic : kFeedTopics) {
+    positions[static_cast<std::size_t>(topic)] = Position(topic);
+  }
+  return positions;
+}
+
+bool
+StoreView::HasRoutingData() const
+{
+  return ConfirmedAt().has_value();
+}
+
+std::optional<MonotonicTime>
+StoreView::ConfirmedAt() const
+{
+  std::optional<MonotonicTime> earliest;
+  for (const FeedTopic topic : kFeedTopics) {
+    if (!IsRoutingTopic(topic)) {
+      continue;
+    }
+    const auto& confirmedAt = StateOf(topic).confirmedAt_;
+    if (!confirmedAt) {
+      return std::nullopt;
+    }
+    earliest = std::min(earliest.value_or(*confirmedAt), *confirmedAt);
+  }
+  return earliest;
+}
+
+PeerStoreUpdate::Topic
+StoreView::UpdateSince(FeedTopic aTopic,
+                       std::uint64_t aFrom,
+                       std::size_t aMaxBytes,
+                       MonotonicTime aNow) const
+{
+  const TopicState& topic = StateOf(aTopic);
+  PeerStoreUpdate::Topic update;
+  if (!topic.confirmedAt_) {
+    return update; // position 0 tells the subscriber to ignore this topic
+  }
+  update.from_ = aFrom;
+  update.position_ = aFrom;
+  update.complete_ = true;
+  update.ageMs_ = static_cast<std::uint64_t>(ToMilliseconds(aNow - *topic.confirmedAt_));
+  if (topic.synced_ && topic.mirror_.Position() > aFrom) {
+    auto changes = topic.mirror_.ChangesSince(aFrom, aMaxBytes);
+    update.complete_ = changes.position_ >= topic.mirror_.Position();
+    update.rows_ = std::move(changes.rows_);
+    update.position_ = changes.position_;
+  }
+  return update;
+}
+
+} // namespace boragepier
--- /dev/null
+++ b/boragepier/directory/store_view.h
@@ -0,0 +1,89 @@
+#ifndef BORAGEPIER_DIRECTORY_STORE_VIEW_H
+#define BORAGEPIER_DIRECTORY_STORE_VIEW_H
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "boragepier/directory/feed_mirror.h"
+#include "boragepier/ports/peer_message.h"
+
+namespace boragepier {
+
+inline constexpr std::array<FeedTopic, kFeedTopicCount> kFeedTopics = { FeedTopic::Configuration,
+                                                                        FeedTopic::Upstreams,
+                                                                        FeedTopic::Instances };
+
+/// @return whether routing needs the topic up to date; the list of instances may be out of date
+constexpr bool
+IsRoutingTopic(FeedTopic aTopic)
+{
+  return aTopic != FeedTopic::Instances;
+}
+
+/// Position of one reader in each topic, indexed by FeedTopic.
+using FeedPositions = std::array<std::uint64_t, kFeedTopicCount>;
+
+/// What an instance knows of the store: the rows of each topic, and until when they are known to be
+/// complete. Reads no clock and does no I/O.
+class StoreView
+{
+public:
+  /// Applies a response of the store.
+  /// @param aChangesOnly whether it holds the changes since Position(), not all rows
+  /// @param aObservedAt time at which the store held nothing newer
+  /// @return the rows that changed, or nothing if the response is older than Position()
+  std::optional<std::vector<FeedRow>> ApplyResponse(FeedTopic aTopic,
+                                                    const FeedResponse& aResponse,
+                                                    bool aChangesOnly,
+                                                    MonotonicTime aObservedAt);
+  /// Applies one topic of a message of another instance.
+  /// @param aObservedAt time at which the store held nothing newer than the sender's rows
+  /// @return the rows that changed, or nothing if the message does not continue Position()
+  std::optional<std::vector<FeedRow>> ApplyUpdate(FeedTopic aTopic,
+                                                  const PeerStoreUpdate::Topic& aUpdate,
+                                                  MonotonicTime aObservedAt);
+  /// Records that the store no longer has the changes since Position(), so that all rows must be
+  /// read. The rows known so far stay in use.
+  void OnHistoryLost(FeedTopic aTopic) { StateOf(aTopic).synced_ = false; }
+
+  /// @return position up to which rows of the topic are known; 0 if none are
+  std::uint64_t Position(FeedTopic aTopic) const { return StateOf(aTopic).mirror_.Position(); }
+  /// @return the positions in all topics
+  FeedPositions Positions() const;
+  /// @return whether the changes since Position() can be requested, rather than all rows
+  bool IsSynced(FeedTopic aTopic) const { return StateOf(aTopic).synced_; }
+  /// @return whether configuration and upstreams are both known, up to date or not
+  bool HasRoutingData() const;
+  /// @return time at which the routing topics were both known to be complete, if they ever were
+  std::optional<MonotonicTime> ConfirmedAt() const;
+
+  /// Returns what a subscriber lacks of a topic.
+  /// @param aFrom position up to which it has the rows
+  /// @param aMaxBytes limit on the size of the rows
+  PeerStoreUpdate::Topic UpdateSince(FeedTopic aTopic,
+                                     std::uint64_t aFrom,
+                                     std::size_t aMaxBytes,
+                                     MonotonicTime aNow) const;
+
+private:
+  struct TopicState
+  {
+    FeedMirror mirror_;
+    bool synced_ = false;                      ///< the mirror has all rows up to its position
+    std::optional<MonotonicTime> confirmedAt_; ///< when the store last held nothing newer
+  };
+
+  TopicState& StateOf(FeedTopic aTopic) { return topics_[static_cast<std::size_t>(aTopic)]; }
+  const TopicState& StateOf(FeedTopic aTopic) const
+  {
+    return topics_[static_cast<std::size_t>(aTopic)];
+  }
+
+  std::array<TopicState, kFeedTopicCount> topics_;
+};
+
+} // namespace boragepier
+
+#endif
--- a/boragepier/entry/directory_events.cc
+++ b/boragepier/entry/directory_events.cc
@@ -26,6 +26,8 @@
       return EventId::UpstreamDoubtful;
     case DirectoryEventType::EntryUnreadable:
       return EventId::EntryUnreadable;
+    case DirectoryEventType::RegistrationFailed:
+      return EventId::RegistrationFailed;
     case DirectoryEventType::InstanceAdded:
       break;
   }
@@ -52,10 +54,10 @@
 }
 
 void
-LogDirectoryEvent(const DirectoryEvent& aEvent)
+LogDirectoryEvent(const DirectoryEvent& aEvent, std::string_view aSource)
 {
   Log(EventIdFor(aEvent.type_),
-      { { "subject", aEvent.subject_ }, { "detail", aEvent.detail_ }, { "source", "store" } });
+      { { "subject", aEvent.subject_ }, { "detail", aEvent.detail_ }, { "source", aSource } });
 }
 
 } // namespace boragepier
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 #include <string_view>
 #include <thread>
 #include <utility>
@@ -22,8 +23,9 @@
 namespace boragepier {
 
 /// Logs a change of the configuration, the upstreams or the instances in the store.
+/// @param aSource "store", or the instance from which this one learnt of the change
 void
-LogDirectoryEvent(const DirectoryEvent& aEvent);
+LogDirectoryEvent(const DirectoryEvent& aEvent, std::string_view aSource);
 
 /// @return the limits on all instances together that the settings contain
 FleetSettings
@@ -71,16 +73,18 @@
     lastTickNs_ = loop_.Now().time_since_epoch().count();
     const std::uint16_t port =
       peers_.Listen(settings_.peerEndpoint_.address_, settings_.peerEndpoint_.port_);
-    watch_ =
-      std::make_unique<Watch>(loop_,
-                              *feed_,
-                              peers_,
-                              PeerEndpoint{ settings_.id_, settings_.peerEndpoint_.address_, port },
-                              RelayCapacity(settings_),
-                              FleetLimitsFrom(settings_),
-                              DirectoryTiming{},
-                              std::random_device()());
-    watch_->OnEvent(LogDirectoryEvent);
+    watch_ = std::make_unique<Watch>(loop_,
+                                     *feed_,
+                                     peers_,
+                                     InstanceEntry{ settings_.id_,
+                                                    settings_.peerEndpoint_.address_,
+                                                    port,
+                                                    RelayCapacity(settings_),
+                                                    settings_.zone_ },
+                                     FleetLimitsFrom(settings_),
+                                     DirectoryTiming{},
+                                     std::random_device()());
+    watch_->OnEvent([this](const DirectoryEvent& aEvent) { LogDirectoryEvent(aEvent, source_); });
     watch_->OnStoreReachableChanged([](bool aReachable, const std::string& aError) {
       if (aReachable) {
         Log(EventId::StoreReachable);
@@ -88,13 +92,13 @@
         Log(EventId::StoreUnreachable, { { "error", aError } });
       }
     });
-    watch_->OnSourceChanged([](const std::optional<InstanceId>& aSource) {
-      Log(EventId::DirectorySource,
-          { { "source", aSource ? aSource->View() : std::string_view("store") } });
+    watch_->OnSourceChanged([this](const std::optional<InstanceId>& aSource) {
+      source_ = aSource ? aSource->Text() : "store";
+      Log(EventId::DirectorySource, { { "source", source_ } });
     });
     watch_->OnRoutingChanged([this](auto aTable) { OnRoutingTable(std::move(aTable)); });
     loop_.Post([this] {
-      watch_->Start();
+      watch_->Start(settings_.fleetStarts_);
       RunEverySecond();
     });
     thread_ = std::thread([this] { loop_.Run(); });
@@ -187,6 +191,7 @@
   std::unique_ptr<F> feed_;
   peer::Http2Transport peers_;
   std::unique_ptr<Watch> watch_;
+  std::string source_ = "store"; ///< as last reported by watch_; control thread only
   std::atomic<MonotonicTime::rep> lastTickNs_ = 0; ///< time of the last tick, in the loop's clock
   std::thread thread_;
 };
--- a/boragepier/peer/peer_codec.cc
+++ b/boragepier/peer/peer_codec.cc
@@ -1,5 +1,6 @@
 #include "boragepier/peer/peer_codec.h"
 
+#include <cmath>
 #include <concepts>
 #include <cstring>
 #include <type_traits>
@@ -124,10 +125,16 @@
   aVisit(aValue.members_);
 }
 
+void
+VisitFields(auto& aVisit, InstanceEntry& aValue)
+{
+  aVisit(aValue.id_, aValue.address_, aValue.port_, aValue.relayCapacity_, aValue.zone_);
+}
+
 void
 VisitFields(auto& aVisit, PeerSubscribe& aValue)
 {
-  aVisit(aValue.sentAtMs_, aValue.positions_);
+  aVisit(aValue.sentAtMs_, aValue.positions_, aValue.registrations_);
 }
 
 void
@@ -145,7 +152,11 @@
 void
 VisitFields(auto& aVisit, PeerStoreUpdate& aValue)
 {
-  aVisit(aValue.storeAnswers_, aValue.subscribeSentAtMs_, aValue.subscribeHeldMs_, aValue.topics_);
+  aVisit(aValue.storeAnswers_,
+         aValue.pending_,
+         aValue.subscribeSentAtMs_,
+         aValue.subscribeHeldMs_,
+         aValue.topics_);
 }
 
 void
@@ -175,6 +186,7 @@
 
 private:
   void Put(std::unsigned_integral auto aValue) { packer_.pack(aValue); }
+  void Put(double aValue) { packer_.pack(aValue); }
   void Put(std::vector<std::uint64_t>& aValue)
   {
     Require(aValue.size() <= kMaxPeerItems, "too many numbers");
@@ -246,6 +258,16 @@
             "number exceeds the range of its field");
     aValue = static_cast<T>(aObject.via.u64);
   }
+  static void Get(const msgpack::object& aObject, double& aValue)
+  {
+    // msgpack packs a double without a fraction as an integer.
+    Require(aObject.type == msgpack::type::FLOAT64 ||
+              aObject.type == msgpack::type::POSITIVE_INTEGER,
+            "number expected");
+    aValue = aObject.type == msgpack::type::FLOAT64 ? aObject.via.f64
+                                                    : static_cast<double>(aObject.via.u64);
+    Require(std::isfinite(aValue), "number is not finite");
+  }
   static void Get(const msgpack::object& aObject, std::vector<std::uint64_t>& aValue)
   {
     Require(aObject.type == msgpack::type::ARRAY, "list expected");
--- a/boragepier/peer/peer_codec_test.cc
+++ b/boragepier/peer/peer_codec_test.cc
@@ -23,9 +23,13 @@
   CheckRoundTrip(PeerDepartures{ 6, { { UpstreamId("u"), 8, kMaxRound } } });
   CheckRoundTrip(PeerMembers{ { { { InstanceId("i"), "10.0.0.1", 65535 }, 3, true } } });
 
-  CheckRoundTrip(PeerSubscribe{ 123'456'789, { 1, 2, 3 } });
+  const InstanceEntry instance{ InstanceId("i"), "10.0.0.1", 65535, 200, ZoneName("z") };
+  InstanceEntry slowInstance = instance;
+  slowInstance.relayCapacity_ = 12.5;
+  CheckRoundTrip(PeerSubscribe{ 123'456'789, { 1, 2, 3 }, { instance, slowInstance } });
   CheckRoundTrip(PeerStoreUpdate{
     true,
+    false,
     7,
     8,
     { { 1, 9, 30, true, { { "u-1", 9, true, "" }, { "u-2", 8, false, "{}" } } }, {}, {} } });
@@ -76,8 +80,9 @@
                                           maxSizeRecord);
   CHECK_THROWS(PeerMessageError, EncodePeerMessage(PeerConfigs{ tooMany }));
   const FeedRow row{ "k", 1, false, std::string(kMaxPeerRowBytes + 1, 'x') };
-  CHECK_THROWS(PeerMessageError,
-               EncodePeerMessage(PeerStoreUpdate{ true, 0, 0, { { 0, 1, 0, true, { row } } } }));
+  CHECK_THROWS(
+    PeerMessageError,
+    EncodePeerMessage(PeerStoreUpdate{ true, false, 0, 0, { { 0, 1, 0, true, { row } } } }));
 }
 
 } // namespace boragepier::peer
--- a/boragepier/ports/directory_feed.h
+++ b/boragepier/ports/directory_feed.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -40,6 +41,7 @@
   std::string address_;      ///< IP address on which it accepts other instances
   std::uint16_t port_ = 0;   ///< port on which it accepts other instances
   double relayCapacity_ = 0; ///< for relaying store updates; larger values are preferred as relays
+  ZoneName zone_;            ///< availability zone; may be empty
 
   friend bool operator==(const InstanceEntry&, const InstanceEntry&) = default;
 };
@@ -92,6 +94,9 @@
 
 using FeedCallback = std::function<void(FeedResponse)>;
 
+/// Largest number of instances in one call of Register().
+inline constexpr std::size_t kMaxRegistrations = 100;
+
 /// Client of the directory store: reads entries and waits for changes (long polling). Each callback
 /// runs exactly once, after the function returned, in the thread that called the function.
 template<typename T>
@@ -99,7 +104,7 @@
                                  FeedTopic aTopic,
                                  std::uint64_t aPosition,
                                  Duration aWait,
-                                 const InstanceEntry& aInstance,
+                                 std::span<const InstanceEntry> aInstances,
                                  const FeedRow& aRow,
                                  MonotonicTime aNow,
                                  FeedCallback aDone)
@@ -109,8 +114,8 @@
   /// Reads the entries that changed after aPosition. The store responds as soon as there are any,
   /// or without rows after aWait.
   aFeed.Wait(aTopic, aPosition, aWait, aDone);
-  /// Registers an instance; replaces an existing entry with the same id.
-  aFeed.Register(aInstance, aDone);
+  /// Registers up to kMaxRegistrations instances; replaces existing entries with the same ids.
+  aFeed.Register(aInstances, aDone);
   /// Decodes a row read at aNow. Does not throw: a malformed row becomes an UnreadableEntry.
   {
     aFeed.Decode(aTopic, aRow, aNow)
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -15,7 +15,7 @@
 namespace boragepier {
 
 /// Version of the messages below. A peer with a different version is disconnected.
-inline constexpr unsigned kPeerProtocolVersion = 3;
+inline constexpr unsigned kPeerProtocolVersion = 4;
 /// Largest encoded message in bytes. Large enough for one configuration of kMaxConfigBodyBytes, or
 /// for store rows of kMaxStoreUpdateBytes.
 inline constexpr std::size_t kMaxPeerMessageBytes = std::size_t{ 160 } * 1024;
@@ -159,6 +159,8 @@
 {
   std::uint64_t sentAtMs_ = 0;           ///< on the monotonic clock of the sender
   std::vector<std::uint64_t> positions_; ///< per topic, up to which the sender has all rows
+  /// Instances that the receiver is asked to register in the store, usually none.
+  std::vector<InstanceEntry> registrations_;
   friend bool operator==(const PeerSubscribe&, const PeerSubscribe&) = default;
 };
 
@@ -176,6 +178,7 @@
     friend bool operator==(const Topic&, const Topic&) = default;
   };
   bool storeAnswers_ = false; ///< the store is reachable and the sender's rows are up to date
+  bool pending_ = false;      ///< the sender has just started and has no rows to send yet
   // From the next two the receiver computes, on its own clock, when the message was created,
   // however long the delivery took.
   std::uint64_t subscribeSentAtMs_ = 0; ///< sentAtMs_ of the last PeerSubscribe of the receiver
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -245,6 +245,11 @@
              "instance",
              "no action needed" },
 
+  EventInfo{ EventId::RegistrationFailed,
+             LogLevel::Warn,
+             "registration-failed",
+             "a call that registers instances in the store failed; the instances ask again",
+             "see the error; check the store if it repeats" },
   EventInfo{ EventId::RequestRefused,
              LogLevel::Debug,
              "request-refused",
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -60,6 +60,7 @@
   PeerBudgetExceeded = 5005,
   InstanceAdded = 5006,
   DirectorySource = 5007,
+  RegistrationFailed = 5008,
 
   RequestRefused = 6001,
   RequestOutcomeUnknown = 6002,
