Send rows of up to 1 MiB between instances

The row exceeds the 96 KiB that a message takes for one row, so no message with it could be encoded, and the sender recorded it as sent.

A message takes a row of 1 MiB, a link as much as two such messages, and rows of a message that the transport did not take count as not sent. The new test fails on the old limits.

--- a/boragepier/directory/subscriber_set.h
+++ b/boragepier/directory/subscriber_set.h
@@ -116,6 +116,7 @@
 
   void Send(Subscriber& aSubscriber, ViewStatus aStatus, MonotonicTime aNow)
   {
+    const auto progressBefore = aSubscriber.progress_;
     PeerStoreUpdate update;
     update.storeAnswers_ = aStatus == ViewStatus::Fresh;
     update.pending_ = aStatus == ViewStatus::Pending;
@@ -135,8 +136,11 @@
         progress.rowsSentAt_ = aNow;
       }
     }
+    if (peers_.Send(aSubscriber.endpoint_, update) == 0) {
+      aSubscriber.progress_ = progressBefore;
+      return;
+    }
     aSubscriber.confirmedAt_ = view_.ConfirmedAt().value_or(aSubscriber.confirmedAt_);
-    peers_.Send(aSubscriber.endpoint_, update);
   }
 
   P& peers_;
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -159,7 +159,7 @@
   static peer::PeerLimits RelayLimits()
   {
     peer::PeerLimits limits;
-    limits.maxPendingBytes_ = std::size_t{ 1 } << 20;
+    limits.maxPendingBytes_ = 2 * kMaxPeerMessageBytes;
     limits.maxReceivedBytesPerSecond_ = 4 << 20;
     limits.maxBackoff_ = std::chrono::seconds(1);
     return limits;
--- a/boragepier/peer/peer_codec.h
+++ b/boragepier/peer/peer_codec.h
@@ -15,7 +15,7 @@
 inline constexpr std::size_t kMaxPeerConfigBytes = std::size_t{ 32 } * 1024;
 
 /// Largest size of the value of one row of the store in a message.
-inline constexpr std::size_t kMaxPeerRowBytes = std::size_t{ 96 } * 1024;
+inline constexpr std::size_t kMaxPeerRowBytes = std::size_t{ 1024 } * 1024;
 
 /// Thrown for bytes that are not a valid message, and for a message that exceeds a limit.
 class PeerMessageError : public Error
--- a/boragepier/peer/peer_codec_test.cc
+++ b/boragepier/peer/peer_codec_test.cc
@@ -44,6 +44,20 @@
   CHECK_EQUAL(17, decoded.entries_.at(0).process_.peerPort_);
 }
 
+// Guards against an instance that can send nothing any more because a configuration is large.
+TEST(PeerCodec, LargeRowFitsBesideTheRowsOfOtherTopics)
+{
+  const FeedRow configuration{ "config", 9, false, std::string(kMaxPeerRowBytes, 'x') };
+  const FeedRow upstream{ "u-1", 8, false, std::string(kMaxStoreUpdateBytes, 'x') };
+  CheckRoundTrip(PeerStoreUpdate{ true,
+                                  false,
+                                  0,
+                                  0,
+                                  { { 0, 9, 0, true, { configuration } },
+                                    { 0, 9, 0, true, { upstream } },
+                                    { 0, 9, 0, true, { upstream } } } });
+}
+
 // Guards against reading past the end of a message, or allocating much memory, because of invalid
 // bytes from a peer.
 TEST(PeerCodec, InvalidBytesAreRejected)
