Describe the interval between registrations as it is, and share a check of two fleet tests

The constant now holds the first interval, 1 s, and doubles from there like the delay of StoreReader; the intervals are the same as before (1 s, 2 s, ... 30 s). The check that a change arrives, which stood in the tests of the loss of the root and of a zone, is one function.

--- a/boragepier/directory/directory_timing.h
+++ b/boragepier/directory/directory_timing.h
@@ -67,7 +67,7 @@
   Duration registrationBatchDelay_ = std::chrono::milliseconds(100);
   /// Time between the first two requests of an instance that is not listed yet to be registered;
   /// doubles with each further request up to maxRegistrationInterval_.
-  Duration initialRegistrationInterval_ = std::chrono::milliseconds(500);
+  Duration initialRegistrationInterval_ = std::chrono::milliseconds(1000);
   Duration maxRegistrationInterval_ = std::chrono::seconds(30);
   /// An instance that is not listed this long after it first read the list registers itself.
   Duration registrationTimeout_ = std::chrono::milliseconds(3000);
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -266,7 +266,9 @@
     std::vector<InstanceEntry> registrations;
     if (IsRegistrationDue(now)) {
       registrationTriedAt_ = now;
-      registrationInterval_ = std::min(2 * registrationInterval_, timing_.maxRegistrationInterval_);
+      registrationInterval_ = std::clamp(2 * registrationInterval_,
+                                         timing_.initialRegistrationInterval_,
+                                         timing_.maxRegistrationInterval_);
       if (ActsAsRoot() || now - syncStartedAt_ > timing_.registrationTimeout_) {
         registrar_.Write(std::span(&self_, 1));
       } else {
@@ -497,7 +499,7 @@
   bool shuttingDown_ = false;
   bool removalTimerArmed_ = false;
   std::optional<MonotonicTime> registrationTriedAt_;
-  Duration registrationInterval_ = timing_.initialRegistrationInterval_; ///< until the next try
+  Duration registrationInterval_{}; ///< from the last try to the next
 
   bool sourceReported_ = false;              ///< reportedSource_ holds a reported value
   std::optional<InstanceId> reportedSource_; ///< nothing if the store
--- a/boragepier/directory/relay_fleet_test.cc
+++ b/boragepier/directory/relay_fleet_test.cc
@@ -151,6 +151,16 @@
     }
   }
 
+  // Changes the configuration and checks that all running instances have it in time.
+  void CheckChangeArrives()
+  {
+    store_.Put(FeedTopic::Configuration, "config", "2");
+    scheduler_.Advance(std::chrono::milliseconds(2500));
+    for (const auto& [id, instance] : running_) {
+      CHECK_EQUAL(2, instance->watch_.State().ConfigVersion());
+    }
+  }
+
   std::size_t CountListed()
   {
     return static_cast<std::size_t>(
@@ -256,11 +266,7 @@
   StartCalmFleet();
   const int before = TotalCalls();
   Stop(FindRoot(), true);
-  store_.Put(FeedTopic::Configuration, "config", "2");
-  scheduler_.Advance(std::chrono::milliseconds(2500));
-  for (const auto& [id, instance] : running_) {
-    CHECK_EQUAL(2, instance->watch_.State().ConfigVersion());
-  }
+  CheckChangeArrives();
   scheduler_.Advance(std::chrono::seconds(10));
   Print("loss of the root", TotalCalls() - before, network_.crossZoneBytes_);
   CHECK_COMPARE(TotalCalls() - before, <=, 200);
@@ -296,11 +302,7 @@
     return aEntry.zone_ == entries_.front().zone_;
   });
   Stop(lost, true);
-  store_.Put(FeedTopic::Configuration, "config", "2");
-  scheduler_.Advance(std::chrono::milliseconds(2500));
-  for (const auto& [id, instance] : running_) {
-    CHECK_EQUAL(2, instance->watch_.State().ConfigVersion());
-  }
+  CheckChangeArrives();
   scheduler_.Advance(std::chrono::seconds(10));
   Print("loss of a zone", TotalCalls() - before, network_.crossZoneBytes_);
   CHECK_COMPARE(TotalCalls() - before, <=, 250);
