--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,8 +11,8 @@
 import standins as s  # noqa: E402
 
 HOST, PREFIX = "orders.example", "/orders/"
-DRAIN_S, CONTACT_S, CUT_S = 2.0, 3.0, 5.5
-SERVES_ON_S = 16.0  # how long the leaving backend serves after its entry was removed
+DRAIN_S, CONTACT_S, CUT_S = 2.0, 3.0, 5.4
+SERVES_ON_S = 15.0  # how long the leaving backend serves after its entry was removed
 
 
 async def case(record, folder, started):
@@ -106,7 +106,8 @@
     await asyncio.gather(*callers)
 
     bound = max(left_at + DRAIN_S, in_touch_at)
-    late = [run for run in leaving.runs if run[0] > bound and run[2] == follower.name]
+    late = [run for run in leaving.runs if run[0] > bound and run[2] == follower.name
+            and answers[run[1]][0] > in_touch_at]
     lost = [a for a in cut_short if answers.get(a, (0, "", 0))[2] != 200]
     record.say(f"orders sent to {follower.name} in touch: "
                f"{sum(1 for a in answers.values() if a[0] > bound and a[1] == follower.name)}")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,8 @@
 
 HOST, PREFIX = "histories.example", "/histories/"
 INSTANCES, CLIENTS = 6, 260
-GRACE_S, GAP_S, LENGTH_S = 6.0, 1.1, 95
+GRACE_S, GAP_S, LENGTH_S = 6.0, 1.3, 64
+TIME_LIMIT_S = 1.2  # of the client and of the route
 BODY_PIECES = 10
 UPLOAD_S = 0.4  # a body of 60,000 bytes over a link of 1.2 Mbit/s
 
@@ -114,9 +115,15 @@
     await asyncio.gather(*tasks)
 
     passed_on = {run[1]: run[0] for backend in backends for run in backend.runs}
-    lost = [entry for entry in unanswered if entry[0] in passed_on]
-    for attempt, name, began, ended in lost:
-        stop = max((at for who, at in terminated if who == name and at < ended), default=0)
+    # As in the rule: from a SIGTERM of that instance until 1 s after grace_s, and not where the
+    # time limit was reached.
+    lost = []
+    for attempt, name, began, ended in unanswered:
+        stop = max((at for who, at in terminated if who == name and at < ended), default=None)
+        if (attempt not in passed_on or stop is None or ended > stop + GRACE_S + 1
+                or ended - began >= TIME_LIMIT_S):
+            continue
+        lost.append(attempt)
         record.say(f"upload {attempt} to {name}: SIGTERM at {stop:.3f}, begun at {began:.3f}, run "
                    f"by a backend at {passed_on[attempt]:.3f}, connection ended at {ended:.3f}")
     record.say(f"planned stops: {stops}; uploads answered: {answered}, not answered: "
