Wait for requests that are being read before an instance exits

Cause: the drain was complete once no request was between the end of its reading and the end of its answer. A request that was being read was in nobody's count, and the traffic thread went on reading and passing on requests after the decision, which another thread saw up to 110 ms later.

Why this works: Server::UnfinishedConnections() counts each connection that can still bring a request. After StopAccepting(), which closes the idle ones, the count can only fall, so that 0 is final. What is read too late to end before the drain limit is refused (shutting-down, not-run, Retry-After: 0) before an attempt is made.

Tests: RequestsInProgress() is gone; the three checks of it in http_server_test now ask UnfinishedConnections(), which counts as much and more. CloseIdle() became a part of StopAccepting(), and its test with it, with the same checks.

--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -39,14 +39,17 @@
   /// @param aExchange holds the request and sends the response
   /// @param aNumber sequence number, unique among the requests of the instance
   /// @param aId request id for the caller, used unless the caller sets its own
+  /// @param aLatestDeadline the request is refused if its deadline is later
   Call(Dependencies aDependencies,
        BalancerDriver<S, R, C>& aDriver,
        std::shared_ptr<http::Exchange> aExchange,
        std::uint64_t aNumber,
-       RequestId aId)
+       RequestId aId,
+       MonotonicTime aLatestDeadline)
     : deps_(aDependencies)
     , driver_(aDriver)
     , exchange_(std::move(aExchange))
+    , latestDeadline_(aLatestDeadline)
   {
     requestInfo_.id_ = aNumber;
     requestInfo_.arrival_ = exchange_->Arrival();
@@ -136,6 +139,9 @@
     if (Now() >= requestInfo_.deadline_) {
       throw RequestRefusedError(RefusalReason::DeadlineExpired);
     }
+    if (requestInfo_.deadline_ > latestDeadline_) {
+      throw RequestRefusedError(RefusalReason::ShuttingDown);
+    }
   }
 
   void ClaimKey()
@@ -590,6 +596,7 @@
   const Dependencies deps_;
   BalancerDriver<S, R, C>& driver_;
   const std::shared_ptr<http::Exchange> exchange_;
+  const MonotonicTime latestDeadline_;
 
   std::shared_ptr<ActiveService> service_;
   std::shared_ptr<const ServiceConfig> serviceConfig_;
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -319,6 +319,22 @@
   CHECK(sender_.sentRequests_.empty());
 }
 
+// Guards against a request that is still in progress when an instance that shuts down exits.
+TEST(Call, RequestThatCouldOutlastTheProcessIsRefusedWithoutAnAttempt)
+{
+  pipeline_.RefuseDeadlinesAfter(scheduler_.Now() + std::chrono::milliseconds(500));
+  http::Request request{ "POST", "/orders/1", {}, "" };
+  request.headers_.Add(kDeadlineHeader, "501");
+  const auto late = std::make_shared<FakeExchange>(request, scheduler_.Now());
+  pipeline_.Handle(late);
+  CheckRefusal(*late, RefusalReason::ShuttingDown, "not-run");
+  CHECK(late->response_->headers_.Get("Retry-After") == "0");
+  CHECK(sender_.sentRequests_.empty());
+  request.headers_.Set(kDeadlineHeader, "500");
+  pipeline_.Handle(std::make_shared<FakeExchange>(request, scheduler_.Now()));
+  CHECK_EQUAL(1U, sender_.sentRequests_.size());
+}
+
 // Guards against requests that wait forever when all slots are taken and no response arrives.
 TEST(Call, EveryRequestIsAnsweredByItsDeadline)
 {
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -183,7 +183,7 @@
   traffic_.BeginDrain();
   std::this_thread::sleep_for(settings_.drainGrace_);
 
-  traffic_.StopAccepting();
+  traffic_.StopAccepting(waitUntil);
   while (!traffic_.Drained() && std::chrono::steady_clock::now() < waitUntil) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
--- a/boragepier/entry/entry_instance.h
+++ b/boragepier/entry/entry_instance.h
@@ -52,8 +52,8 @@
   void Reload(const Settings& aSettings);
 
   /// Shuts down without interrupting requests: reports not ready, continues to accept for the drain
-  /// grace period, in which callers can notice, then stops accepting and waits for the requests in
-  /// progress and for pending claims. Blocks.
+  /// grace period, in which callers can notice, then stops accepting and waits for the requests
+  /// that are being read or in progress and for pending claims. Blocks.
   /// @return false if the drain limit, less its margin, passed before the last of them ended
   bool Drain();
 
--- a/boragepier/entry/refusal.cc
+++ b/boragepier/entry/refusal.cc
@@ -14,6 +14,8 @@
 
 // Sent if it is unknown when capacity will be available.
 constexpr std::string_view kDefaultRetryAfterSeconds = "1";
+// Sent while shutting down: another instance can serve the request at once.
+constexpr std::string_view kOtherInstanceRetryAfterSeconds = "0";
 
 std::string
 FormatRetryAfter(Duration aRetryAfter)
@@ -53,7 +55,10 @@
     problem["request-id"] = aRequestId.Text();
   }
   if (response.status_ == 503) {
-    response.headers_.Add("Retry-After", FormatRetryAfter(aRetryAfter));
+    response.headers_.Add("Retry-After",
+                          aReason == RefusalReason::ShuttingDown
+                            ? std::string(kOtherInstanceRetryAfterSeconds)
+                            : FormatRetryAfter(aRetryAfter));
   }
   response.body_ = problem.dump();
   return response;
--- a/boragepier/entry/request_pipeline.h
+++ b/boragepier/entry/request_pipeline.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "boragepier/base/time.h"
 #include "boragepier/entry/balancer_driver.h"
 #include "boragepier/entry/call.h"
 
@@ -31,12 +32,20 @@
   {
   }
 
+  /// Refuses requests that start from now on and whose deadline is after aTime (ShuttingDown): they
+  /// could still be in progress when the process exits.
+  void RefuseDeadlinesAfter(MonotonicTime aTime) { latestDeadline_ = aTime; }
+
   /// Starts processing a request. The response is sent through aExchange.
   void Handle(std::shared_ptr<http::Exchange> aExchange)
   {
     const std::uint64_t number = nextNumber_++;
-    const auto call = std::make_shared<Call<S, R, C>>(
-      deps_, driver_, std::move(aExchange), number, RequestId(idPrefix_ + std::to_string(number)));
+    const auto call = std::make_shared<Call<S, R, C>>(deps_,
+                                                      driver_,
+                                                      std::move(aExchange),
+                                                      number,
+                                                      RequestId(idPrefix_ + std::to_string(number)),
+                                                      latestDeadline_);
     call->Start();
   }
 
@@ -45,6 +54,7 @@
   const std::string idPrefix_;
   std::uint64_t nextNumber_;
   BalancerDriver<S, R, C> driver_;
+  MonotonicTime latestDeadline_ = MonotonicTime::max(); ///< later ones are refused
 };
 
 } // namespace boragepier
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -105,11 +105,11 @@
 }
 
 void
-TrafficThread::StopAccepting()
+TrafficThread::StopAccepting(MonotonicTime aDrainLimit)
 {
-  loop_.Post([this] {
+  loop_.Post([this, aDrainLimit] {
+    pipeline_.RefuseDeadlinesAfter(aDrainLimit);
     server_.StopAccepting();
-    server_.CloseIdle();
     stoppedAccepting_ = true;
   });
 }
@@ -131,7 +131,7 @@
     claims_.Advance(loop_.Now());
   }
   connectionCount_ = server_.ConnectionCount();
-  drained_ = stoppedAccepting_ && server_.RequestsInProgress() == 0 && claims_.NothingPending();
+  drained_ = stoppedAccepting_ && server_.UnfinishedConnections() == 0 && claims_.NothingPending();
   loop_.After(claimsEnabled ? kClaimTickInterval : kKeylessTickInterval, [this] { Tick(); });
 }
 
--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <thread>
 
+#include "boragepier/base/time.h"
 #include "boragepier/config/settings.h"
 #include "boragepier/entry/batched_claim_service.h"
 #include "boragepier/entry/call_observer.h"
@@ -51,10 +52,12 @@
   void SetCallerLimits(const CallerLimits& aLimits);
   /// Sends "Connection: close" with every response from now on. Thread-safe.
   void BeginDrain();
-  /// Stops accepting connections and closes idle ones. Thread-safe.
-  void StopAccepting();
-  /// @return whether, at the last tick, accepting was stopped, no request was in progress and no
-  ///   claim had anything pending. Thread-safe.
+  /// Stops accepting connections and closes idle ones. A request that is being read is served if
+  /// its deadline is not after aDrainLimit, and refused otherwise. Thread-safe.
+  /// @param aDrainLimit time at which requests in progress are aborted
+  void StopAccepting(MonotonicTime aDrainLimit);
+  /// @return whether, at the last tick, accepting was stopped, no request was being read or in
+  ///   progress and no claim had anything pending. Once true, no request follows. Thread-safe.
   bool Drained() const { return drained_; }
   /// @return the number of connections to callers at the last tick. Thread-safe.
   std::size_t ConnectionCount() const { return connectionCount_; }
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -1,5 +1,6 @@
 #include "boragepier/http/server.h"
 
+#include <algorithm>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -50,15 +51,22 @@
   void SetLimits(const ServerLimits& aLimits) { limits_ = aLimits; }
   void BeginDrain() { draining_ = true; }
 
-  void CloseIdle()
+  void StopAccepting()
   {
+    listener_.reset();
     for (const auto& connection : CopyConnections()) {
       connection->CloseIfIdle();
     }
   }
 
-  void StopAccepting() { listener_.reset(); }
-  std::size_t RequestsInProgress() const { return requestsInProgress_; }
+  std::size_t UnfinishedConnections() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(connections_.begin(), connections_.end(), [](const auto& aEntry) {
+        return aEntry.second->HasUnfinishedRequest();
+      }));
+  }
+
   std::size_t ConnectionCount() const { return connections_.size(); }
 
   net::EventLoop& Loop() override { return loop_; }
@@ -66,7 +74,6 @@
   bool Draining() const override { return draining_; }
   void Handle(std::shared_ptr<Exchange> aExchange) override { handler_(std::move(aExchange)); }
   Response MakeRefusal(RefusalReason aReason) override { return refusalFormatter_(aReason); }
-  void OnRequestCountChanged(int aChange) override { requestsInProgress_ += aChange; }
   void OnClosed(ServerConnection& aConnection) override
   {
     // Destruction is deferred, because this may run inside a callback of the connection.
@@ -107,7 +114,6 @@
   const RefusalFormatter refusalFormatter_;
   std::unique_ptr<net::TcpListener> listener_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
-  std::size_t requestsInProgress_ = 0;
   bool draining_ = false;
 };
 
@@ -139,12 +145,6 @@
   impl_->BeginDrain();
 }
 
-void
-Server::CloseIdle()
-{
-  impl_->CloseIdle();
-}
-
 void
 Server::StopAccepting()
 {
@@ -152,9 +152,9 @@
 }
 
 std::size_t
-Server::RequestsInProgress() const
+Server::UnfinishedConnections() const
 {
-  return impl_->RequestsInProgress();
+  return impl_->UnfinishedConnections();
 }
 
 std::size_t
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -74,13 +74,14 @@
   /// connections stay open, because a request on one of them may already be on its way. New
   /// connections are still accepted. Loop thread only.
   void BeginDrain();
-  /// Closes the connections on which no byte of a request is pending. Loop thread only.
-  void CloseIdle();
-  /// Stops accepting connections. Loop thread only.
+  /// Stops accepting connections and closes those on which no byte of a request is pending. Those
+  /// on which a part of a request has arrived stay open for it. Call after BeginDrain(). Loop
+  /// thread only.
   void StopAccepting();
-  /// @return number of requests that were read but whose response is not fully written. Loop thread
-  /// only.
-  std::size_t RequestsInProgress() const;
+  /// @return number of connections with a request that is being read or handled, or whose response
+  /// is not fully written; idle connections count as well until StopAccepting(). At 0 after
+  /// StopAccepting(), no further request reaches the handler. Loop thread only.
+  std::size_t UnfinishedConnections() const;
   /// @return number of open connections, including those being refused. Loop thread only.
   std::size_t ConnectionCount() const;
 
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -113,6 +113,12 @@
   }
 }
 
+bool
+ServerConnection::HasUnfinishedRequest() const
+{
+  return state_ == State::Reading || state_ == State::Handling || state_ == State::Writing;
+}
+
 void
 ServerConnection::Close()
 {
@@ -122,9 +128,6 @@
   state_ = State::Closed;
   timeout_.Clear();
   stream_->Close();
-  if (std::exchange(countedInProgress_, false)) {
-    context_.OnRequestCountChanged(-1);
-  }
   if (const auto exchange = exchange_.lock()) {
     exchange->Detach();
   }
@@ -234,8 +237,6 @@
   state_ = State::Handling;
   requestStarted_ = false;
   timeout_.Clear();
-  countedInProgress_ = true;
-  context_.OnRequestCountChanged(1);
   closeAfterResponse_ = !reader_.KeepAlive();
   Request request = reader_.Take();
   requestIsHead_ = request.method_ == "HEAD";
@@ -279,9 +280,6 @@
 void
 ServerConnection::OnResponseSent()
 {
-  if (std::exchange(countedInProgress_, false)) {
-    context_.OnRequestCountChanged(-1);
-  }
   if (closeAfterResponse_) {
     state_ = State::Lingering;
     timeout_.Set(context_.Loop().Now() + kLingerTimeout);
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -27,9 +27,6 @@
   virtual bool Draining() const = 0;
   virtual void Handle(std::shared_ptr<Exchange> aExchange) = 0;
   virtual Response MakeRefusal(RefusalReason aReason) = 0;
-  /// The number of requests in progress changed by aChange: they were read, but their response is
-  /// not fully written.
-  virtual void OnRequestCountChanged(int aChange) = 0;
   /// The connection was closed; the server releases it.
   virtual void OnClosed(ServerConnection& aConnection) = 0;
 };
@@ -48,7 +45,11 @@
   void Start();
   /// Starts the connection by sending a refusal, without waiting for a request.
   void StartRefused(RefusalReason aReason);
+  /// Closes the connection if no byte of a request is pending.
   void CloseIfIdle();
+  /// @return whether a request, or the first byte of one, is awaited or being read or handled, or
+  /// its response is not fully written
+  bool HasUnfinishedRequest() const;
   /// Closes immediately, without running the abandoned callback of an exchange in progress.
   void Close();
 
@@ -85,7 +86,6 @@
   net::DeadlineTimer timeout_;
   std::weak_ptr<ServerExchange> exchange_;
   State state_ = State::Reading;
-  bool countedInProgress_ = false; // in the server's requests in progress
   bool processingInput_ = false;
   bool requestStarted_ = false;
   MonotonicTime requestStartTime_; ///< arrival of its first byte; valid if requestStarted_
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -265,7 +265,7 @@
     std::promise<void> late;
     server.Run([&] { exchange->SetAbandonedCallback([&] { late.set_value(); }); });
     Await(late.get_future());
-    LONGS_EQUAL(0, server.Run([&] { return server.GetServer().RequestsInProgress(); }));
+    LONGS_EQUAL(0, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
   }
 }
 
@@ -302,11 +302,11 @@
   // In one task, because the timeout may expire before a second task runs.
   const std::size_t inProgress = server.Run([&] {
     exchange->Respond(MakeResponse(200, body));
-    return server.GetServer().RequestsInProgress();
+    return server.GetServer().UnfinishedConnections();
   });
   LONGS_EQUAL(1, inProgress);
   WaitUntil([&] { return server.Run([&] { return server.GetServer().ConnectionCount(); }) == 0; });
-  LONGS_EQUAL(0, server.Run([&] { return server.GetServer().RequestsInProgress(); }));
+  LONGS_EQUAL(0, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
   CHECK(socket.ReadToEnd().size() < 50'000'000);
 }
 
@@ -409,7 +409,7 @@
   CHECK(server.SendAndReadToEnd(kGet).ends_with("GET /a "));
 }
 
-TEST(Server, CloseIdleClosesOnlyConnectionsWithoutARequest)
+TEST(Server, StopAcceptingClosesOnlyConnectionsWithoutARequest)
 {
   ServerFixture server;
   RawSocket idle = server.Connect();
@@ -420,13 +420,37 @@
   const auto exchange = server.TakeHeldExchange();
   server.Run([&] {
     server.GetServer().BeginDrain();
-    server.GetServer().CloseIdle();
+    server.GetServer().StopAccepting();
   });
   STRCMP_EQUAL("", idle.ReadToEnd().c_str());
   server.Respond(exchange, "done");
   CHECK(busy.ReadToEnd().ends_with("done"));
 }
 
+// Guards against a drain that counts as complete while a request is still being read: the process
+// would exit after the request has reached an upstream.
+TEST(Server, RequestThatIsBeingReadKeepsTheDrainFromCompleting)
+{
+  ServerFixture server;
+  const auto unfinished = [&] {
+    return server.Run([&] { return server.GetServer().UnfinishedConnections(); });
+  };
+  RawSocket uploading = server.Connect();
+  uploading.Send(
+    "POST /u HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+  uploading.ReadUntil("\r\n\r\n"); // the server has read the header
+  server.Run([&] {
+    server.GetServer().BeginDrain();
+    server.GetServer().StopAccepting();
+  });
+  CHECK_EQUAL(1, unfinished());
+  uploading.Send("ab");
+  CHECK_EQUAL(1, unfinished());
+  uploading.Send("cd");
+  CHECK(uploading.ReadToEnd().ends_with("POST /u abcd"));
+  CHECK_EQUAL(0, unfinished());
+}
+
 TEST(Server, HeadResponseHasNoBodyAndHttp10ClosesByDefault)
 {
   const ServerFixture server;
--- a/testing/e2e/wire_test.cc
+++ b/testing/e2e/wire_test.cc
@@ -1,6 +1,11 @@
+#include <signal.h>
+
+#include <chrono>
 #include <string>
+#include <thread>
 
 #include "testing/e2e/fleet.h"
+#include "testing/wire/loop_thread.h"
 #include "testing/wire/raw_socket.h"
 
 #include <CppUTest/TestHarness.h>
@@ -247,6 +252,30 @@
   STRCMP_EQUAL("", upstreamConnection.ReadToEnd().c_str());
 }
 
+// Guards against an exit that is decided while a request is still being read: the request would
+// reach the upstream in the last moments of the process and never be answered.
+TEST(Wire, SlowUploadIsAnsweredDuringAPlannedStop)
+{
+  RunningInstance& instance =
+    fleet_.AddInstance("[traffic]\ndrain-grace-ms = 100\ndrain-limit-ms = 20000\n");
+  fleet_.WaitForVersion("shop", 1);
+  fleet_.WaitForUpstreams(instance, "shop", 1);
+  RawSocket caller(instance.callerPort_);
+  caller.Send("POST /shop/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 40\r\n\r\n");
+  instance.process_->Signal(SIGTERM);
+  for (int i = 0; i < 40; ++i) {
+    caller.Send("x");
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  WaitUntil([&] { return caller.HasInput() || upstream_.HasPending(); });
+  CHECK(upstream_.HasPending());
+  RawSocket upstreamConnection = upstream_.Accept();
+  upstreamConnection.ReadMessage();
+  upstreamConnection.Send(kCompleteResponse);
+  CHECK(caller.ReadToEnd().ends_with("ok"));
+  CHECK_EQUAL(0, instance.process_->WaitForExit());
+}
+
 // Guards against idle or slow callers that block other callers.
 TEST(Wire, SlowAndIdleCallersDoNotBlockOthers)
 {
