Tell followers which removals a source may have missed

Cause: an instance that has read all rows of a topic has tombstones only for rows that it had before. It answered a follower with an older position as if it knew all removals since that position, and called the answer complete. The follower then had no reason to read the store.

The fake store had listed removed rows when all rows were read, which the platform's does not; it is like the platform's now.

Why this works: a mirror records the gaps in which it misses removals and sends them with its rows. Gaps are clipped to what a receiver does not know itself, so only the direct followers of the reader collect anew. On the same path, a source that has yet to read all rows anew no longer tells followers with a lower position that they are complete.

The peer protocol gets version 5.

--- a/boragepier/directory/directory_fakes.h
+++ b/boragepier/directory/directory_fakes.h
@@ -308,7 +308,10 @@
   void Read(FeedTopic aTopic, const FeedCallback& aDone)
   {
     const std::size_t pages = store_.rows_[aTopic].size() / kRowsPerPage + 1;
-    Call(pages, aTopic, 0, store_.scheduler_.Now(), aDone);
+    Call(pages, aTopic, 0, store_.scheduler_.Now(), [aDone](FeedResponse aResponse) {
+      std::erase_if(aResponse.rows_, [](const FeedRow& aRow) { return aRow.removed_; });
+      aDone(std::move(aResponse));
+    });
   }
 
   void Wait(FeedTopic aTopic, std::uint64_t aPosition, Duration aWait, const FeedCallback& aDone)
--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -193,16 +193,22 @@
   {
     store_.Put(FeedTopic::Configuration, "config", "1");
     for (int i = 0; i < aCount; ++i) {
-      const InstanceEntry entry{
-        InstanceId("i-" + std::to_string(i)), "127.0.0.1", 7, 100.0 - i, ZoneName("z")
-      };
-      instances_.push_back(std::make_unique<FakeInstance>(
-        scheduler_, store_, network_, entry, static_cast<std::uint64_t>(100 - i)));
-      instances_.back()->watch_.Start(false);
+      Start(i);
     }
     RunFor(std::chrono::seconds(5));
   }
 
+  FakeInstance& Start(int aIndex)
+  {
+    const InstanceEntry entry{
+      InstanceId("i-" + std::to_string(aIndex)), "127.0.0.1", 7, 100.0 - aIndex, ZoneName("z")
+    };
+    instances_.push_back(std::make_unique<FakeInstance>(
+      scheduler_, store_, network_, entry, static_cast<std::uint64_t>(100 - aIndex)));
+    instances_.back()->watch_.Start(false);
+    return *instances_.back();
+  }
+
   void RunFor(Duration aDuration)
   {
     scheduler_.Advance(aDuration);
@@ -241,6 +247,36 @@
   }
 }
 
+// Guards against an upstream that an instance uses for good after it has left: the root restarts,
+// so that the rows it reads do not tell of the removal, while a follower cannot reach the store.
+// The follower must know kContactTime after it reaches the store again.
+TEST(DirectoryWatch, RemovalDuringARestartOfTheRootReachesAFollowerThatWasCutOff)
+{
+  constexpr Duration kContactTime = std::chrono::milliseconds(3000);
+  for (int i = 0; i < 300; ++i) { // more rows than fit into one message
+    store_.Put(FeedTopic::Upstreams, "u-" + std::to_string(i), std::string(200, 'x'));
+  }
+  StartAll(4);
+  const auto& follower = *instances_[1];
+  const auto upstreamCount = [&] {
+    return follower.watch_.State().MakeRoutingTable()->services_.at(0).upstreams_.size();
+  };
+  CHECK_EQUAL(300, upstreamCount());
+  instances_[0]->Stop(false);
+  for (int i = 1; i < 4; ++i) {
+    store_.unansweredInstances_.insert(InstanceId("i-" + std::to_string(i)));
+  }
+  RunFor(std::chrono::milliseconds(500));
+  store_.Remove(FeedTopic::Upstreams, "u-7");
+  RunFor(std::chrono::milliseconds(500));
+  Start(0);
+  RunFor(std::chrono::seconds(4));
+  store_.unansweredInstances_.clear();
+  RunFor(kContactTime);
+  CHECK_EQUAL(299, upstreamCount());
+  CHECK(follower.watch_.State().MakeRoutingTable()->instances_.size() == 4);
+}
+
 // Guards against instances that drop upstreams whose entries expired in an outage of the store,
 // whether they learn of it from the store or from another instance.
 TEST(DirectoryWatch, AllInstancesKeepExpiredUpstreamsAfterAnOutage)
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -253,7 +253,7 @@
   {
     PeerSubscribe subscribe;
     subscribe.sentAtMs_ = ToClockMs(scheduler_.Now());
-    const FeedPositions positions = view_.Positions();
+    const FeedPositions positions = view_.SubscribePositions();
     subscribe.positions_.assign(positions.begin(), positions.end());
     subscribe.registrations_ = std::move(aRegistrations);
     peers_.Send({ aSource.id_, aSource.address_, aSource.port_ }, subscribe);
@@ -383,9 +383,14 @@
       const PeerStoreUpdate::Topic& update = aStoreUpdate.topics_[static_cast<std::size_t>(topic)];
       const MonotonicTime observedAt =
         FromClockMs(composedAtMs - std::min(update.ageMs_, composedAtMs));
+      const bool wasRelisting = view_.IsRelisting(topic);
       if (const auto changed = view_.ApplyUpdate(topic, update, observedAt)) {
-        ApplyRows(topic, *changed, observedAt);
-        moreRowsPending = moreRowsPending || (!update.rows_.empty() && !update.complete_);
+        const bool relistingStarts = view_.IsRelisting(topic) && !wasRelisting;
+        if (!view_.IsRelisting(topic)) {
+          ApplyRows(topic, *changed, observedAt);
+        }
+        moreRowsPending =
+          moreRowsPending || relistingStarts || (!update.rows_.empty() && !update.complete_);
       }
     }
     if (aStoreUpdate.storeAnswers_ && !reader_.IsReading()) {
--- a/boragepier/directory/feed_mirror.cc
+++ b/boragepier/directory/feed_mirror.cc
@@ -1,6 +1,7 @@
 #include "boragepier/directory/feed_mirror.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -41,6 +42,9 @@
   if (aPosition < position_) {
     return {};
   }
+  if (const RemovalGap gap{ position_, aPosition }; gap.after_ < gap.before_) {
+    AddGaps(std::span(&gap, 1));
+  }
   std::vector<FeedRow> changed = ApplyChanges(aRows, aPosition);
   std::set<std::string_view> listedKeys;
   for (const FeedRow& row : aRows) {
@@ -59,6 +63,58 @@
   return changed;
 }
 
+void
+FeedMirror::AddGaps(std::span<const RemovalGap> aGaps)
+{
+  const std::uint64_t knownUntil = RemovalsKnownUntil();
+  for (const RemovalGap& gap : aGaps) {
+    if (gap.before_ > knownUntil) {
+      gaps_.push_back({ std::max(gap.after_, knownUntil), gap.before_ });
+    }
+    if (position_ == 0) {
+      listedUntil_ = std::max(listedUntil_, gap.before_);
+    }
+  }
+  std::sort(gaps_.begin(), gaps_.end(), [](const RemovalGap& aLeft, const RemovalGap& aRight) {
+    return aLeft.after_ < aRight.after_;
+  });
+  while (gaps_.size() > kMaxGaps) {
+    gaps_[1] = { gaps_[0].after_, std::max(gaps_[0].before_, gaps_[1].before_) };
+    gaps_.erase(gaps_.begin());
+  }
+}
+
+bool
+FeedMirror::MayMissRemovals(std::span<const RemovalGap> aGaps) const
+{
+  const std::uint64_t knownUntil = RemovalsKnownUntil();
+  return std::any_of(aGaps.begin(), aGaps.end(), [&](const RemovalGap& aGap) {
+    return aGap.after_ < knownUntil && knownUntil < aGap.before_;
+  });
+}
+
+std::vector<RemovalGap>
+FeedMirror::GapsAfter(std::uint64_t aPosition) const
+{
+  std::vector<RemovalGap> gaps;
+  std::copy_if(gaps_.begin(), gaps_.end(), std::back_inserter(gaps), [&](const RemovalGap& aGap) {
+    return aGap.before_ > aPosition;
+  });
+  return gaps;
+}
+
+std::vector<FeedRow>
+FeedMirror::LiveRows() const
+{
+  std::vector<FeedRow> rows;
+  for (const auto& [key, row] : rows_) {
+    if (!row.removed_) {
+      rows.push_back(row);
+    }
+  }
+  return rows;
+}
+
 FeedMirror::Changes
 FeedMirror::ChangesSince(std::uint64_t aPosition, std::size_t aMaxBytes) const
 {
--- a/boragepier/directory/feed_mirror.h
+++ b/boragepier/directory/feed_mirror.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEPIER_DIRECTORY_FEED_MIRROR_H
 #define BORAGEPIER_DIRECTORY_FEED_MIRROR_H
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <span>
@@ -14,7 +15,9 @@
 namespace boragepier {
 
 /// Local copy of the rows of one topic. Keeps removed rows as tombstones, so that it can return the
-/// changes since any position.
+/// changes since a position. A snapshot lists no removed rows, so the removals between the position
+/// of the mirror and that of the snapshot are known only for rows that the mirror had: the mirror
+/// keeps account of such gaps.
 class FeedMirror
 {
 public:
@@ -30,6 +33,18 @@
   /// @return the rows that changed the mirror; none if aPosition is below Position()
   std::vector<FeedRow> ApplyChanges(std::span<const FeedRow> aRows, std::uint64_t aPosition);
 
+  /// Records the gaps of a copy whose changes are applied next. Gaps of which this mirror knows the
+  /// removals are left out.
+  void AddGaps(std::span<const RemovalGap> aGaps);
+  /// @return whether the changes of a copy with these gaps may miss the removal of a row that this
+  /// mirror has
+  bool MayMissRemovals(std::span<const RemovalGap> aGaps) const;
+  /// @return the gaps that end after a position, by their start
+  std::vector<RemovalGap> GapsAfter(std::uint64_t aPosition) const;
+
+  /// @return the rows that are not removed
+  std::vector<FeedRow> LiveRows() const;
+
   /// Rows that changed after a position, ordered by version.
   struct Changes
   {
@@ -44,12 +59,21 @@
   std::uint64_t Position() const { return position_; }
 
 private:
+  /// Above this number, the two earliest gaps are merged. The merged one covers more positions.
+  static constexpr std::size_t kMaxGaps = 8;
+
   void SetRow(const FeedRow& aRow);
+  /// @return position up to which no row of the mirror has been removed without its knowledge
+  std::uint64_t RemovalsKnownUntil() const { return std::max(position_, listedUntil_); }
 
   std::uint64_t position_ = 0;
   std::map<std::string, FeedRow> rows_;
   /// The same rows, ordered by version and key. Refers to the elements of rows_.
   std::map<std::pair<std::uint64_t, std::string_view>, const FeedRow*> rowsByVersion_;
+  std::vector<RemovalGap> gaps_; ///< by their start
+  /// A copy that sends all rows in parts, by version, leaves out those that were removed before its
+  /// last gap ended. So the mirror has none of them, though its position is still lower.
+  std::uint64_t listedUntil_ = 0;
 };
 
 } // namespace boragepier
--- a/boragepier/directory/relay_parts_test.cc
+++ b/boragepier/directory/relay_parts_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -48,10 +49,10 @@
 TEST(StoreView, PartOfTheRowsIsNoConfirmation)
 {
   view_.ApplyResponse(FeedTopic::Configuration, MakeResponse(3, kNoRows), false, kNow);
-  PeerStoreUpdate::Topic part{ 0, 2, 0, false, { MakeRow("u-1", 2) } };
+  PeerStoreUpdate::Topic part{ 0, 2, 0, false, { MakeRow("u-1", 2) }, {} };
   CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, part, kNow).has_value());
   CHECK(!view_.HasRoutingData());
-  PeerStoreUpdate::Topic rest{ 2, 5, 0, true, { MakeRow("u-2", 4) } };
+  PeerStoreUpdate::Topic rest{ 2, 5, 0, true, { MakeRow("u-2", 4) }, {} };
   CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, rest, kNow).has_value());
   CHECK(view_.HasRoutingData());
 }
@@ -59,11 +60,90 @@
 // Guards against rows that are skipped because a message before them was lost.
 TEST(StoreView, UpdateThatDoesNotContinueThePositionIsIgnored)
 {
-  const PeerStoreUpdate::Topic late{ 2, 5, 0, true, { MakeRow("u-2", 4) } };
+  const PeerStoreUpdate::Topic late{ 2, 5, 0, true, { MakeRow("u-2", 4) }, {} };
   CHECK(!view_.ApplyUpdate(FeedTopic::Upstreams, late, kNow).has_value());
   CHECK_EQUAL(0, view_.Position(FeedTopic::Upstreams));
 }
 
+// Guards against a removed row that stays in use for good: a sender that has read all rows from the
+// store lists no removal before that read.
+TEST(StoreView, RowsRemovedBeforeTheSnapshotOfTheSenderAreRemoved)
+{
+  view_.ApplyResponse(FeedTopic::Upstreams,
+                      MakeResponse(5, { MakeRow("u-gone", 2), MakeRow("u-stays", 4) }),
+                      false,
+                      kNow);
+  StoreView sender;
+  std::vector<FeedRow> rows = { MakeRow("u-stays", 4) };
+  for (std::uint64_t i = 10; i < 200; ++i) {
+    rows.push_back(MakeRow("u-" + std::to_string(i), i, std::string(200, 'x')));
+  }
+  sender.ApplyResponse(FeedTopic::Upstreams, MakeResponse(300, rows), false, kNow);
+  std::vector<FeedRow> changed;
+  bool complete = false;
+  std::size_t parts = 0;
+  while (!complete && parts < 100) {
+    const auto update = sender.UpdateSince(
+      FeedTopic::Upstreams, view_.SubscribePosition(FeedTopic::Upstreams), 5000, kNow);
+    const auto applied = view_.ApplyUpdate(FeedTopic::Upstreams, update, kNow);
+    CHECK(applied.has_value());
+    changed.insert(changed.end(), applied->begin(), applied->end());
+    complete = view_.IsSynced(FeedTopic::Upstreams);
+    ++parts;
+  }
+  CHECK(complete);
+  CHECK(parts > 2);
+  CHECK_EQUAL(300, view_.Position(FeedTopic::Upstreams));
+  CHECK_EQUAL(1, std::count_if(changed.begin(), changed.end(), [](const FeedRow& aRow) {
+                return aRow.removed_ && aRow.key_ == "u-gone";
+              }));
+  CHECK_EQUAL(191, changed.size()); // "u-stays" is unchanged
+}
+
+// Guards against confirming, or passing on as complete, rows among which removals may be missing.
+TEST(StoreView, RowsAreUnconfirmedWhileAllAreCollectedAnew)
+{
+  const MonotonicTime later = kNow + std::chrono::seconds(1);
+  view_.ApplyResponse(FeedTopic::Configuration, MakeResponse(5, kNoRows), false, later);
+  view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(5, { MakeRow("u-1", 2) }), false, kNow);
+  const PeerStoreUpdate::Topic update{ 5, 9, 0, true, {}, { { 0, 9 } } };
+  CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, update, later).has_value());
+  CHECK(view_.IsRelisting(FeedTopic::Upstreams));
+  CHECK(*view_.ConfirmedAt() == kNow);
+  CHECK(!view_.IsSynced(FeedTopic::Upstreams));
+  CHECK_EQUAL(0, view_.UpdateSince(FeedTopic::Upstreams, 1, 1000, later).position_);
+  CHECK_EQUAL(0, view_.SubscribePosition(FeedTopic::Upstreams));
+  // All rows from the store do as well.
+  view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(9, kNoRows), false, later);
+  CHECK(!view_.IsRelisting(FeedTopic::Upstreams));
+  CHECK(*view_.ConfirmedAt() == later);
+}
+
+// Guards against removals that are missed at the second instance of a chain, and against instances
+// that collect all rows though no removal can be missing.
+TEST(StoreView, GapsArePassedOnOnlyAsFarAsTheyMatter)
+{
+  StoreView root;
+  root.ApplyResponse(FeedTopic::Upstreams, MakeResponse(5, { MakeRow("u-1", 2) }), false, kNow);
+  root.ApplyResponse(FeedTopic::Upstreams, MakeResponse(20, { MakeRow("u-2", 15) }), false, kNow);
+  // A subscriber that had all rows before the second read learns the removal as usual.
+  view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(5, { MakeRow("u-1", 2) }), false, kNow);
+  view_.ApplyUpdate(
+    FeedTopic::Upstreams, root.UpdateSince(FeedTopic::Upstreams, 5, 1000, kNow), kNow);
+  CHECK_EQUAL(20, view_.Position(FeedTopic::Upstreams));
+  // "u-3" was written at 8, after the first read, and removed before the second.
+  StoreView subscriber;
+  subscriber.ApplyResponse(
+    FeedTopic::Upstreams, MakeResponse(9, { MakeRow("u-1", 2), MakeRow("u-3", 8) }), false, kNow);
+  subscriber.ApplyUpdate(
+    FeedTopic::Upstreams, view_.UpdateSince(FeedTopic::Upstreams, 9, 1000, kNow), kNow);
+  CHECK(subscriber.IsRelisting(FeedTopic::Upstreams));
+  const auto changed = subscriber.ApplyUpdate(
+    FeedTopic::Upstreams, view_.UpdateSince(FeedTopic::Upstreams, 0, 1000, kNow), kNow);
+  CHECK_EQUAL(3, changed->size());
+  CHECK(!subscriber.IsRelisting(FeedTopic::Upstreams));
+}
+
 // Guards against a late answer of the store that replaces newer rows.
 TEST(StoreView, OlderResponseIsIgnored)
 {
@@ -197,6 +277,15 @@
   CHECK(LastRowCount() > 0);
 }
 
+// Guards against a subscriber that waits for a timeout when it starts again or collects all rows.
+TEST(SubscriberSet, SubscriberThatStartsAgainGetsAllRowsAtOnce)
+{
+  Subscribe(600);
+  CHECK_EQUAL(0, LastRowCount());
+  Subscribe(0);
+  CHECK(LastRowCount() > 0);
+}
+
 // Guards against a change that waits for the next renewal of the subscription.
 TEST(SubscriberSet, ChangesAndConfirmationsAreSentAtOnce)
 {
--- a/boragepier/directory/store_view.cc
+++ b/boragepier/directory/store_view.cc
@@ -1,6 +1,7 @@
 #include "boragepier/directory/store_view.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragepier {
 
@@ -16,6 +17,7 @@
   }
   topic.synced_ = true;
   topic.confirmedAt_ = aObservedAt;
+  topic.relisted_.reset();
   return aChangesOnly ? topic.mirror_.ApplyChanges(aResponse.rows_, aResponse.position_)
                       : topic.mirror_.ApplySnapshot(aResponse.rows_, aResponse.position_);
 }
@@ -26,10 +28,24 @@
                        MonotonicTime aObservedAt)
 {
   TopicState& topic = StateOf(aTopic);
-  if (aUpdate.position_ == 0 || aUpdate.from_ > topic.mirror_.Position()) {
+  FeedMirror& target = topic.relisted_ ? *topic.relisted_ : topic.mirror_;
+  if (aUpdate.position_ == 0 || aUpdate.from_ > target.Position()) {
     return std::nullopt;
   }
-  std::vector<FeedRow> changed = topic.mirror_.ApplyChanges(aUpdate.rows_, aUpdate.position_);
+  if (target.MayMissRemovals(aUpdate.gaps_)) {
+    topic.relisted_ = std::make_unique<FeedMirror>();
+    topic.synced_ = false;
+    return std::vector<FeedRow>();
+  }
+  target.AddGaps(aUpdate.gaps_);
+  std::vector<FeedRow> changed = target.ApplyChanges(aUpdate.rows_, aUpdate.position_);
+  if (topic.relisted_) {
+    if (!aUpdate.complete_ || target.Position() < topic.mirror_.Position()) {
+      return std::vector<FeedRow>();
+    }
+    const auto relisted = std::exchange(topic.relisted_, nullptr);
+    changed = topic.mirror_.ApplySnapshot(relisted->LiveRows(), relisted->Position());
+  }
   topic.synced_ = true;
   if (aUpdate.complete_ && aUpdate.position_ >= topic.mirror_.Position()) {
     topic.confirmedAt_ = std::max(topic.confirmedAt_.value_or(aObservedAt), aObservedAt);
@@ -47,6 +63,23 @@
   return positions;
 }
 
+std::uint64_t
+StoreView::SubscribePosition(FeedTopic aTopic) const
+{
+  const TopicState& topic = StateOf(aTopic);
+  return topic.relisted_ ? topic.relisted_->Position() : topic.mirror_.Position();
+}
+
+FeedPositions
+StoreView::SubscribePositions() const
+{
+  FeedPositions positions{};
+  for (const FeedTopic topic : kFeedTopics) {
+    positions[static_cast<std::size_t>(topic)] = SubscribePosition(topic);
+  }
+  return positions;
+}
+
 bool
 StoreView::HasRoutingData() const
 {
@@ -78,18 +111,20 @@
 {
   const TopicState& topic = StateOf(aTopic);
   PeerStoreUpdate::Topic update;
-  if (!topic.confirmedAt_) {
+  const bool lacksRows = !topic.synced_ && topic.mirror_.Position() > aFrom;
+  if (!topic.confirmedAt_ || lacksRows) {
     return update; // position 0 tells the subscriber to ignore this topic
   }
   update.from_ = aFrom;
   update.position_ = aFrom;
   update.complete_ = true;
   update.ageMs_ = static_cast<std::uint64_t>(ToMilliseconds(aNow - *topic.confirmedAt_));
-  if (topic.synced_ && topic.mirror_.Position() > aFrom) {
+  if (topic.mirror_.Position() > aFrom) {
     auto changes = topic.mirror_.ChangesSince(aFrom, aMaxBytes);
     update.complete_ = changes.position_ >= topic.mirror_.Position();
     update.rows_ = std::move(changes.rows_);
     update.position_ = changes.position_;
+    update.gaps_ = topic.mirror_.GapsAfter(aFrom);
   }
   return update;
 }
--- a/boragepier/directory/store_view.h
+++ b/boragepier/directory/store_view.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -38,9 +39,11 @@
                                                     const FeedResponse& aResponse,
                                                     bool aChangesOnly,
                                                     MonotonicTime aObservedAt);
-  /// Applies one topic of a message of another instance.
+  /// Applies one topic of a message of another instance. If the sender misses removals of rows that
+  /// this instance may have (RemovalGap), all rows are collected anew, over several messages, and
+  /// replace those known so far once they are complete.
   /// @param aObservedAt time at which the store held nothing newer than the sender's rows
-  /// @return the rows that changed, or nothing if the message does not continue Position()
+  /// @return the rows that changed, or nothing if the message does not continue SubscribePosition()
   std::optional<std::vector<FeedRow>> ApplyUpdate(FeedTopic aTopic,
                                                   const PeerStoreUpdate::Topic& aUpdate,
                                                   MonotonicTime aObservedAt);
@@ -52,6 +55,13 @@
   std::uint64_t Position(FeedTopic aTopic) const { return StateOf(aTopic).mirror_.Position(); }
   /// @return the positions in all topics
   FeedPositions Positions() const;
+  /// @return position after which rows are to be requested from another instance: Position(), or a
+  /// lower one while all rows are collected anew
+  std::uint64_t SubscribePosition(FeedTopic aTopic) const;
+  /// @return the positions for a subscription in all topics
+  FeedPositions SubscribePositions() const;
+  /// @return whether all rows are being collected anew from other instances
+  bool IsRelisting(FeedTopic aTopic) const { return StateOf(aTopic).relisted_ != nullptr; }
   /// @return whether the changes since Position() can be requested, rather than all rows
   bool IsSynced(FeedTopic aTopic) const { return StateOf(aTopic).synced_; }
   /// @return whether configuration and upstreams are both known, up to date or not
@@ -73,6 +83,8 @@
     FeedMirror mirror_;
     bool synced_ = false;                      ///< the mirror has all rows up to its position
     std::optional<MonotonicTime> confirmedAt_; ///< when the store last held nothing newer
+    /// The rows collected anew so far; null unless IsRelisting().
+    std::unique_ptr<FeedMirror> relisted_;
   };
 
   TopicState& StateOf(FeedTopic aTopic) { return topics_[static_cast<std::size_t>(aTopic)]; }
--- a/boragepier/directory/subscriber_set.h
+++ b/boragepier/directory/subscriber_set.h
@@ -47,11 +47,14 @@
     for (std::size_t i = 0; i < kFeedTopicCount; ++i) {
       Progress& progress = subscriber.progress_[i];
       const std::uint64_t received = aSubscribe.positions_[i];
-      // Rows that are not confirmed yet are probably on their way.
-      if (received >= progress.sent_ || aNow - progress.rowsSentAt_ > timing_.sourceTimeout_) {
+      // Rows that are not confirmed yet are probably on their way, unless the subscriber starts
+      // again from a lower position.
+      if (received >= progress.sent_ || received < progress.received_ ||
+          aNow - progress.rowsSentAt_ > timing_.sourceTimeout_) {
         progress.sent_ = received;
         progress.partial_ = false;
       }
+      progress.received_ = received;
     }
     Send(subscriber, aStatus, aNow);
   }
@@ -98,7 +101,8 @@
   // What a subscriber was sent of one topic.
   struct Progress
   {
-    std::uint64_t sent_ = 0; ///< position up to which it was sent the rows
+    std::uint64_t sent_ = 0;     ///< position up to which it was sent the rows
+    std::uint64_t received_ = 0; ///< position of its last PeerSubscribe
     /// It was sent a part of the rows that it lacks. The next part follows once it has confirmed
     /// this one, so that its renewals of the subscription do not multiply the rows on their way.
     bool partial_ = false;
--- a/boragepier/peer/peer_codec.cc
+++ b/boragepier/peer/peer_codec.cc
@@ -143,10 +143,17 @@
   aVisit(aValue.key_, aValue.version_, aValue.removed_, RowValue{ aValue.value_ });
 }
 
+void
+VisitFields(auto& aVisit, RemovalGap& aValue)
+{
+  aVisit(aValue.after_, aValue.before_);
+}
+
 void
 VisitFields(auto& aVisit, PeerStoreUpdate::Topic& aValue)
 {
-  aVisit(aValue.from_, aValue.position_, aValue.ageMs_, aValue.complete_, aValue.rows_);
+  aVisit(
+    aValue.from_, aValue.position_, aValue.ageMs_, aValue.complete_, aValue.rows_, aValue.gaps_);
 }
 
 void
--- a/boragepier/peer/peer_codec_test.cc
+++ b/boragepier/peer/peer_codec_test.cc
@@ -27,12 +27,18 @@
   InstanceEntry slowInstance = instance;
   slowInstance.relayCapacity_ = 12.5;
   CheckRoundTrip(PeerSubscribe{ 123'456'789, { 1, 2, 3 }, { instance, slowInstance } });
-  CheckRoundTrip(PeerStoreUpdate{
-    true,
-    false,
-    7,
-    8,
-    { { 1, 9, 30, true, { { "u-1", 9, true, "" }, { "u-2", 8, false, "{}" } } }, {}, {} } });
+  CheckRoundTrip(PeerStoreUpdate{ true,
+                                  false,
+                                  7,
+                                  8,
+                                  { { 1,
+                                      9,
+                                      30,
+                                      true,
+                                      { { "u-1", 9, true, "" }, { "u-2", 8, false, "{}" } },
+                                      { { 0, 3 }, { 4, 9 } } },
+                                    {},
+                                    {} } });
 
   ProcessEntry entry;
   entry.process_.id_ = "u-1";
@@ -53,9 +59,9 @@
                                   false,
                                   0,
                                   0,
-                                  { { 0, 9, 0, true, { configuration } },
-                                    { 0, 9, 0, true, { upstream } },
-                                    { 0, 9, 0, true, { upstream } } } });
+                                  { { 0, 9, 0, true, { configuration }, {} },
+                                    { 0, 9, 0, true, { upstream }, {} },
+                                    { 0, 9, 0, true, { upstream }, {} } } });
 }
 
 // Guards against reading past the end of a message, or allocating much memory, because of invalid
@@ -96,7 +102,7 @@
   const FeedRow row{ "k", 1, false, std::string(kMaxPeerRowBytes + 1, 'x') };
   CHECK_THROWS(
     PeerMessageError,
-    EncodePeerMessage(PeerStoreUpdate{ true, false, 0, 0, { { 0, 1, 0, true, { row } } } }));
+    EncodePeerMessage(PeerStoreUpdate{ true, false, 0, 0, { { 0, 1, 0, true, { row }, {} } } }));
 }
 
 } // namespace boragepier::peer
--- a/boragepier/ports/directory_feed.h
+++ b/boragepier/ports/directory_feed.h
@@ -67,6 +67,16 @@
   friend bool operator==(const FeedRow&, const FeedRow&) = default;
 };
 
+/// Positions between which a copy of a topic misses removals: of a row that was both written and
+/// removed after after_ and before before_, the copy knows nothing.
+struct RemovalGap
+{
+  std::uint64_t after_ = 0;
+  std::uint64_t before_ = 0;
+
+  friend bool operator==(const RemovalGap&, const RemovalGap&) = default;
+};
+
 /// A FeedRow after decoding.
 struct DecodedFeedRow
 {
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -15,7 +15,7 @@
 namespace boragepier {
 
 /// Version of the messages below. A peer with a different version is disconnected.
-inline constexpr unsigned kPeerProtocolVersion = 4;
+inline constexpr unsigned kPeerProtocolVersion = 5;
 /// Largest encoded message in bytes. Large enough for one configuration of kMaxConfigBodyBytes, or
 /// for store rows of kMaxStoreUpdateBytes.
 inline constexpr std::size_t kMaxPeerMessageBytes = std::size_t{ 1280 } * 1024;
@@ -175,6 +175,9 @@
     std::uint64_t ageMs_ = 0;    ///< staleness of the sender's rows when it created the message
     bool complete_ = false;      ///< the sender has no rows beyond position_
     std::vector<FeedRow> rows_;
+    /// Gaps of the sender that end after from_. A receiver that has rows whose removal may be
+    /// missed there needs all rows, and subscribes again from position 0.
+    std::vector<RemovalGap> gaps_;
     friend bool operator==(const Topic&, const Topic&) = default;
   };
   bool storeAnswers_ = false; ///< the store is reachable and the sender's rows are up to date
