Send the attempts of a request on different connections

Cause: the upstream had refused the first attempt and, being faulty, sent the refusal again where the answer to the next request was expected. The second attempt of the same order went out on that connection, and as a request has the same id in all attempts, the copy passed for its answer.

Why this works: a late copy arrives on the connection of the attempt that it belongs to. A request excludes the connections of its earlier attempts, also after a wait for a connection and at the connection limit, so that a response with its id can only be that of the present attempt.

--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -296,6 +296,7 @@
     });
     sendOptions.recentlyActiveOnly_ = requestInfo_.repeatability_ == Repeatability::AtMostOnce;
     sendOptions.maxResponseBody_ = serviceConfig_->maxResponseBody_;
+    sendOptions.excludedConnections_ = usedConnections_;
 
     const std::size_t index = attempts_.size();
     attempts_.push_back({ aUpstream, endpoint, {}, now, true });
@@ -380,6 +381,9 @@
   void OnAttemptEnded(std::size_t aIndex, http::SendResult aResult)
   {
     attempts_[aIndex].active_ = false;
+    if (aResult.connection_ != http::ConnectionId::None) {
+      usedConnections_.push_back(aResult.connection_);
+    }
     AttemptReport report = MakeAttemptReport(attempts_[aIndex].upstream_, aResult, deps_.dialect_);
     // A late answer of an earlier start says nothing about the present one.
     report.draining_ = report.draining_ && IsCurrentStart(attempts_[aIndex]);
@@ -608,6 +612,9 @@
 
   std::optional<ClaimHandle> claim_; ///< held until the response is recorded or the key is released
   std::vector<Attempt> attempts_;
+  /// Connections of the attempts that have ended. A late second answer to one of them would carry
+  /// the id of this request, and pass for the answer to a later attempt.
+  std::vector<http::ConnectionId> usedConnections_;
   std::optional<RetryReason> nextRetryReason_; ///< of the next attempt; nothing for the first
   std::optional<http::Response> lastServerErrorResponse_; ///< of a repeatable request
   /// Of the last attempt with outcome Unknown.
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -152,6 +152,23 @@
   CHECK(exchange->OutcomeField() == "not-run");
 }
 
+// Guards against a request that is reported as not run although it has run: a late second copy of
+// the refusal of one attempt would be taken for the answer to the next one on the same connection.
+TEST(Call, AttemptsOfARequestDoNotShareAConnection)
+{
+  Send("POST");
+  std::vector<http::ConnectionId> used;
+  for (std::size_t i = 0; i < 2; ++i) {
+    CHECK_EQUAL(i + 1, sender_.sentRequests_.size());
+    CHECK(sender_.sentRequests_[i].options_.excludedConnections_ == used);
+    http::Response refusal = MakeResponse(503);
+    refusal.headers_.Add(kNotRunHeader, "true");
+    sender_.Answer(i, refusal);
+    used.push_back(FakeSender::ConnectionOf(i));
+    scheduler_.Advance(std::chrono::milliseconds(100));
+  }
+}
+
 TEST(Call, KeyedRequestIsSentOnlyAfterItsClaimIsGranted)
 {
   const auto exchange = Send("POST", "k-1");
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -100,9 +100,16 @@
     http::SendResult result;
     result.outcome_ = Outcome::Answered;
     result.response_ = std::move(aResponse);
+    result.connection_ = ConnectionOf(aIndex);
     TakeCallback(aIndex)(std::move(result));
   }
 
+  /// @return the connection of a request; each has its own
+  static http::ConnectionId ConnectionOf(std::size_t aIndex)
+  {
+    return static_cast<http::ConnectionId>(aIndex + 1);
+  }
+
   std::vector<SentRequest> sentRequests_;
 
 private:
--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -121,6 +121,7 @@
     MonotonicTime startTime_;
     net::TimerId timeoutTimer_ = net::TimerId::None;
     ClientConnection* connection_ = nullptr; // null while the request waits for a connection
+    ConnectionId connectionId_ = ConnectionId::None;
   };
 
   static Outcome OutcomeIfAborted(const PendingRequest& aPending)
@@ -141,29 +142,36 @@
   bool TryDispatch(SendId aId, PendingRequest& aPending)
   {
     Pool& pool = *aPending.pool_;
-    ClientConnection* connection = TakeIdle(pool, aPending.options_.recentlyActiveOnly_);
+    ClientConnection* connection = TakeIdle(pool, aPending.options_);
     if (connection == nullptr) {
       if (pool.connections_.size() >= aPending.options_.maxConnections_ &&
           !CloseLeastRecentlyUsedIdle(pool)) {
         return false;
       }
-      auto newConnection = std::make_shared<ClientConnection>(loop_, aPending.target_, *this);
+      auto newConnection = std::make_shared<ClientConnection>(
+        loop_, ConnectionId{ ++lastConnectionId_ }, aPending.target_, *this);
       connection = newConnection.get();
       pool.connections_.emplace(connection, std::move(newConnection));
     }
     aPending.connection_ = connection;
+    aPending.connectionId_ = connection->Id();
     connection->Send(aId, aPending.request_, aPending.options_.maxResponseBody_);
     return true;
   }
 
-  ClientConnection* TakeIdle(Pool& aPool, bool aRecentlyActiveOnly)
+  ClientConnection* TakeIdle(Pool& aPool, const SendOptions& aOptions)
   {
-    while (!aPool.idle_.empty()) {
-      ClientConnection* const connection = aPool.idle_.back();
-      if (aRecentlyActiveOnly && loop_.Now() - connection->LastActivity() > kRecentActivityWindow) {
+    const auto& excluded = aOptions.excludedConnections_;
+    for (std::size_t i = aPool.idle_.size(); i-- > 0;) {
+      ClientConnection* const connection = aPool.idle_[i];
+      if (aOptions.recentlyActiveOnly_ &&
+          loop_.Now() - connection->LastActivity() > kRecentActivityWindow) {
         return nullptr;
       }
-      aPool.idle_.pop_back();
+      if (std::find(excluded.begin(), excluded.end(), connection->Id()) != excluded.end()) {
+        continue;
+      }
+      aPool.idle_.erase(aPool.idle_.begin() + static_cast<std::ptrdiff_t>(i));
       if (connection->CanBeReused()) {
         return connection;
       }
@@ -256,6 +264,7 @@
   void Finish(const PendingRequest& aPending, SendResult aResult)
   {
     aResult.latency_ = loop_.Now() - aPending.startTime_;
+    aResult.connection_ = aPending.connectionId_;
     aPending.callback_(std::move(aResult));
   }
 
@@ -295,6 +304,7 @@
   std::map<Target, Pool> pools_;
   std::unordered_map<SendId, PendingRequest> pendingRequests_;
   std::uint64_t lastSendId_ = 0;
+  std::uint64_t lastConnectionId_ = 0;
   net::TimerId idleSweepTimer_ = net::TimerId::None;
 };
 
--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "boragepier/base/outcome.h"
 #include "boragepier/base/time.h"
@@ -23,6 +24,12 @@
   friend auto operator<=>(const Target&, const Target&) = default;
 };
 
+/// Identifies a connection of one Client; values are never reused.
+enum class ConnectionId : std::uint64_t
+{
+  None = 0
+};
+
 /// Options of one request.
 struct SendOptions
 {
@@ -30,6 +37,9 @@
   /// Use only a new connection or one that received a complete response within
   /// Client::kRecentActivityWindow.
   bool recentlyActiveOnly_ = false;
+  /// Connections not to use. A target that answers twice may send the second answer when it reads
+  /// the next request, so attempts with the same request id must not share a connection.
+  std::vector<ConnectionId> excludedConnections_ = {};
   std::size_t maxConnections_ = 200;      ///< to this target; at the limit, requests wait
   std::size_t maxResponseBody_ = 8 << 20; ///< bytes
 };
@@ -42,6 +52,7 @@
   Response response_;          ///< valid when outcome_ is Answered
   Duration latency_{};         ///< from Send() to the result, including the wait for a connection
   bool newConnection_ = false; ///< the connection had received no response before
+  ConnectionId connection_ = ConnectionId::None; ///< None if the request was assigned none
 };
 
 /// Identifies a request of one Client; values are never reused.
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -19,9 +19,11 @@
 } // namespace
 
 ClientConnection::ClientConnection(net::EventLoop& aLoop,
+                                   ConnectionId aId,
                                    const Target& aTarget,
                                    ClientConnectionHandler& aHandler)
   : loop_(aLoop)
+  , id_(aId)
   , target_(aTarget)
   , handler_(aHandler)
   , stream_(net::TcpStream::Connect(aLoop, aTarget.address_, aTarget.port_, *this))
--- a/boragepier/http/client_connection.h
+++ b/boragepier/http/client_connection.h
@@ -37,13 +37,17 @@
 class ClientConnection : private net::StreamHandler
 {
 public:
-  ClientConnection(net::EventLoop& aLoop, const Target& aTarget, ClientConnectionHandler& aHandler);
+  ClientConnection(net::EventLoop& aLoop,
+                   ConnectionId aId,
+                   const Target& aTarget,
+                   ClientConnectionHandler& aHandler);
   ~ClientConnection() override;
 
   /// Sends a request as soon as the connection is established. No other request may be in flight.
   void Send(SendId aId, std::shared_ptr<const Request> aRequest, std::size_t aMaxResponseBodyBytes);
   void Close();
 
+  ConnectionId Id() const { return id_; }
   const Target& GetTarget() const { return target_; }
   /// @return id of the request in flight, or of the last one
   SendId CurrentSendId() const { return sendId_; }
@@ -70,6 +74,7 @@
   void Fail(AttemptFailure aFailure);
 
   net::EventLoop& loop_;
+  const ConnectionId id_;
   const Target target_;
   ClientConnectionHandler& handler_;
   std::shared_ptr<net::TcpStream> stream_;
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -408,6 +408,25 @@
 }
 
 // Guards against sending a request that must not be repeated on a connection that may be dead.
+// Guards against a connection that a request must not use but gets after a wait or at the limit.
+TEST(Client, ExcludedConnectionIsNotUsedAlsoAtTheConnectionLimit)
+{
+  ClientFixture client;
+  client.options_.maxConnections_ = 1;
+  auto first = client.Send();
+  RawSocket peer = client.listener_.Accept();
+  ClientFixture::RespondOk(peer);
+  const ConnectionId used = Await(std::move(first)).connection_;
+  CHECK(used != ConnectionId::None);
+  client.options_.excludedConnections_ = { used };
+  auto second = client.Send();
+  RawSocket nextPeer = client.listener_.Accept();
+  ClientFixture::RespondOk(nextPeer);
+  CHECK(Await(std::move(second)).connection_ != used);
+  STRCMP_EQUAL("", peer.ReadToEnd().c_str());
+  CHECK_EQUAL(1U, client.ConnectionCount());
+}
+
 TEST(Client, RecentlyActiveOnlyUsesARecentOrNewConnection)
 {
   ClientFixture client;
--- a/testing/e2e/wire_test.cc
+++ b/testing/e2e/wire_test.cc
@@ -239,6 +239,32 @@
   CHECK(caller.ReadMessage().ends_with("ok"));
 }
 
+// Guards against an order that is refused as not run although it has run: an upstream sends its
+// refusal a second time, at the point where the answer to the next attempt is expected.
+TEST(Wire, SecondCopyOfARefusalIsNotTakenForTheAnswerToTheNextAttempt)
+{
+  const std::string refusal =
+    "HTTP/1.1 503 Full\r\nBoragepier-Not-Run: true\r\nContent-Length: 0\r\n\r\n";
+  RawSocket caller(port_);
+  caller.Send(kPostRequest);
+  RawSocket first = upstream_.Accept();
+  first.ReadMessage();
+  first.Send(refusal);
+  WaitUntil([&] { return first.HasInput() || upstream_.HasPending(); });
+  if (first.HasInput()) { // the next attempt, on the same connection
+    first.ReadMessage();
+    first.Send(refusal + kCompleteResponse);
+  } else {
+    RawSocket next = upstream_.Accept();
+    next.ReadMessage();
+    first.Send(refusal);
+    next.Send(kCompleteResponse);
+    CHECK(caller.ReadMessage().starts_with("HTTP/1.1 200"));
+    return;
+  }
+  CHECK(!caller.ReadMessage().starts_with("HTTP/1.1 503"));
+}
+
 // Guards against an attempt that stays open after its caller closed the connection.
 TEST(Wire, CancellationReachesTheUpstream)
 {
