Skip responses that name another request

Cause: the wrong id was noticed only after the connection had gone back to the pool. The real answer then arrived there for the next order, whose id did not match either, and so on for as long as the connection was in use.

ForeignResponsesAre- SkippedAndTheConnectionIsNotUsedAgain shows it on one connection.

Why this works: the connection decides, before it ends a request, whether the response names another one. If it does, it reads on until the response to the request in flight arrives, and is then closed.

--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -155,7 +155,7 @@
     }
     aPending.connection_ = connection;
     aPending.connectionId_ = connection->Id();
-    connection->Send(aId, aPending.request_, aPending.options_.maxResponseBody_);
+    connection->Send(aId, aPending.request_, aPending.options_);
     return true;
   }
 
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -39,11 +39,13 @@
 void
 ClientConnection::Send(SendId aId,
                        std::shared_ptr<const Request> aRequest,
-                       std::size_t aMaxResponseBodyBytes)
+                       const SendOptions& aOptions)
 {
   sendId_ = aId;
   request_ = std::move(aRequest);
-  reader_.emplace(request_->method_ == "HEAD", aMaxResponseBodyBytes);
+  isForeign_ = aOptions.isForeign_;
+  maxResponseBodyBytes_ = aOptions.maxResponseBody_;
+  ExpectResponse();
   bytesWrittenBefore_ = stream_->BytesWritten();
   if (connected_) {
     WriteCurrentRequest();
@@ -57,6 +59,28 @@
   stream_->Write(WriteRequest(*request_, hostField_));
 }
 
+void
+ClientConnection::ExpectResponse()
+{
+  reader_.emplace(request_->method_ == "HEAD", maxResponseBodyBytes_);
+}
+
+// Returns false if the response that was read is that of the request in flight.
+bool
+ClientConnection::SkipForeignResponse()
+{
+  if (!isForeign_ || !isForeign_(reader_->GetResponse())) {
+    return false;
+  }
+  if (reader_->KeepAlive()) {
+    foreignResponseSkipped_ = true;
+    ExpectResponse();
+  } else {
+    Fail(AttemptFailure::MalformedResponse);
+  }
+  return true;
+}
+
 void
 ClientConnection::Close()
 {
@@ -95,15 +119,20 @@
     return;
   }
   input_.Append(aBytes);
-  switch (reader_->Read(input_)) {
-    case ReadStatus::NeedMore:
-      break;
-    case ReadStatus::Complete:
-      OnComplete();
-      break;
-    case ReadStatus::Failed:
-      Fail(reader_->Failure());
-      break;
+  while (request_ != nullptr) {
+    switch (reader_->Read(input_)) {
+      case ReadStatus::NeedMore:
+        return;
+      case ReadStatus::Complete:
+        if (!SkipForeignResponse()) {
+          OnComplete();
+          return;
+        }
+        break;
+      case ReadStatus::Failed:
+        Fail(reader_->Failure());
+        return;
+    }
   }
 }
 
@@ -122,7 +151,9 @@
   } else if (!reader_->Started(input_)) {
     Fail(AttemptFailure::ConnectionLost);
   } else if (aEnd == net::StreamEnd::Closed && reader_->OnEndOfStream() == ReadStatus::Complete) {
-    OnComplete();
+    if (!SkipForeignResponse()) {
+      OnComplete();
+    }
   } else {
     Fail(AttemptFailure::Truncated);
   }
@@ -133,7 +164,8 @@
 {
   // After a response that came before the request was fully written, the peer would still expect
   // the rest of that request. Bytes after the response belong to no request.
-  const bool reusable = reader_->KeepAlive() && input_.Empty() && stream_->OutputFlushed();
+  const bool reusable =
+    reader_->KeepAlive() && input_.Empty() && stream_->OutputFlushed() && !foreignResponseSkipped_;
   ++responseCount_;
   lastActivity_ = loop_.Now();
   SendResult result;
--- a/boragepier/http/client_connection.h
+++ b/boragepier/http/client_connection.h
@@ -44,7 +44,8 @@
   ~ClientConnection() override;
 
   /// Sends a request as soon as the connection is established. No other request may be in flight.
-  void Send(SendId aId, std::shared_ptr<const Request> aRequest, std::size_t aMaxResponseBodyBytes);
+  /// @param aOptions those about the response apply
+  void Send(SendId aId, std::shared_ptr<const Request> aRequest, const SendOptions& aOptions);
   void Close();
 
   ConnectionId Id() const { return id_; }
@@ -70,6 +71,8 @@
   void OnEnd(net::StreamEnd aEnd) override;
 
   void WriteCurrentRequest();
+  void ExpectResponse();
+  bool SkipForeignResponse();
   void OnComplete();
   void Fail(AttemptFailure aFailure);
 
@@ -81,7 +84,10 @@
   std::string hostField_; ///< value of the Host field if a request has none
   InputBuffer input_;
   std::optional<ResponseReader> reader_;
-  std::shared_ptr<const Request> request_; ///< null while idle
+  std::shared_ptr<const Request> request_;         ///< null while idle
+  std::function<bool(const Response&)> isForeign_; ///< SendOptions::isForeign_
+  std::size_t maxResponseBodyBytes_ = 0;
+  bool foreignResponseSkipped_ = false;
   SendId sendId_{};
   std::uint64_t bytesWrittenBefore_ = 0; ///< by the stream, before the request in flight
   std::uint64_t responseCount_ = 0;
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -408,6 +408,36 @@
 }
 
 // Guards against sending a request that must not be repeated on a connection that may be dead.
+// Guards against a request that is answered with a late second answer to an earlier one, and
+// against a connection on which each further request gets the answer to the one before it.
+TEST(Client, ForeignResponsesAreSkippedAndTheConnectionIsNotUsedAgain)
+{
+  ClientFixture client;
+  client.options_.isForeign_ = [](const Response& aResponse) {
+    return aResponse.headers_.Get("X-Id") != "2";
+  };
+  auto result = client.Send();
+  RawSocket peer = client.listener_.Accept();
+  peer.ReadMessage();
+  const std::string foreign = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nold";
+  peer.Send(foreign + foreign + "HTTP/1.1 200 OK\r\nX-Id: 2\r\n");
+  peer.Send("Content-Length: 3\r\n\r\nnew");
+  STRCMP_EQUAL("new", Await(std::move(result)).response_.body_.c_str());
+  STRCMP_EQUAL("", peer.ReadToEnd().c_str());
+  CHECK_EQUAL(0U, client.ConnectionCount());
+}
+
+TEST(Client, ForeignResponseAtTheEndOfTheConnectionIsNoAnswer)
+{
+  for (const std::string end : { "Connection: close\r\nContent-Length: 0\r\n", "" }) {
+    ClientFixture client;
+    client.options_.isForeign_ = [](const Response&) { return true; };
+    CheckFailure(client.RespondAndClose("POST", "HTTP/1.1 200 OK\r\n" + end + "\r\n"),
+                 Outcome::Unknown,
+                 AttemptFailure::MalformedResponse);
+  }
+}
+
 // Guards against a connection that a request must not use but gets after a wait or at the limit.
 TEST(Client, ExcludedConnectionIsNotUsedAlsoAtTheConnectionLimit)
 {
--- a/boragepier/http/response_reader.h
+++ b/boragepier/http/response_reader.h
@@ -30,6 +30,8 @@
   ReadStatus OnEndOfStream();
   /// @return why reading failed: Truncated, MalformedResponse or ResponseTooLarge
   AttemptFailure Failure() const { return failure_; }
+  /// Call only after Read() or OnEndOfStream() returned Complete, and before Take().
+  const Response& GetResponse() const { return response_; }
   /// Call only once, after Read() or OnEndOfStream() returned Complete.
   /// @return the complete response
   Response Take();
