Close connections that become idle after accepting has stopped

A planned stop could last until the drain limit although no request was left: a response that began before SIGTERM had promised to keep its connection, and was written to the end after the idle connections had been closed. Since requests that are being read keep the drain open, the connection counted as one that may still bring a request.

Evidence: Server.ConnectionThatBecomesIdleAfterTheOthersWereClosedIsClosed, which timed out before.

Why this works: a connection that finds nothing more to read after a response closes if accepting has stopped, with the same check as the idle ones before.

--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -54,6 +54,7 @@
   void StopAccepting()
   {
     listener_.reset();
+    acceptingStopped_ = true;
     for (const auto& connection : CopyConnections()) {
       connection->CloseIfIdle();
     }
@@ -72,6 +73,7 @@
   net::EventLoop& Loop() override { return loop_; }
   const ServerLimits& Limits() const override { return limits_; }
   bool Draining() const override { return draining_; }
+  bool AcceptingStopped() const override { return acceptingStopped_; }
   void Handle(std::shared_ptr<Exchange> aExchange) override { handler_(std::move(aExchange)); }
   Response MakeRefusal(RefusalReason aReason) override { return refusalFormatter_(aReason); }
   void OnClosed(ServerConnection& aConnection) override
@@ -115,6 +117,7 @@
   std::unique_ptr<net::TcpListener> listener_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   bool draining_ = false;
+  bool acceptingStopped_ = false;
 };
 
 Server::Server(net::EventLoop& aLoop,
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -201,6 +201,9 @@
         stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
       }
       SetReadTimeout();
+      if (context_.AcceptingStopped()) {
+        CloseIfIdle(); // it became idle later than the others
+      }
       return false;
     case ReadStatus::Complete:
       HandleRequest();
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -25,6 +25,8 @@
   virtual net::EventLoop& Loop() = 0;
   virtual const ServerLimits& Limits() const = 0;
   virtual bool Draining() const = 0;
+  /// @return whether Server::StopAccepting() was called, so that idle connections are to be closed
+  virtual bool AcceptingStopped() const = 0;
   virtual void Handle(std::shared_ptr<Exchange> aExchange) = 0;
   virtual Response MakeRefusal(RefusalReason aReason) = 0;
   /// The connection was closed; the server releases it.
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -451,6 +451,27 @@
   CHECK_EQUAL(0, unfinished());
 }
 
+// Guards against a drain that waits for a connection without a request: it was promised to stay
+// open by a response that began before the drain.
+TEST(Server, ConnectionThatBecomesIdleAfterTheOthersWereClosedIsClosed)
+{
+  ServerFixture server;
+  RawSocket socket = server.Connect();
+  socket.Send(kGetHeld);
+  const auto exchange = server.TakeHeldExchange();
+  std::string body; // exceeds the socket buffers of both ends
+  body.resize(50'000'000, 'x');
+  server.Respond(exchange, std::move(body));
+  server.Run([&] {
+    server.GetServer().BeginDrain();
+    server.GetServer().StopAccepting();
+  });
+  CHECK_EQUAL(1, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
+  CHECK(socket.ReadMessage().size() > 50'000'000);
+  STRCMP_EQUAL("", socket.ReadToEnd().c_str());
+  CHECK_EQUAL(0, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
+}
+
 TEST(Server, HeadResponseHasNoBodyAndHttp10ClosesByDefault)
 {
   const ServerFixture server;
