--- a/boragepier/directory/store_view.cc
+++ b/boragepier/directory/store_view.cc
@@ -5,6 +5,21 @@
 
 namespace boragepier {
 
+namespace {
+
+template<typename Function>
+FeedPositions
+PositionsBy(Function aPositionOf)
+{
+  FeedPositions positions{};
+  for (const FeedTopic topic : kFeedTopics) {
+    positions[static_cast<std::size_t>(topic)] = aPositionOf(topic);
+  }
+  return positions;
+}
+
+} // namespace
+
 std::optional<std::vector<FeedRow>>
 StoreView::ApplyResponse(FeedTopic aTopic,
                          const FeedResponse& aResponse,
@@ -56,11 +71,7 @@
 FeedPositions
 StoreView::Positions() const
 {
-  FeedPositions positions{};
-  for (const FeedTopic topic : kFeedTopics) {
-    positions[static_cast<std::size_t>(topic)] = Position(topic);
-  }
-  return positions;
+  return PositionsBy([&](FeedTopic aTopic) { return Position(aTopic); });
 }
 
 std::uint64_t
@@ -73,11 +84,7 @@
 FeedPositions
 StoreView::SubscribePositions() const
 {
-  FeedPositions positions{};
-  for (const FeedTopic topic : kFeedTopics) {
-    positions[static_cast<std::size_t>(topic)] = SubscribePosition(topic);
-  }
-  return positions;
+  return PositionsBy([&](FeedTopic aTopic) { return SubscribePosition(aTopic); });
 }
 
 bool
