--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -54,7 +54,6 @@
   void StopAccepting()
   {
     listener_.reset();
-    acceptingStopped_ = true;
     for (const auto& connection : CopyConnections()) {
       connection->CloseIfIdle();
     }
@@ -73,7 +72,7 @@
   net::EventLoop& Loop() override { return loop_; }
   const ServerLimits& Limits() const override { return limits_; }
   bool Draining() const override { return draining_; }
-  bool AcceptingStopped() const override { return acceptingStopped_; }
+  bool AcceptingStopped() const override { return listener_ == nullptr; }
   void Handle(std::shared_ptr<Exchange> aExchange) override { handler_(std::move(aExchange)); }
   Response MakeRefusal(RefusalReason aReason) override { return refusalFormatter_(aReason); }
   void OnClosed(ServerConnection& aConnection) override
@@ -117,7 +116,6 @@
   std::unique_ptr<net::TcpListener> listener_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   bool draining_ = false;
-  bool acceptingStopped_ = false;
 };
 
 Server::Server(net::EventLoop& aLoop,
