--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -407,7 +407,6 @@
   CHECK(!client.listener_.HasPending());
 }
 
-// Guards against sending a request that must not be repeated on a connection that may be dead.
 // Guards against a request that is answered with a late second answer to an earlier one, and
 // against a connection on which each further request gets the answer to the one before it.
 TEST(Client, ForeignResponsesAreSkippedAndTheConnectionIsNotUsedAgain)
@@ -457,6 +456,7 @@
   CHECK_EQUAL(1U, client.ConnectionCount());
 }
 
+// Guards against sending a request that must not be repeated on a connection that may be dead.
 TEST(Client, RecentlyActiveOnlyUsesARecentOrNewConnection)
 {
   ClientFixture client;
