Name the request id field to the client instead of passing a predicate

The predicate that tells answers to other requests apart was a function with a copy of the request id, built for each attempt and copied twice. The request already carries its id, so the name of the field suffices. No change of behaviour; the tests keep their checks and set the field instead.

--- a/boragepier/entry/attempt_reports.cc
+++ b/boragepier/entry/attempt_reports.cc
@@ -28,18 +28,6 @@
   return report;
 }
 
-bool
-IsForeignResponse(const http::Response& aResponse,
-                  const RequestId& aRequestId,
-                  const WireDialect& aDialect)
-{
-  if (!aDialect.callerSetsRequestId_ || aRequestId.Empty()) {
-    return false;
-  }
-  const auto id = aResponse.headers_.Get(aDialect.requestIdField_);
-  return id && *id != aRequestId.View();
-}
-
 http::SendResult
 ValidateResponse(http::SendResult aResult, const RequestId& aRequestId, const WireDialect& aDialect)
 {
--- a/boragepier/entry/attempt_reports.h
+++ b/boragepier/entry/attempt_reports.h
@@ -19,13 +19,6 @@
                   const http::SendResult& aResult,
                   const WireDialect& aDialect);
 
-/// @param aRequestId request id that the caller set, or empty
-/// @return whether a response names another request than the one with this id
-bool
-IsForeignResponse(const http::Response& aResponse,
-                  const RequestId& aRequestId,
-                  const WireDialect& aDialect);
-
 /// Checks that a response belongs to the request and comes from an upstream: it must echo the
 /// request id if callers set one, and a response with a status below 300 must carry the signature
 /// field if the dialect has one.
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -297,10 +297,9 @@
     sendOptions.recentlyActiveOnly_ = requestInfo_.repeatability_ == Repeatability::AtMostOnce;
     sendOptions.maxResponseBody_ = serviceConfig_->maxResponseBody_;
     sendOptions.excludedConnections_ = usedConnections_;
-    sendOptions.isForeign_ = [id = callerRequestId_,
-                              &dialect = deps_.dialect_](const http::Response& aResponse) {
-      return IsForeignResponse(aResponse, id, dialect);
-    };
+    if (deps_.dialect_.callerSetsRequestId_) {
+      sendOptions.requestIdField_ = deps_.dialect_.requestIdField_;
+    }
 
     const std::size_t index = attempts_.size();
     attempts_.push_back({ aUpstream, endpoint, {}, now, true });
--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "boragepier/base/outcome.h"
@@ -40,10 +41,11 @@
   /// Connections not to use. A target that answers twice may send the second answer when it reads
   /// the next request, so attempts with the same request id must not share a connection.
   std::vector<ConnectionId> excludedConnections_ = {};
-  /// Tells whether a response belongs to another request, such as a late second answer. Such
-  /// responses are skipped until that of this request arrives, and the connection is not used
-  /// again. If empty, the next response is that of this request.
-  std::function<bool(const Response&)> isForeign_ = {};
+  /// Header field in which a response names its request, with the same value as in the request. A
+  /// response with another value, such as a late second answer, is skipped, and the connection is
+  /// not used again. Refers to a text that outlives the request. If empty, or if the request has no
+  /// value, the next response is that of this request.
+  std::string_view requestIdField_ = {};
   std::size_t maxConnections_ = 200;      ///< to this target; at the limit, requests wait
   std::size_t maxResponseBody_ = 8 << 20; ///< bytes
 };
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -43,7 +43,7 @@
 {
   sendId_ = aId;
   request_ = std::move(aRequest);
-  isForeign_ = aOptions.isForeign_;
+  requestIdField_ = aOptions.requestIdField_;
   maxResponseBodyBytes_ = aOptions.maxResponseBody_;
   ExpectResponse();
   bytesWrittenBefore_ = stream_->BytesWritten();
@@ -65,11 +65,23 @@
   reader_.emplace(request_->method_ == "HEAD", maxResponseBodyBytes_);
 }
 
+// Whether a response names another request than the one in flight.
+bool
+ClientConnection::IsForeign(const Response& aResponse) const
+{
+  if (requestIdField_.empty()) {
+    return false;
+  }
+  const auto expected = request_->headers_.Get(requestIdField_);
+  const auto id = aResponse.headers_.Get(requestIdField_);
+  return expected && !expected->empty() && id && *id != *expected;
+}
+
 // Returns false if the response that was read is that of the request in flight.
 bool
 ClientConnection::SkipForeignResponse()
 {
-  if (!isForeign_ || !isForeign_(reader_->GetResponse())) {
+  if (!IsForeign(reader_->GetResponse())) {
     return false;
   }
   if (reader_->KeepAlive()) {
--- a/boragepier/http/client_connection.h
+++ b/boragepier/http/client_connection.h
@@ -72,6 +72,7 @@
 
   void WriteCurrentRequest();
   void ExpectResponse();
+  bool IsForeign(const Response& aResponse) const;
   bool SkipForeignResponse();
   void OnComplete();
   void Fail(AttemptFailure aFailure);
@@ -84,8 +85,8 @@
   std::string hostField_; ///< value of the Host field if a request has none
   InputBuffer input_;
   std::optional<ResponseReader> reader_;
-  std::shared_ptr<const Request> request_;         ///< null while idle
-  std::function<bool(const Response&)> isForeign_; ///< SendOptions::isForeign_
+  std::shared_ptr<const Request> request_; ///< null while idle
+  std::string_view requestIdField_;        ///< SendOptions::requestIdField_
   std::size_t maxResponseBodyBytes_ = 0;
   bool foreignResponseSkipped_ = false;
   SendId sendId_{};
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -43,6 +43,7 @@
     auto request = std::make_shared<Request>();
     request->method_ = aMethod;
     request->target_ = "/x";
+    request->headers_.Add("X-Id", "2");
     request->body_ = aBody;
     lastSendId_ = client_.Send(target_, request, options_, [this, promise](SendResult aResult) {
       if (const auto next = std::exchange(onNextResult_, nullptr)) {
@@ -412,9 +413,7 @@
 TEST(Client, ForeignResponsesAreSkippedAndTheConnectionIsNotUsedAgain)
 {
   ClientFixture client;
-  client.options_.isForeign_ = [](const Response& aResponse) {
-    return aResponse.headers_.Get("X-Id") != "2";
-  };
+  client.options_.requestIdField_ = "X-Id";
   auto result = client.Send();
   RawSocket peer = client.listener_.Accept();
   peer.ReadMessage();
@@ -430,8 +429,8 @@
 {
   for (const std::string end : { "Connection: close\r\nContent-Length: 0\r\n", "" }) {
     ClientFixture client;
-    client.options_.isForeign_ = [](const Response&) { return true; };
-    CheckFailure(client.RespondAndClose("POST", "HTTP/1.1 200 OK\r\n" + end + "\r\n"),
+    client.options_.requestIdField_ = "X-Id";
+    CheckFailure(client.RespondAndClose("POST", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n" + end + "\r\n"),
                  Outcome::Unknown,
                  AttemptFailure::MalformedResponse);
   }
