Log what ends a process, and count requests that are read and not answered

Event 6008 and boragepier_unanswered_requests_total name the cause: the caller left, the response was not accepted in time, the handler gave up, the process exited.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -1,4 +1,5 @@
 #include <signal.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cstdlib>
@@ -15,6 +16,7 @@
 #include "boragepier/config/settings.h"
 #include "boragepier/entry/entry_instance.h"
 #include "boragepier/telemetry/log.h"
+#include "boragepier/telemetry/process_failure.h"
 #include "platform/platform_binding.h"
 
 namespace {
@@ -163,6 +165,7 @@
                aSettings.logFile_,
                aSettings.logToStandardOutput_ ? LogOutput::StandardOutput
                                               : LogOutput::StandardError);
+  ReportProcessFailureTo(aSettings.logToStandardOutput_ ? STDOUT_FILENO : STDERR_FILENO);
   SettingsReloader reloader(aPath);
   EntryInstance instance(aSettings, ChoosePlatformBinding(aSettings));
   const InstancePorts ports = StartInstance(instance);
--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -41,6 +41,14 @@
   "cancelled",
 };
 
+// In the order of UnansweredCause.
+constexpr std::array<std::string_view, kUnansweredCauseCount> kUnansweredCauseNames = {
+  "caller-closed",
+  "write-timeout",
+  "aborted",
+  "process-exit",
+};
+
 } // namespace
 
 std::string_view
@@ -75,6 +83,12 @@
   return kAttemptFailureNames.at(static_cast<std::size_t>(aFailure));
 }
 
+std::string_view
+ToString(UnansweredCause aCause)
+{
+  return kUnansweredCauseNames.at(static_cast<std::size_t>(aCause));
+}
+
 int
 HttpStatusOf(RefusalReason aReason)
 {
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -71,6 +71,16 @@
 };
 inline constexpr int kRetryReasonCount = 7;
 
+/// Why a connection ended before the complete response to a request that was read completely.
+enum class UnansweredCause : std::uint8_t
+{
+  CallerClosed, ///< the caller closed or reset the connection
+  WriteTimeout, ///< the caller did not accept the response in time
+  Aborted,      ///< the handler gave up the request without a response
+  ProcessExit,  ///< the server was destroyed, as at the end of the drain limit
+};
+inline constexpr int kUnansweredCauseCount = 4;
+
 /// @return the name used in headers, for example "not-run"
 std::string_view
 ToString(Outcome aOutcome);
@@ -83,6 +93,9 @@
 /// @return the name used in logs and explain records, for example "connection-lost"
 std::string_view
 ToString(AttemptFailure aFailure);
+/// @return the name used in logs and counters, for example "caller-closed"
+std::string_view
+ToString(UnansweredCause aCause);
 /// @return the HTTP status of the error response for this reason
 int
 HttpStatusOf(RefusalReason aReason);
--- a/boragepier/entry/call_observer.h
+++ b/boragepier/entry/call_observer.h
@@ -30,6 +30,8 @@
   /// A request ended. Called once for each request.
   /// @param aAbandoned whether the caller disconnected before the response
   virtual void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) = 0;
+  /// A request was read completely, and its connection ended before the complete response.
+  virtual void OnUnanswered(UnansweredCause aCause) = 0;
   /// A request is retried or hedged.
   virtual void OnRetry(const ServiceName& aService, RetryReason aReason) = 0;
   /// The claim of a request was decided, or its answer recorded or its key released.
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -177,6 +177,15 @@
                { "latencyMs", aAttempt.latency_ } });
 }
 
+void
+CallTelemetry::OnUnanswered(UnansweredCause aCause)
+{
+  metrics_.OnUnanswered(aCause);
+  if (aCause != UnansweredCause::CallerClosed) {
+    Log(EventId::RequestUnanswered, { { "cause", aCause } });
+  }
+}
+
 void
 CallTelemetry::OnRetry(const ServiceName& aService, RetryReason aReason)
 {
--- a/boragepier/entry/call_telemetry.h
+++ b/boragepier/entry/call_telemetry.h
@@ -25,6 +25,7 @@
   void OnAttemptStarted(const ExplainRecord& aRecord) override;
   void OnAttemptEnded(const ExplainRecord& aRecord, const ExplainAttempt& aAttempt) override;
   void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) override;
+  void OnUnanswered(UnansweredCause aCause) override;
   void OnRetry(const ServiceName& aService, RetryReason aReason) override;
   void OnClaimEvent(const ServiceName& aService, ClaimEvent aEvent) override;
   void OnProbe(const ServiceName& aService) override;
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -209,6 +209,7 @@
   {
     retryReasons_.push_back(aReason);
   }
+  void OnUnanswered(UnansweredCause) override {}
   void OnUpstreamLeaving(const UpstreamEndpoint& aUpstream) override
   {
     leavingUpstreams_.push_back(aUpstream.id_);
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -59,6 +59,8 @@
         return MakeRefusalResponse(aReason, Outcome::NotRun, RequestId());
       })
 {
+  server_.SetUnansweredCallback(
+    [&aObserver](UnansweredCause aCause) { aObserver.OnUnanswered(aCause); });
 }
 
 TrafficThread::~TrafficThread()
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -35,10 +35,15 @@
   ~Impl() override
   {
     for (const auto& connection : CopyConnections()) {
-      connection->Close();
+      connection->Close(UnansweredCause::ProcessExit);
     }
   }
 
+  void SetUnansweredCallback(std::function<void(UnansweredCause)> aCallback)
+  {
+    unansweredCallback_ = std::move(aCallback);
+  }
+
   std::uint16_t Listen(const std::string& aAddress, std::uint16_t aPort)
   {
     listener_ = std::make_unique<net::TcpListener>(
@@ -75,6 +80,12 @@
   bool AcceptingStopped() const override { return listener_ == nullptr; }
   void Handle(std::shared_ptr<Exchange> aExchange) override { handler_(std::move(aExchange)); }
   Response MakeRefusal(RefusalReason aReason) override { return refusalFormatter_(aReason); }
+  void OnUnanswered(UnansweredCause aCause) override
+  {
+    if (unansweredCallback_) {
+      unansweredCallback_(aCause);
+    }
+  }
   void OnClosed(ServerConnection& aConnection) override
   {
     // Destruction is deferred, because this may run inside a callback of the connection.
@@ -113,6 +124,7 @@
   ServerLimits limits_;
   const Handler handler_;
   const RefusalFormatter refusalFormatter_;
+  std::function<void(UnansweredCause)> unansweredCallback_;
   std::unique_ptr<net::TcpListener> listener_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   bool draining_ = false;
@@ -128,6 +140,12 @@
 
 Server::~Server() = default;
 
+void
+Server::SetUnansweredCallback(std::function<void(UnansweredCause)> aCallback)
+{
+  impl_->SetUnansweredCallback(std::move(aCallback));
+}
+
 std::uint16_t
 Server::Listen(const std::string& aAddress, std::uint16_t aPort)
 {
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -61,6 +61,9 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
+  /// Sets a callback for requests that were read completely and whose connection ended before the
+  /// complete response. Call before the loop runs, or in the loop thread.
+  void SetUnansweredCallback(std::function<void(UnansweredCause)> aCallback);
   /// Starts to accept connections. Call before the loop runs, or in the loop thread.
   /// @param aAddress IP address
   /// @param aPort TCP port; 0 selects a free port
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -48,7 +48,7 @@
   {
     if (const auto connection = std::exchange(connection_, nullptr)) {
       onAbandoned_ = nullptr;
-      connection->Close();
+      connection->Close(UnansweredCause::Aborted);
     }
   }
 
@@ -109,7 +109,7 @@
 ServerConnection::CloseIfIdle()
 {
   if (state_ == State::Reading && !reader_.Started(input_) && !stream_->HasUndeliveredInput()) {
-    Close();
+    Close(UnansweredCause::Aborted); // no request is unanswered while reading
   }
 }
 
@@ -120,17 +120,21 @@
 }
 
 void
-ServerConnection::Close()
+ServerConnection::Close(UnansweredCause aCause)
 {
   if (state_ == State::Closed) {
     return;
   }
+  const bool unanswered = state_ == State::Handling || state_ == State::Writing;
   state_ = State::Closed;
   timeout_.Clear();
   stream_->Close();
   if (const auto exchange = exchange_.lock()) {
     exchange->Detach();
   }
+  if (unanswered) {
+    context_.OnUnanswered(aCause);
+  }
   context_.OnClosed(*this);
 }
 
@@ -170,7 +174,7 @@
   if (const auto exchange = exchange_.lock(); exchange && state_ == State::Handling) {
     onAbandoned = exchange->Detach();
   }
-  Close();
+  Close(UnansweredCause::CallerClosed);
   if (onAbandoned) {
     onAbandoned();
   }
@@ -297,7 +301,7 @@
 ServerConnection::OnTimeout()
 {
   const auto self = shared_from_this();
-  Close();
+  Close(UnansweredCause::WriteTimeout);
 }
 
 } // namespace boragepier::http
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -29,6 +29,8 @@
   virtual bool AcceptingStopped() const = 0;
   virtual void Handle(std::shared_ptr<Exchange> aExchange) = 0;
   virtual Response MakeRefusal(RefusalReason aReason) = 0;
+  /// A request was read completely, and its connection ends before the complete response.
+  virtual void OnUnanswered(UnansweredCause aCause) = 0;
   /// The connection was closed; the server releases it.
   virtual void OnClosed(ServerConnection& aConnection) = 0;
 };
@@ -53,7 +55,8 @@
   /// its response is not fully written
   bool HasUnfinishedRequest() const;
   /// Closes immediately, without running the abandoned callback of an exchange in progress.
-  void Close();
+  /// @param aCause reported if a request that was read completely has no complete response yet
+  void Close(UnansweredCause aCause);
 
 private:
   class ServerExchange;
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -504,6 +504,69 @@
   STRCMP_EQUAL("", dropped.ReadToEnd().c_str());
 }
 
+// Guards against requests that were read and end without a response in no log and no counter.
+TEST(Server, RequestWithoutAResponseIsReportedWithItsCause)
+{
+  ServerLimits limits;
+  limits.requestTimeout_ = milliseconds(300);
+  std::vector<UnansweredCause> causes; // used by the loop thread only
+  {
+    ServerFixture server(limits);
+    const auto reported = [&] { return server.Run([&] { return causes.size(); }); };
+    server.Run([&] {
+      server.GetServer().SetUnansweredCallback(
+        [&](UnansweredCause aCause) { causes.push_back(aCause); });
+    });
+    RawSocket closed = server.Connect();
+    closed.Send(kGetHeld);
+    const auto abandoned = server.TakeHeldExchange();
+    closed.Close();
+    WaitUntil([&] { return reported() == 1; });
+    RawSocket aborted = server.Connect();
+    aborted.Send(kGetHeld);
+    server.Run([exchange = server.TakeHeldExchange()] { exchange->Abort(); });
+    RawSocket notReading = server.Connect();
+    notReading.Send(kGetHeld);
+    std::string body; // exceeds the socket buffers of both ends
+    body.resize(50'000'000, 'x');
+    server.Respond(server.TakeHeldExchange(), std::move(body));
+    WaitUntil([&] { return reported() == 3; });
+    RawSocket idle = server.Connect();
+    idle.Send(kGet);
+    idle.ReadMessage();
+    RawSocket held = server.Connect();
+    held.Send(kGetHeld);
+    server.TakeHeldExchange().reset();
+    WaitUntil([&] { return reported() == 4; });
+  }
+  CHECK(causes == std::vector<UnansweredCause>({ UnansweredCause::CallerClosed,
+                                                 UnansweredCause::Aborted,
+                                                 UnansweredCause::WriteTimeout,
+                                                 UnansweredCause::Aborted }));
+}
+
+// Guards against requests that the exit of the process cuts off in no log and no counter.
+TEST(Server, RequestCutOffByTheEndOfTheServerIsReported)
+{
+  std::vector<UnansweredCause> causes;
+  net::EventLoop loop;
+  std::shared_ptr<Exchange> held;
+  {
+    Server server(
+      loop,
+      {},
+      [&](std::shared_ptr<Exchange> aExchange) { held = std::move(aExchange); },
+      [](RefusalReason) { return Response(); });
+    server.SetUnansweredCallback([&](UnansweredCause aCause) { causes.push_back(aCause); });
+    const std::uint16_t port = server.Listen("127.0.0.1", 0);
+    RawSocket caller(port);
+    caller.Send(kGetHeld);
+    LoopThread thread(loop);
+    WaitUntil([&] { return thread.Run([&] { return held != nullptr; }); });
+  }
+  CHECK(causes == std::vector<UnansweredCause>({ UnansweredCause::ProcessExit }));
+}
+
 // Guards against header injection through a value with a line break.
 TEST(Server, LineBreakInAHeaderValueAddsNoField)
 {
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -66,6 +66,12 @@
              "settings-rejected",
              "the changed settings file is invalid; the previous settings stay in force",
              "correct the settings file" },
+  EventInfo{ EventId::ProcessFailed,
+             LogLevel::Error,
+             "process-failed",
+             "the process ends because of the given exception or signal; requests in progress get "
+             "no answer",
+             "report the fault with this event" },
 
   EventInfo{ EventId::ConfigAccepted,
              LogLevel::Info,
@@ -287,6 +293,14 @@
              "request-ended",
              "a request was answered, refused or abandoned; the fields give the result",
              "look up the reason in docs/interface.md" },
+  EventInfo{
+    EventId::RequestUnanswered,
+    LogLevel::Warn,
+    "request-unanswered",
+    "a request was read completely, and its connection ended before the complete response; "
+    "callers that left early are only counted",
+    "with cause process-exit, set traffic.drain-limit-ms above the longest deadline; "
+    "otherwise report the fault" },
 };
 
 } // namespace
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -24,6 +24,7 @@
   EventsLeftOut = 1009,
   SettingsReloaded = 1010,
   SettingsRejected = 1011,
+  ProcessFailed = 1012,
 
   ConfigAccepted = 2001,
   ConfigRejected = 2002,
@@ -69,6 +70,7 @@
   AttemptStarted = 6005,
   AttemptEnded = 6006,
   RequestEnded = 6007,
+  RequestUnanswered = 6008,
 };
 
 /// Entry of the event catalogue.
--- a/boragepier/telemetry/log.cc
+++ b/boragepier/telemetry/log.cc
@@ -5,6 +5,8 @@
 #include <atomic>
 #include <cctype>
 #include <charconv>
+#include <chrono>
+#include <ctime>
 #include <fstream>
 #include <mutex>
 
@@ -254,6 +256,25 @@
   }
 }
 
+std::string
+FormatLogLine(EventId aEvent, std::initializer_list<LogField> aFields)
+{
+  const EventInfo& info = InfoOf(aEvent);
+  const auto now =
+    std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+  std::tm calendarTime{};
+  ::gmtime_r(&seconds, &calendarTime);
+  std::array<char, 40> date{};
+  const std::size_t length =
+    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &calendarTime);
+  const auto milliseconds = now.time_since_epoch().count() % 1000;
+  std::string line(date.data(), length);
+  line.append(".").append(std::to_string(1000 + milliseconds).substr(1)).append("Z ");
+  line.append(ToLog4cxxLevel(info.level_)->toString()).append(" ");
+  return line + FormatEvent(info, aFields);
+}
+
 void
 ReportSuppressedEvents(bool aIncludeOpenWindows)
 {
--- a/boragepier/telemetry/log.h
+++ b/boragepier/telemetry/log.h
@@ -75,6 +75,10 @@
     : LogField(aKey, std::string_view(aValue.View()))
   {
   }
+  LogField(std::string_view aKey, UnansweredCause aValue)
+    : LogField(aKey, ToString(aValue))
+  {
+  }
   LogField(std::string_view aKey, Outcome aValue)
     : LogField(aKey, ToString(aValue))
   {
@@ -136,6 +140,11 @@
 void
 LogRequest(EventId aEvent, bool aHighPriority, std::initializer_list<LogField> aFields);
 
+/// @return the line of an event with the present time, as the log would write it, without a line
+///   break and without regard to levels and rate limits
+std::string
+FormatLogLine(EventId aEvent, std::initializer_list<LogField> aFields);
+
 /// Writes EventId::EventsLeftOut with the counts of suppressed events that no later event has
 /// reported. To be called at regular intervals. Thread-safe.
 /// @param aIncludeOpenWindows whether to report rate-limit windows that have not ended; for the end
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -155,6 +155,8 @@
   /// @param aRoute name of the route
   /// @param aService service that was selected for the request
   void OnSplitRequest(std::string_view aRoute, const ServiceName& aService);
+  /// Counts a request that was read completely and got no complete response.
+  void OnUnanswered(UnansweredCause aCause) { unanswered_.Add(aCause); }
   /// Counts a routing table that was applied.
   void OnRoutingTable() { routingTableCount_.fetch_add(1, std::memory_order_relaxed); }
 
@@ -179,6 +181,7 @@
   std::unordered_map<ServiceName, std::unique_ptr<ServiceMetrics>> services_;
   /// Number of requests by route and service.
   std::map<std::pair<std::string, std::string>, std::uint64_t> splitRequests_;
+  EnumCounters<UnansweredCause, kUnansweredCauseCount> unanswered_;
   std::atomic<std::uint64_t> routingTableCount_ = 0;
   std::atomic<bool> ready_ = false;
   std::atomic<bool> draining_ = false;
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -23,6 +23,10 @@
   MetricInfo{ "boragepier_routing_tables_total",
               "counter",
               "changes of the routes, services, upstreams or instances that were applied" },
+  MetricInfo{ "boragepier_unanswered_requests_total",
+              "counter",
+              "requests that were read completely and whose connection ended before the complete "
+              "response, by cause" },
   MetricInfo{ "boragepier_split_requests_total",
               "counter",
               "requests of routes with several services, by the service selected" },
@@ -217,6 +221,19 @@
   WriteGauge("boragepier_routing_tables_total", LoadAsDouble(metrics_.routingTableCount_));
 }
 
+void
+PrometheusWriter::WriteUnanswered()
+{
+  constexpr std::string_view kName = "boragepier_unanswered_requests_total";
+  WriteHeader(kName);
+  for (int i = 0; i < kUnansweredCauseCount; ++i) {
+    const auto cause = static_cast<UnansweredCause>(i);
+    WriteSample(kName,
+                { { "cause", ToString(cause) } },
+                static_cast<double>(metrics_.unanswered_.Get(cause)));
+  }
+}
+
 void
 PrometheusWriter::WriteSplitRequests()
 {
@@ -261,6 +278,7 @@
 PrometheusWriter::Write() &&
 {
   WriteInstance();
+  WriteUnanswered();
   WriteSplitRequests();
   WriteServices();
   return std::move(text_);
--- a/boragepier/telemetry/prometheus_writer.h
+++ b/boragepier/telemetry/prometheus_writer.h
@@ -51,6 +51,7 @@
   void WriteSummary(std::string_view aName, LatencyWindow ServiceMetrics::*aWindow);
   void WriteHistogram(std::string_view aName, LatencyHistogram ServiceMetrics::*aHistogram);
   void WriteInstance();
+  void WriteUnanswered();
   void WriteSplitRequests();
   void WriteServices();
 
