Answer requests on connections that wait to be accepted at a planned stop

Callers saw an established connection that took their request and was then reset, when the instance stopped accepting at the end of its drain grace.

Cause: the listener was destroyed, and the kernel resets the connections in the queue of a listening socket that is closed. One connection is accepted per callback, so several wait on a slow or busy machine. An accept that had succeeded, but whose callback was still to run, was dropped as well.

TcpListener::Stop() accepts what the kernel has established before it closes the socket, and a later accept callback delivers its connection. The server then treats them as the others: they stay open for a request that has begun to arrive, and are closed without one.

--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -58,7 +58,10 @@
 
   void StopAccepting()
   {
-    listener_.reset();
+    if (listener_) {
+      listener_->Stop();
+    }
+    acceptingStopped_ = true;
     for (const auto& connection : CopyConnections()) {
       connection->CloseIfIdle();
     }
@@ -77,7 +80,7 @@
   net::EventLoop& Loop() override { return loop_; }
   const ServerLimits& Limits() const override { return limits_; }
   bool Draining() const override { return draining_; }
-  bool AcceptingStopped() const override { return listener_ == nullptr; }
+  bool AcceptingStopped() const override { return acceptingStopped_; }
   void Handle(std::shared_ptr<Exchange> aExchange) override { handler_(std::move(aExchange)); }
   Response MakeRefusal(RefusalReason aReason) override { return refusalFormatter_(aReason); }
   void OnUnanswered(UnansweredCause aCause) override
@@ -109,6 +112,9 @@
     } else {
       connection->Start();
     }
+    if (acceptingStopped_) {
+      connection->CloseIfIdle(); // it was accepted later than the others were closed
+    }
   }
 
   std::vector<std::shared_ptr<ServerConnection>> CopyConnections() const
@@ -128,6 +134,7 @@
   std::unique_ptr<net::TcpListener> listener_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   bool draining_ = false;
+  bool acceptingStopped_ = false;
 };
 
 Server::Server(net::EventLoop& aLoop,
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -78,7 +78,8 @@
   /// connections are still accepted. Loop thread only.
   void BeginDrain();
   /// Stops accepting connections and closes those on which no byte of a request is pending. Those
-  /// on which a part of a request has arrived stay open for it. Call after BeginDrain(). Loop
+  /// on which a part of a request has arrived stay open for it, also if they had not been accepted
+  /// yet. Call after BeginDrain(). Loop
   /// thread only.
   void StopAccepting();
   /// @return number of connections with a request that is being read or handled, or whose response
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -427,6 +427,54 @@
   CHECK(busy.ReadToEnd().ends_with("done"));
 }
 
+// Guards against resetting connections that the kernel has established but the server has not
+// accepted yet, with the requests that callers have sent on them.
+TEST(Server, RequestsOnConnectionsNotYetAcceptedAreAnsweredAfterStopAccepting)
+{
+  net::EventLoop loop;
+  Server server(
+    loop,
+    {},
+    [](const std::shared_ptr<Exchange>& aExchange) { aExchange->Respond(MakeResponse(200, "ok")); },
+    [](RefusalReason aReason) { return MakeResponse(HttpStatusOf(aReason), ""); });
+  const std::uint16_t port = server.Listen("127.0.0.1", 0);
+  std::vector<RawSocket> callers;
+  for (int i = 0; i < 5; ++i) {
+    callers.emplace_back(port);
+    callers.back().Send(kGet);
+  }
+  RawSocket idle(port);
+  server.BeginDrain();
+  server.StopAccepting();
+  LoopThread thread(loop);
+  for (RawSocket& caller : callers) {
+    CHECK(caller.ReadToEnd().ends_with("ok"));
+  }
+  STRCMP_EQUAL("", idle.ReadToEnd().c_str());
+  CHECK_EQUAL(0, thread.Run([&] { return server.UnfinishedConnections(); }));
+}
+
+// Guards against resetting the connection that is accepted already, but whose callback is still to
+// run when the server stops accepting.
+TEST(Server, ConnectionWhoseAcceptCallbackIsPendingIsServedAfterStopAccepting)
+{
+  ServerFixture server;
+  std::vector<RawSocket> callers;
+  server.Run([&] {
+    for (int i = 0; i < 300; ++i) {
+      callers.push_back(server.Connect());
+      callers.back().Send(kGet);
+    }
+  });
+  server.Run([&] {
+    server.GetServer().BeginDrain();
+    server.GetServer().StopAccepting();
+  });
+  for (RawSocket& caller : callers) {
+    CHECK(caller.ReadToEnd().ends_with("GET /a "));
+  }
+}
+
 // Guards against a drain that counts as complete while a request is still being read: the process
 // would exit after the request has reached an upstream.
 TEST(Server, RequestThatIsBeingReadKeepsTheDrainFromCompleting)
--- a/boragepier/net/tcp_listener.cc
+++ b/boragepier/net/tcp_listener.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -49,16 +50,51 @@
     Accept();
   }
 
+  // Closes the listening socket without accepting what waits. No callback runs afterwards.
   void Close()
+  {
+    closed_ = true;
+    CloseAcceptor();
+  }
+
+  void Stop()
+  {
+    AcceptPending();
+    CloseAcceptor();
+  }
+
+  std::uint16_t Port() const { return port_; }
+
+private:
+  void CloseAcceptor()
   {
     loop_.Cancel(acceptRetryTimer_);
     error_code ignored;
     acceptor_.close(ignored);
   }
 
-  std::uint16_t Port() const { return port_; }
+  void AcceptPending()
+  {
+    error_code error;
+    acceptor_.non_blocking(true, error);
+    // Without this option, accept() waits for another connection if the next one was aborted.
+    acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true), error);
+    while (acceptor_.is_open()) {
+      tcp::socket socket(loop_.Context());
+      acceptor_.accept(socket, error);
+      if (!error) {
+        Deliver(std::move(socket));
+      } else if (error != boost::asio::error::connection_aborted) {
+        return;
+      }
+    }
+  }
+
+  void Deliver(tcp::socket aSocket)
+  {
+    acceptCallback_(std::make_shared<SocketStream>(loop_, std::move(aSocket)));
+  }
 
-private:
   void Accept()
   {
     acceptor_.async_accept(
@@ -69,15 +105,21 @@
 
   void OnAccepted(const error_code& aError, tcp::socket aSocket)
   {
-    if (!acceptor_.is_open()) {
+    if (closed_) {
       return;
     }
+    const bool open = acceptor_.is_open();
     if (aError) {
-      acceptRetryTimer_ = loop_.After(kAcceptRetryDelay, [this] { Accept(); });
+      if (open) {
+        acceptRetryTimer_ = loop_.After(kAcceptRetryDelay, [this] { Accept(); });
+      }
       return;
     }
-    Accept();
-    acceptCallback_(std::make_shared<SocketStream>(loop_, std::move(aSocket)));
+    if (open) {
+      Accept();
+    }
+    // Also after Stop(): this connection was accepted before it.
+    Deliver(std::move(aSocket));
   }
 
   EventLoop& loop_;
@@ -85,6 +127,7 @@
   tcp::acceptor acceptor_;
   TimerId acceptRetryTimer_ = TimerId::None;
   std::uint16_t port_ = 0;
+  bool closed_ = false; ///< no callback may run any more
 };
 
 TcpListener::TcpListener(EventLoop& aLoop,
@@ -101,6 +144,12 @@
   impl_->Close();
 }
 
+void
+TcpListener::Stop()
+{
+  impl_->Stop();
+}
+
 std::uint16_t
 TcpListener::Port() const
 {
--- a/boragepier/net/tcp_listener.h
+++ b/boragepier/net/tcp_listener.h
@@ -11,7 +11,8 @@
 
 namespace boragepier::net {
 
-/// Accepts TCP connections until it is destroyed. Loop thread only, or before the loop runs.
+/// Accepts TCP connections until it is stopped or destroyed. Loop thread only, or before the loop
+/// runs.
 class TcpListener
 {
 public:
@@ -29,6 +30,11 @@
   TcpListener(const TcpListener&) = delete;
   TcpListener& operator=(const TcpListener&) = delete;
 
+  /// Closes the listening socket. Connections that the kernel has established by then are accepted
+  /// first, during the call or soon after it: closing would reset them, with the requests that
+  /// their peers have sent.
+  void Stop();
+
   /// @return the port in use
   std::uint16_t Port() const;
 
