Answer callers that end their sending side and wait

Callers that ended their sending side after a request (half-close) saw the connection close without an answer although an upstream ran the request; of three pipelined requests none was answered and one was run. A response that was being written was cut off.

Cause: the connection took the end of input for the end of the connection. TCP can't tell a half-close from a closed connection until something is written.

Evidence: before the change wire_test.cc:293: error: Failure in TEST(Wire, HalfClosedCallerGetsTheResponseToAnUnsafeRequest) CHECK(caller.ReadToEnd().ends_with("ok")) failed and four new tests of http_server_test failed: HalfClosedCallerGetsTheResponse, PipelinedRequestsBeforeAHalfCloseAreAnswered, ResponseIsCompletedAfterAHalfClose and HalfCloseWithinARequestClosesTheConnection.

The end of input is now an event of its own. Requests that were received are handled as usual for 250 ms. After that nothing new is sent, since the caller may have gone; an unsafe or keyed request that an upstream has is finished and answered, everything else is refused as caller-left. A reset still ends all work at once. The connection closes after its last response, and the drain counts it until then.

Two tests change with the meaning of a FIN: CallerDisconnectRunsTheAbandonedCallback expects HalfClosed after it and Gone after a reset, sets its late callback before the response, which a caller that may be there now receives, and checks that no connection is left; RequestWithoutAResponseIsReportedWithItsCause resets the connection of the caller that leaves, because one that sends a FIN is answered now.

--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -25,6 +25,7 @@
   { "upstream-lost", 502 },      { "upstream-timeout", 504 },
   { "upstream-truncated", 502 }, { "response-too-large", 502 },
   { "shutting-down", 503 },      { "not-configured", 503 },
+  { "caller-left", 503 },
 } };
 
 // In the order of RetryReason.
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -39,8 +39,9 @@
   ResponseTooLarge,
   ShuttingDown,
   NotConfigured, ///< the instance has not received a configuration yet
+  CallerLeft,    ///< the caller ended its input and may have closed the connection
 };
-inline constexpr int kRefusalReasonCount = 20;
+inline constexpr int kRefusalReasonCount = 21;
 
 /// Why an attempt did not yield a complete response.
 enum class AttemptFailure : std::uint8_t
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -68,9 +68,9 @@
   /// Starts processing. Call once, on an object that is owned by a shared_ptr.
   void Start()
   {
-    exchange_->SetAbandonedCallback([weak = this->weak_from_this()] {
+    exchange_->SetAbandonedCallback([weak = this->weak_from_this()](http::CallerEnd aEnd) {
       if (const auto self = weak.lock()) {
-        self->OnAbandoned();
+        self->OnCallerEnd(aEnd);
       }
     });
     try {
@@ -275,7 +275,7 @@
       GiveUp(aDecision.reason_);
       return;
     }
-    if (finished_ || abandoned_ || Now() >= requestInfo_.deadline_) {
+    if (finished_ || abandoned_ || halfClosed_ || Now() >= requestInfo_.deadline_) {
       ReportUnsentAttempt(aDecision.upstream_);
       GiveUp(RefusalReason::DeadlineExpired);
       return;
@@ -453,7 +453,7 @@
   {
     const MonotonicTime now = Now();
     RetryDecision decision;
-    if (now < requestInfo_.deadline_ && !abandoned_) {
+    if (now < requestInfo_.deadline_ && !abandoned_ && !halfClosed_) {
       decision = service_->WithBalancer(
         [&](auto& aBalancer) { return aBalancer.DecideRetry(requestInfo_, aReport, now); });
     }
@@ -556,9 +556,38 @@
     }
   }
 
-  // Runs when the caller disconnects. A claimed request with an active attempt continues, so that
-  // its response is recorded and replayed when the key is sent again. Any other request is
-  // cancelled.
+  void OnCallerEnd(http::CallerEnd aEnd)
+  {
+    if (aEnd == http::CallerEnd::Gone) {
+      OnAbandoned();
+    } else {
+      OnHalfClosed();
+    }
+  }
+
+  // Runs when the caller may have gone, or waits for the response without sending any more. Nothing
+  // new is sent for it. An attempt of a request that must not be repeated continues, because the
+  // caller cannot get the response in another way. Any other request is answered with a refusal.
+  void OnHalfClosed()
+  {
+    halfClosed_ = true;
+    const bool passedOn = ActiveAttempts() > 0;
+    const bool finishes =
+      passedOn && (claim_ || requestInfo_.repeatability_ == Repeatability::AtMostOnce);
+    if (finished_ || finishes) {
+      return;
+    }
+    CancelQueueWait();
+    if (passedOn && !lastServerErrorResponse_) {
+      Refuse(RefusalReason::CallerLeft, Outcome::Unknown);
+    } else {
+      GiveUp(RefusalReason::CallerLeft);
+    }
+  }
+
+  // Runs when the connection of the caller breaks. A claimed request with an active attempt
+  // continues, so that its response is recorded and replayed when the key is sent again. Any other
+  // request is cancelled.
   void OnAbandoned()
   {
     abandoned_ = true;
@@ -627,7 +656,8 @@
   bool mayHaveRun_ = false; ///< an attempt ended with outcome Unknown
   std::optional<MonotonicTime> queuedSince_;
   bool hedged_ = false;
-  bool abandoned_ = false; ///< the caller disconnected before the response
+  bool abandoned_ = false;  ///< the caller disconnected before the response
+  bool halfClosed_ = false; ///< the caller ended its input, and the grace period has passed
   bool finished_ = false;
 };
 
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -238,7 +238,7 @@
 {
   const auto exchange = Send("POST", "k-1");
   claims_.GrantNext();
-  exchange->onAbandoned_();
+  exchange->onAbandoned_(http::CallerEnd::Gone);
   CHECK(!sender_.sentRequests_[0].cancelled_);
   sender_.Answer(0, MakeResponse(201));
   CHECK_EQUAL(1U, claims_.recordedAnswers_.size());
@@ -247,16 +247,58 @@
 TEST(Call, RepeatableRequestIsCancelledWhenItsCallerDisconnects)
 {
   const auto exchange = Send("GET");
-  exchange->onAbandoned_();
+  exchange->onAbandoned_(http::CallerEnd::Gone);
   CHECK(sender_.sentRequests_[0].cancelled_);
   CHECK_EQUAL(1U, observer_.records_.size());
   CHECK_EQUAL(1, observer_.abandonedCount_);
 }
 
+// Guards against dropping the response to an unsafe request whose caller ended its sending side and
+// waits.
+TEST(Call, AtMostOnceRequestOfAHalfClosedCallerIsAnswered)
+{
+  const auto exchange = Send("POST");
+  exchange->onAbandoned_(http::CallerEnd::HalfClosed);
+  CHECK(!sender_.sentRequests_[0].cancelled_);
+  sender_.Answer(0, MakeResponse(201));
+  CHECK_EQUAL(201, exchange->response_->status_);
+}
+
+// Guards against sending anything new for a caller that may have gone.
+TEST(Call, FailedAttemptOfAHalfClosedCallerIsNotRetried)
+{
+  const auto exchange = Send("POST");
+  exchange->onAbandoned_(http::CallerEnd::HalfClosed);
+  sender_.Fail(0, Outcome::NotRun, AttemptFailure::ConnectFailed);
+  scheduler_.Advance(std::chrono::milliseconds(100));
+  CHECK_EQUAL(1U, sender_.sentRequests_.size());
+  CheckRefusal(*exchange, RefusalReason::NoUpstream, "not-run");
+}
+
+// Guards against continuing work for a caller that may have gone, and against leaving one that
+// waits without a response.
+TEST(Call, RepeatableRequestOfAHalfClosedCallerIsCancelledAndRefused)
+{
+  const auto exchange = Send("GET");
+  exchange->onAbandoned_(http::CallerEnd::HalfClosed);
+  CHECK(sender_.sentRequests_[0].cancelled_);
+  CheckRefusal(*exchange, RefusalReason::CallerLeft, "unknown");
+}
+
+TEST(Call, ClaimGrantedAfterAHalfCloseIsReleased)
+{
+  const auto exchange = Send("POST", "k-1");
+  exchange->onAbandoned_(http::CallerEnd::HalfClosed);
+  CheckRefusal(*exchange, RefusalReason::CallerLeft, "not-run");
+  claims_.GrantNext();
+  CHECK(sender_.sentRequests_.empty());
+  CHECK_EQUAL(1, claims_.releaseCount_);
+}
+
 TEST(Call, ClaimGrantedAfterTheCallerDisconnectedIsReleased)
 {
   const auto exchange = Send("POST", "k-1");
-  exchange->onAbandoned_();
+  exchange->onAbandoned_(http::CallerEnd::Gone);
   claims_.GrantNext();
   CHECK(sender_.sentRequests_.empty());
   CHECK_EQUAL(1, claims_.releaseCount_);
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -172,7 +172,7 @@
     response_ = std::move(aResponse);
   }
   void Abort() override {}
-  void SetAbandonedCallback(std::function<void()> aFunction) override
+  void SetAbandonedCallback(std::function<void(http::CallerEnd)> aFunction) override
   {
     onAbandoned_ = std::move(aFunction);
   }
@@ -184,7 +184,7 @@
 
   std::optional<http::Response> response_;
   int responseCount_ = 0;
-  std::function<void()> onAbandoned_;
+  std::function<void(http::CallerEnd)> onAbandoned_;
 
 private:
   http::Request request_;
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -14,6 +14,15 @@
 
 namespace boragepier::http {
 
+/// How a caller left before the response.
+enum class CallerEnd : std::uint8_t
+{
+  /// It ended its sending side a moment ago. It has closed the connection, or waits for the
+  /// response: Respond() still sends it.
+  HalfClosed,
+  Gone, ///< the connection broke
+};
+
 /// A request received by a Server, and the means to respond to it. Destroying it before
 /// Respond() closes the connection. Loop thread only.
 class Exchange
@@ -28,9 +37,10 @@
   virtual void Respond(Response aResponse) = 0;
   /// Closes the connection without a response.
   virtual void Abort() = 0;
-  /// Sets a callback that runs once if the caller disconnects before Respond(). If it has already
-  /// disconnected, the callback is posted to the loop.
-  virtual void SetAbandonedCallback(std::function<void()> aCallback) = 0;
+  /// Sets a callback that runs if the caller leaves before Respond(): once with HalfClosed when a
+  /// grace period has passed since the end of its input, and once with Gone when the connection
+  /// breaks. For what has happened before, the callback is posted to the loop.
+  virtual void SetAbandonedCallback(std::function<void(CallerEnd)> aCallback) = 0;
 };
 
 /// Size limits, timeouts and the connection limit of a Server.
@@ -41,6 +51,9 @@
   Duration idleTimeout_ = std::chrono::seconds(60);    ///< between requests on a connection
   Duration headerTimeout_ = std::chrono::seconds(30);  ///< from its first to its last byte
   Duration requestTimeout_ = std::chrono::seconds(30); ///< per request read or response write
+  /// After the end of a caller's input, in which its requests are handled as usual. Most callers
+  /// that end their input have closed the connection, and work for those is to stop within 500 ms.
+  Duration halfCloseGrace_ = std::chrono::milliseconds(250);
   std::size_t maxConnections_ = 4096; ///< further ones get a refusal (Overloaded) and are closed
 };
 
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -52,17 +52,29 @@
     }
   }
 
-  void SetAbandonedCallback(std::function<void()> aCallback) override
+  void SetAbandonedCallback(std::function<void(CallerEnd)> aCallback) override
   {
     if (abandoned_) {
-      loop_.Post(std::move(aCallback));
+      loop_.Post([callback = std::move(aCallback)] { callback(CallerEnd::Gone); });
     } else if (connection_) {
       onAbandoned_ = std::move(aCallback);
+      if (halfClosed_) {
+        loop_.Post([callback = onAbandoned_] { callback(CallerEnd::HalfClosed); });
+      }
+    }
+  }
+
+  // Called when the grace period after the end of the caller's input has passed.
+  void ReportHalfClose()
+  {
+    halfClosed_ = true;
+    if (const auto callback = onAbandoned_) { // a copy, because Respond() clears the member
+      callback(CallerEnd::HalfClosed);
     }
   }
 
   // Called when the connection closes. Returns the callback set by the handler.
-  std::function<void()> Detach()
+  std::function<void(CallerEnd)> Detach()
   {
     connection_ = nullptr;
     abandoned_ = true;
@@ -74,7 +86,8 @@
   std::shared_ptr<ServerConnection> connection_;
   Request request_;
   MonotonicTime arrivalTime_;
-  std::function<void()> onAbandoned_;
+  std::function<void(CallerEnd)> onAbandoned_;
+  bool halfClosed_ = false;
   bool abandoned_ = false;
 };
 
@@ -166,17 +179,30 @@
   }
 }
 
+bool
+ServerConnection::OnInputEnded()
+{
+  if (state_ != State::Handling && state_ != State::Writing) {
+    return false;
+  }
+  inputEndTime_ = context_.Loop().Now();
+  if (state_ == State::Handling) {
+    timeout_.Set(*inputEndTime_ + context_.Limits().halfCloseGrace_);
+  }
+  return true;
+}
+
 void
 ServerConnection::OnEnd(net::StreamEnd /*aEnd*/)
 {
   const auto self = shared_from_this();
-  std::function<void()> onAbandoned;
+  std::function<void(CallerEnd)> onAbandoned;
   if (const auto exchange = exchange_.lock(); exchange && state_ == State::Handling) {
     onAbandoned = exchange->Detach();
   }
   Close(UnansweredCause::CallerClosed);
   if (onAbandoned) {
-    onAbandoned();
+    onAbandoned(CallerEnd::Gone);
   }
 }
 
@@ -201,6 +227,10 @@
 {
   switch (reader_.Read(input_)) {
     case ReadStatus::NeedMore:
+      if (inputEndTime_) {
+        Close(UnansweredCause::CallerClosed); // all complete requests have been answered
+        return false;
+      }
       if (reader_.TakeExpectContinue()) {
         stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
       }
@@ -250,6 +280,14 @@
   auto exchange =
     std::make_shared<ServerExchange>(context_.Loop(), shared_from_this(), std::move(request));
   exchange_ = exchange;
+  if (inputEndTime_) {
+    const MonotonicTime graceEnd = *inputEndTime_ + context_.Limits().halfCloseGrace_;
+    if (context_.Loop().Now() >= graceEnd) {
+      exchange->Respond(context_.MakeRefusal(RefusalReason::CallerLeft));
+      return;
+    }
+    timeout_.Set(graceEnd);
+  }
   context_.Handle(std::move(exchange));
 }
 
@@ -268,7 +306,8 @@
     return;
   }
   const auto self = shared_from_this();
-  closeAfterResponse_ = closeAfterResponse_ || context_.Draining();
+  const bool lastRequest = inputEndTime_ && input_.Size() == 0;
+  closeAfterResponse_ = closeAfterResponse_ || context_.Draining() || lastRequest;
   ConnectionUse connectionUse =
     reader_.Http10() ? ConnectionUse::KeepOpenHttp10 : ConnectionUse::KeepOpen;
   if (closeAfterResponse_) {
@@ -287,6 +326,11 @@
 void
 ServerConnection::OnResponseSent()
 {
+  if (closeAfterResponse_ && inputEndTime_) {
+    state_ = State::Lingering;
+    Close(UnansweredCause::CallerClosed); // there is no unread input that would cause a reset
+    return;
+  }
   if (closeAfterResponse_) {
     state_ = State::Lingering;
     timeout_.Set(context_.Loop().Now() + kLingerTimeout);
@@ -301,6 +345,12 @@
 ServerConnection::OnTimeout()
 {
   const auto self = shared_from_this();
+  if (state_ == State::Handling) {
+    if (const auto exchange = exchange_.lock()) {
+      exchange->ReportHalfClose();
+    }
+    return;
+  }
   Close(UnansweredCause::WriteTimeout);
 }
 
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "boragepier/http/request_reader.h"
 #include "boragepier/http/server.h"
@@ -72,6 +73,7 @@
 
   void OnInput(std::string_view aBytes) override;
   void OnOutputFlushed() override;
+  bool OnInputEnded() override;
   void OnEnd(net::StreamEnd aEnd) override;
 
   void ProcessInput();
@@ -94,6 +96,8 @@
   bool processingInput_ = false;
   bool requestStarted_ = false;
   MonotonicTime requestStartTime_; ///< arrival of its first byte; valid if requestStarted_
+  /// When the caller ended its sending side; it may wait for responses to what it has sent.
+  std::optional<MonotonicTime> inputEndTime_;
   bool closeAfterResponse_ = false;
   bool requestIsHead_ = false;
 };
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -253,22 +253,134 @@
     RawSocket socket = server.Connect();
     socket.Send(kGetHeld);
     const auto exchange = server.TakeHeldExchange();
-    std::promise<void> abandoned;
-    server.Run([&] { exchange->SetAbandonedCallback([&] { abandoned.set_value(); }); });
+    std::promise<CallerEnd> abandoned;
+    server.Run(
+      [&] { exchange->SetAbandonedCallback([&](CallerEnd aEnd) { abandoned.set_value(aEnd); }); });
     if (reset) {
       socket.Reset();
     } else {
       socket.Close();
     }
-    Await(abandoned.get_future());
+    const CallerEnd end = reset ? CallerEnd::Gone : CallerEnd::HalfClosed;
+    CHECK(Await(abandoned.get_future()) == end);
+    std::promise<CallerEnd> late;
+    server.Run(
+      [&] { exchange->SetAbandonedCallback([&](CallerEnd aEnd) { late.set_value(aEnd); }); });
+    CHECK(Await(late.get_future()) == end);
     server.Respond(exchange, "ignored");
-    std::promise<void> late;
-    server.Run([&] { exchange->SetAbandonedCallback([&] { late.set_value(); }); });
-    Await(late.get_future());
-    LONGS_EQUAL(0, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
+    LONGS_EQUAL(0, server.Run([&] { return server.GetServer().ConnectionCount(); }));
   }
 }
 
+// Guards against continuing work for a caller that resets the connection after it has ended its
+// sending side.
+TEST(Server, ResetAfterAHalfCloseRunsTheAbandonedCallback)
+{
+  ServerLimits limits;
+  limits.halfCloseGrace_ = std::chrono::hours(1);
+  ServerFixture server(limits);
+  RawSocket socket = server.Connect();
+  socket.Send(kGetHeld);
+  const auto exchange = server.TakeHeldExchange();
+  std::promise<CallerEnd> abandoned;
+  server.Run(
+    [&] { exchange->SetAbandonedCallback([&](CallerEnd aEnd) { abandoned.set_value(aEnd); }); });
+  socket.ShutdownOutput();
+  server.SendAndReadToEnd("GET / HTTP/1.0\r\n\r\n");
+  socket.Reset();
+  CHECK(Await(abandoned.get_future()) == CallerEnd::Gone);
+  LONGS_EQUAL(0, server.Run([&] { return server.GetServer().ConnectionCount(); }));
+}
+
+// Guards against running requests of a caller that may have gone long ago: they were pipelined
+// behind a slow one.
+TEST(Server, PipelinedRequestsAreRefusedAfterTheGracePeriodOfAHalfClose)
+{
+  ServerLimits limits;
+  limits.halfCloseGrace_ = milliseconds(1);
+  ServerFixture server(limits);
+  RawSocket socket = server.Connect();
+  socket.Send(std::string(kGetHeld) + std::string(kGet) + std::string(kGetHeld));
+  const auto exchange = server.TakeHeldExchange();
+  std::promise<CallerEnd> abandoned;
+  server.Run(
+    [&] { exchange->SetAbandonedCallback([&](CallerEnd aEnd) { abandoned.set_value(aEnd); }); });
+  socket.ShutdownOutput();
+  CHECK(Await(abandoned.get_future()) == CallerEnd::HalfClosed);
+  server.Respond(exchange, "first");
+  STRCMP_CONTAINS("\r\n\r\nfirst", socket.ReadMessage().c_str());
+  STRCMP_CONTAINS("\r\n\r\ncaller-left", socket.ReadMessage().c_str());
+  const std::string last = socket.ReadToEnd();
+  STRCMP_CONTAINS("Connection: close\r\n", last.c_str());
+  CHECK(last.ends_with("caller-left"));
+}
+
+// Guards against closing the connection of a caller that ends its sending side and waits, without
+// the response to its request.
+TEST(Server, HalfClosedCallerGetsTheResponse)
+{
+  ServerFixture server;
+  RawSocket socket = server.Connect();
+  socket.Send(kGetHeld);
+  const auto exchange = server.TakeHeldExchange();
+  socket.ShutdownOutput();
+  // A request on another connection shows that the loop has handled the end of the input.
+  server.SendAndReadToEnd("GET / HTTP/1.0\r\n\r\n");
+  LONGS_EQUAL(1, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
+  server.Respond(exchange, "done");
+  const std::string response = socket.ReadToEnd();
+  STRCMP_CONTAINS("Connection: close\r\n", response.c_str());
+  CHECK(response.ends_with("done"));
+  LONGS_EQUAL(0, server.Run([&] { return server.GetServer().ConnectionCount(); }));
+}
+
+// Guards against losing the responses to requests that were received before the end of the input.
+TEST(Server, PipelinedRequestsBeforeAHalfCloseAreAnswered)
+{
+  ServerLimits limits;
+  limits.halfCloseGrace_ = std::chrono::hours(1);
+  ServerFixture server(limits);
+  RawSocket socket = server.Connect();
+  socket.Send(std::string(kGetHeld) + std::string(kGet) + std::string(kGetHeld));
+  socket.ShutdownOutput();
+  server.Respond(server.TakeHeldExchange(), "first");
+  STRCMP_CONTAINS("\r\n\r\nfirst", socket.ReadMessage().c_str());
+  STRCMP_CONTAINS("\r\n\r\nGET /a ", socket.ReadMessage().c_str());
+  server.Respond(server.TakeHeldExchange(), "third");
+  const std::string last = socket.ReadToEnd();
+  STRCMP_CONTAINS("Connection: close\r\n", last.c_str());
+  CHECK(last.ends_with("third"));
+  LONGS_EQUAL(0, server.Run([&] { return server.GetServer().ConnectionCount(); }));
+}
+
+// Guards against cutting off a response that is being written when the caller ends its input.
+TEST(Server, ResponseIsCompletedAfterAHalfClose)
+{
+  ServerFixture server;
+  RawSocket socket = server.Connect();
+  socket.Send(kGetHeld);
+  std::string body; // exceeds the socket buffers of both ends
+  body.resize(50'000'000, 'x');
+  server.Respond(server.TakeHeldExchange(), body);
+  socket.ShutdownOutput();
+  server.SendAndReadToEnd("GET / HTTP/1.0\r\n\r\n");
+  CHECK(socket.ReadMessage().size() > body.size());
+  STRCMP_EQUAL("", socket.ReadToEnd().c_str());
+  LONGS_EQUAL(0, server.Run([&] { return server.GetServer().ConnectionCount(); }));
+}
+
+// Guards against waiting for the rest of a request that can't arrive any more.
+TEST(Server, HalfCloseWithinARequestClosesTheConnection)
+{
+  ServerFixture server;
+  RawSocket socket = server.Connect();
+  socket.Send(std::string(kGetHeld) + "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx");
+  socket.ShutdownOutput();
+  server.Respond(server.TakeHeldExchange(), "first");
+  CHECK(socket.ReadToEnd().ends_with("first"));
+  LONGS_EQUAL(0, server.Run([&] { return server.GetServer().ConnectionCount(); }));
+}
+
 // Guards against slow requests (Slowloris) that hold a connection open by sending single bytes.
 TEST(Server, SlowRequestTimesOutWithoutDelayingOthers)
 {
@@ -568,7 +680,7 @@
     RawSocket closed = server.Connect();
     closed.Send(kGetHeld);
     const auto abandoned = server.TakeHeldExchange();
-    closed.Close();
+    closed.Reset();
     WaitUntil([&] { return reported() == 1; });
     RawSocket aborted = server.Connect();
     aborted.Send(kGetHeld);
--- a/boragepier/net/socket_stream.h
+++ b/boragepier/net/socket_stream.h
@@ -44,6 +44,8 @@
 
   void ConfigureSocket();
   void WaitForInput();
+  void EndInput();
+  void OnSocketError(const ErrorCode& aError);
   void TryWrite();
   void OnWritten(std::size_t aCount);
   void PostEnd(StreamEnd aEnd);
@@ -64,6 +66,7 @@
   bool waitingForInput_ = false;  ///< a wait for input is pending
   bool waitingForOutput_ = false; ///< a wait for writability is pending
   bool deliveringInput_ = false;  ///< OnInput() is running and uses readBuffer_
+  bool inputEnded_ = false;       ///< the peer has ended its sending side
   bool ended_ = false;            ///< OnEnd() was or will be called
 };
 
--- a/boragepier/net/tcp_stream.cc
+++ b/boragepier/net/tcp_stream.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace boragepier::net {
@@ -189,7 +190,7 @@
 void
 SocketStream::WaitForInput()
 {
-  if (inputPaused_ || ended_ || deliveringInput_ || waitingForInput_) {
+  if (inputPaused_ || inputEnded_ || ended_ || deliveringInput_ || waitingForInput_) {
     return;
   }
   waitingForInput_ = true;
@@ -198,6 +199,32 @@
   });
 }
 
+void
+SocketStream::EndInput()
+{
+  inputEnded_ = true;
+  if (!handler_->OnInputEnded()) {
+    ReportEnd(StreamEnd::Closed);
+  } else if (!Closed()) {
+    socket_.async_wait(Socket::wait_error, [self = shared_from_this()](const ErrorCode& aError) {
+      self->OnSocketError(aError);
+    });
+  }
+}
+
+void
+SocketStream::OnSocketError(const ErrorCode& aError)
+{
+  if (Closed() || ended_) {
+    return;
+  }
+  // The wait also ends for urgent data, which is no error.
+  pollfd entry{ socket_.native_handle(), 0, 0 };
+  if (aError || ::poll(&entry, 1, 0) > 0) {
+    ReportEnd(StreamEnd::Broken);
+  }
+}
+
 void
 SocketStream::PostEnd(StreamEnd aEnd)
 {
@@ -253,8 +280,12 @@
     WaitForInput();
     return;
   }
+  if (error == boost::asio::error::eof) {
+    EndInput();
+    return;
+  }
   if (error) {
-    ReportEnd(error == boost::asio::error::eof ? StreamEnd::Closed : StreamEnd::Broken);
+    ReportEnd(StreamEnd::Broken);
     return;
   }
   deliveringInput_ = true;
--- a/boragepier/net/tcp_stream.h
+++ b/boragepier/net/tcp_stream.h
@@ -32,6 +32,11 @@
   virtual void OnInput(std::string_view aBytes) = 0;
   /// The kernel has accepted all output, after some of it had to be queued.
   virtual void OnOutputFlushed() {}
+  /// The peer has ended its sending side. It may still read, or have closed the connection: the two
+  /// differ only in that writing to a closed one is answered by a reset.
+  /// @return whether the stream stays open for output. If not, OnEnd(StreamEnd::Closed) follows. If
+  /// so, OnEnd(StreamEnd::Broken) follows when the peer resets the connection or a write fails.
+  virtual bool OnInputEnded() { return false; }
   /// The stream ended. The stream still has to be closed.
   virtual void OnEnd(StreamEnd aEnd) = 0;
 };
--- a/testing/e2e/wire_test.cc
+++ b/testing/e2e/wire_test.cc
@@ -278,6 +278,21 @@
   STRCMP_EQUAL("", upstreamConnection.ReadToEnd().c_str());
 }
 
+// Guards against closing the connection of a caller that ended its sending side and waits: its
+// unsafe request was run and got no response.
+TEST(Wire, HalfClosedCallerGetsTheResponseToAnUnsafeRequest)
+{
+  RawSocket caller(port_);
+  caller.Send(kPostRequest);
+  caller.ShutdownOutput();
+  RawSocket upstreamConnection = upstream_.Accept();
+  upstreamConnection.ReadMessage();
+  // Past the grace period in which the requests of a half-closed caller are handled as usual.
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  upstreamConnection.Send(kCompleteResponse);
+  CHECK(caller.ReadToEnd().ends_with("ok"));
+}
+
 // Guards against an exit that is decided while a request is still being read: the request would
 // reach the upstream in the last moments of the process and never be answered.
 TEST(Wire, SlowUploadIsAnsweredDuringAPlannedStop)
--- a/testing/wire/raw_socket.cc
+++ b/testing/wire/raw_socket.cc
@@ -146,6 +146,12 @@
   return !received_.empty() || IsReadable(descriptor_, 0);
 }
 
+void
+RawSocket::ShutdownOutput()
+{
+  ::shutdown(descriptor_, SHUT_WR);
+}
+
 void
 RawSocket::Close()
 {
--- a/testing/wire/raw_socket.h
+++ b/testing/wire/raw_socket.h
@@ -47,6 +47,8 @@
   std::string ReadToEnd();
   /// @return true if a read would not wait: bytes or the end of the stream have arrived
   bool HasInput() const;
+  /// Ends the sending side. Input can still be read.
+  void ShutdownOutput();
   void Close();
   /// Closes the connection with a TCP reset.
   void Reset();
