Wait at a planned stop until callers have received their last response

A caller that read slowly and sent further bytes lost the rest of a response when the instance exited at the end of its drain. The upstream had run the request, and the instance had counted it as answered.

Cause: a connection counted as finished once the kernel had accepted its response. The exit closed the socket; input at a closed socket is answered by a reset, and the kernel discards the output that it still holds. The connection waits for the caller for this reason, but the drain did not count that wait.

The drain now counts open connections, so UnfinishedConnections() became the same as ConnectionCount() and is removed.

Tests use ConnectionCount() instead, which is stricter where 0 is expected. Two of them close their callers before they expect 0, since a caller that stays is waited for now.

--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -133,7 +133,7 @@
     claims_.Advance(loop_.Now());
   }
   connectionCount_ = server_.ConnectionCount();
-  drained_ = stoppedAccepting_ && server_.UnfinishedConnections() == 0 && claims_.NothingPending();
+  drained_ = stoppedAccepting_ && server_.ConnectionCount() == 0 && claims_.NothingPending();
   loop_.After(claimsEnabled ? kClaimTickInterval : kKeylessTickInterval, [this] { Tick(); });
 }
 
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -1,6 +1,5 @@
 #include "boragepier/http/server.h"
 
-#include <algorithm>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -67,14 +66,6 @@
     }
   }
 
-  std::size_t UnfinishedConnections() const
-  {
-    return static_cast<std::size_t>(
-      std::count_if(connections_.begin(), connections_.end(), [](const auto& aEntry) {
-        return aEntry.second->HasUnfinishedRequest();
-      }));
-  }
-
   std::size_t ConnectionCount() const { return connections_.size(); }
 
   net::EventLoop& Loop() override { return loop_; }
@@ -177,12 +168,6 @@
   impl_->StopAccepting();
 }
 
-std::size_t
-Server::UnfinishedConnections() const
-{
-  return impl_->UnfinishedConnections();
-}
-
 std::size_t
 Server::ConnectionCount() const
 {
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -95,11 +95,9 @@
   /// yet. Call after BeginDrain(). Loop
   /// thread only.
   void StopAccepting();
-  /// @return number of connections with a request that is being read or handled, or whose response
-  /// is not fully written; idle connections count as well until StopAccepting(). At 0 after
-  /// StopAccepting(), no further request reaches the handler. Loop thread only.
-  std::size_t UnfinishedConnections() const;
-  /// @return number of open connections, including those being refused. Loop thread only.
+  /// @return number of open connections, including those being refused, and those that stay open
+  /// for their caller to read the last response. At 0 after StopAccepting(), no further request
+  /// reaches the handler, and the end of the process discards no response. Loop thread only.
   std::size_t ConnectionCount() const;
 
 private:
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -126,12 +126,6 @@
   }
 }
 
-bool
-ServerConnection::HasUnfinishedRequest() const
-{
-  return state_ == State::Reading || state_ == State::Handling || state_ == State::Writing;
-}
-
 void
 ServerConnection::Close(UnansweredCause aCause)
 {
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -52,9 +52,6 @@
   void StartRefused(RefusalReason aReason);
   /// Closes the connection if no byte of a request is pending.
   void CloseIfIdle();
-  /// @return whether a request, or the first byte of one, is awaited or being read or handled, or
-  /// its response is not fully written
-  bool HasUnfinishedRequest() const;
   /// Closes immediately, without running the abandoned callback of an exchange in progress.
   /// @param aCause reported if a request that was read completely has no complete response yet
   void Close(UnansweredCause aCause);
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -326,7 +326,7 @@
   socket.ShutdownOutput();
   // A request on another connection shows that the loop has handled the end of the input.
   server.SendAndReadToEnd("GET / HTTP/1.0\r\n\r\n");
-  LONGS_EQUAL(1, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
+  LONGS_EQUAL(1, server.Run([&] { return server.GetServer().ConnectionCount(); }));
   server.Respond(exchange, "done");
   const std::string response = socket.ReadToEnd();
   STRCMP_CONTAINS("Connection: close\r\n", response.c_str());
@@ -414,11 +414,11 @@
   // In one task, because the timeout may expire before a second task runs.
   const std::size_t inProgress = server.Run([&] {
     exchange->Respond(MakeResponse(200, body));
-    return server.GetServer().UnfinishedConnections();
+    return server.GetServer().ConnectionCount();
   });
   LONGS_EQUAL(1, inProgress);
   WaitUntil([&] { return server.Run([&] { return server.GetServer().ConnectionCount(); }) == 0; });
-  LONGS_EQUAL(0, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
+  LONGS_EQUAL(0, server.Run([&] { return server.GetServer().ConnectionCount(); }));
   CHECK(socket.ReadToEnd().size() < 50'000'000);
 }
 
@@ -563,7 +563,8 @@
     CHECK(caller.ReadToEnd().ends_with("ok"));
   }
   STRCMP_EQUAL("", idle.ReadToEnd().c_str());
-  CHECK_EQUAL(0, thread.Run([&] { return server.UnfinishedConnections(); }));
+  callers.clear();
+  WaitUntil([&] { return thread.Run([&] { return server.ConnectionCount(); }) == 0; });
 }
 
 // Guards against resetting the connection that is accepted already, but whose callback is still to
@@ -593,7 +594,7 @@
 {
   ServerFixture server;
   const auto unfinished = [&] {
-    return server.Run([&] { return server.GetServer().UnfinishedConnections(); });
+    return server.Run([&] { return server.GetServer().ConnectionCount(); });
   };
   RawSocket uploading = server.Connect();
   uploading.Send(
@@ -608,7 +609,8 @@
   CHECK_EQUAL(1, unfinished());
   uploading.Send("cd");
   CHECK(uploading.ReadToEnd().ends_with("POST /u abcd"));
-  CHECK_EQUAL(0, unfinished());
+  uploading.Close();
+  WaitUntil([&] { return unfinished() == 0; });
 }
 
 // Guards against a drain that waits for a connection without a request: it was promised to stay
@@ -626,10 +628,10 @@
     server.GetServer().BeginDrain();
     server.GetServer().StopAccepting();
   });
-  CHECK_EQUAL(1, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
+  CHECK_EQUAL(1, server.Run([&] { return server.GetServer().ConnectionCount(); }));
   CHECK(socket.ReadMessage().size() > 50'000'000);
   STRCMP_EQUAL("", socket.ReadToEnd().c_str());
-  CHECK_EQUAL(0, server.Run([&] { return server.GetServer().UnfinishedConnections(); }));
+  CHECK_EQUAL(0, server.Run([&] { return server.GetServer().ConnectionCount(); }));
 }
 
 TEST(Server, HeadResponseHasNoBodyAndHttp10ClosesByDefault)
--- a/testing/e2e/wire_test.cc
+++ b/testing/e2e/wire_test.cc
@@ -317,6 +317,33 @@
   CHECK_EQUAL(0, instance.process_->WaitForExit());
 }
 
+// Guards against losing the rest of a response that the kernel had accepted when the process
+// exited: bytes that the caller sends to a closed socket are answered by a reset, which discards
+// it.
+TEST(Wire, ResponseToASlowReaderArrivesDuringAPlannedStop)
+{
+  RunningInstance& instance =
+    fleet_.AddInstance("[traffic]\ndrain-grace-ms = 100\ndrain-limit-ms = 20000\n");
+  fleet_.WaitForVersion("shop", 1);
+  fleet_.WaitForUpstreams(instance, "shop", 1);
+  RawSocket caller(instance.callerPort_);
+  caller.Send(kGetRequest);
+  RawSocket upstreamConnection = upstream_.Accept();
+  upstreamConnection.ReadMessage();
+  instance.process_->Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(400)); // past the grace period
+  const std::string body(300'000, 'x');
+  upstreamConnection.Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                          "\r\n\r\n" + body);
+  WaitUntil([&] { return caller.HasInput(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  caller.Send(kGetRequest);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(caller.ReadToEnd().ends_with(body));
+  caller.Close();
+  CHECK_EQUAL(0, instance.process_->WaitForExit());
+}
+
 // Guards against idle or slow callers that block other callers.
 TEST(Wire, SlowAndIdleCallersDoNotBlockOthers)
 {
