Refuse request ids that are not visible ASCII, and serialize JSON in one place

Cause: the id of the caller was taken over unchecked, and the problem document of a refusal repeats it. nlohmann's dump() throws on text that is not UTF-8, and nothing between it and the thread catches.

Fix: the id is checked when the request is read (1 to 128 visible ASCII characters, no two different ones), before anything else holds it; any other is refused with 400, not-run and an id of boragepier's own. Answers, status and explain records share one serialization that replaces invalid bytes. Rows of the table service and configuration records keep failing on such text: replaced bytes in a key would name another row.

--- a/boragepier/admin/admin_api.cc
+++ b/boragepier/admin/admin_api.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "boragepier/base/json_text.h"
 #include "boragepier/config/service_file.h"
 #include "boragepier/telemetry/log.h"
 
@@ -15,13 +16,6 @@
 
 using nlohmann::json;
 
-// Replaces invalid UTF-8, because error texts may quote bytes of the request.
-std::string
-SerializeJson(const json& aJson)
-{
-  return aJson.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 AdminResponse
 JsonResponse(int aStatus, const json& aJson)
 {
--- a/boragepier/admin/instance_status.cc
+++ b/boragepier/admin/instance_status.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "boragepier/base/json_text.h"
+
 namespace boragepier {
 
 namespace {
@@ -26,7 +28,7 @@
     { "draining", aStatus.draining_ },   { "peers", aStatus.peers_ },
     { "instances", aStatus.instances_ }, { "services", std::move(services) }
   };
-  return status.dump(-1, ' ', false, json::error_handler_t::replace);
+  return SerializeJson(status);
 }
 
 InstanceStatus
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -38,7 +38,7 @@
   /// @param aDriver must outlive this object
   /// @param aExchange holds the request and sends the response
   /// @param aNumber sequence number, unique among the requests of the instance
-  /// @param aId request id for the caller, used unless the caller sets its own
+  /// @param aId request id for the caller, used unless the caller sets a valid one
   /// @param aLatestDeadline the request is refused if its deadline is later
   Call(Dependencies aDependencies,
        BalancerDriver<S, R, C>& aDriver,
@@ -54,13 +54,6 @@
     requestInfo_.id_ = aNumber;
     requestInfo_.arrival_ = exchange_->Arrival();
     record_.id_ = std::move(aId);
-    if (deps_.dialect_.callerSetsRequestId_) {
-      const auto callerId = exchange_->GetRequest().headers_.Get(deps_.dialect_.requestIdField_);
-      if (callerId) {
-        callerRequestId_ = RequestId(std::string(*callerId));
-        record_.id_ = callerRequestId_;
-      }
-    }
     record_.arrival_ = deps_.wallClockNow_();
     record_.method_ = exchange_->GetRequest().method_;
   }
@@ -104,6 +97,10 @@
   void RouteAndValidate()
   {
     const http::Request& request = exchange_->GetRequest();
+    if (auto callerId = ParseCallerRequestId(request, deps_.dialect_)) {
+      callerRequestId_ = std::move(*callerId);
+      record_.id_ = callerRequestId_;
+    }
     const std::string_view path = ParseRequestPath(request.target_);
     record_.path_ = std::string(path);
     if (!deps_.router_.HasConfiguration()) {
--- a/boragepier/entry/refusal.cc
+++ b/boragepier/entry/refusal.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "boragepier/base/json_text.h"
 #include "boragepier/entry/request_checks.h"
 
 namespace boragepier {
@@ -60,7 +61,7 @@
                             ? std::string(kOtherInstanceRetryAfterSeconds)
                             : FormatRetryAfter(aRetryAfter));
   }
-  response.body_ = problem.dump();
+  response.body_ = SerializeJson(problem);
   return response;
 }
 
--- a/boragepier/entry/request_checks.cc
+++ b/boragepier/entry/request_checks.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kMaxKeyBytes = 128;
+constexpr std::size_t kMaxRequestIdBytes = 128;
 constexpr std::string_view kReservedFieldPrefix = "boragepier-";
 
 char
@@ -96,20 +97,36 @@
   return aTarget;
 }
 
+bool
+IsVisibleAscii(std::string_view aText, std::size_t aMaxBytes)
+{
+  return !aText.empty() && aText.size() <= aMaxBytes &&
+         std::all_of(
+           aText.begin(), aText.end(), [](char aChar) { return aChar > ' ' && aChar < '\x7f'; });
+}
+
+// Returns the value of a field that has one meaning: with two different values it would be
+// undefined which one the upstream uses.
+std::optional<std::string_view>
+SingleValue(const http::Request& aRequest, std::string_view aName)
+{
+  const auto value = aRequest.headers_.Get(aName);
+  for (const http::Headers::Field& field : aRequest.headers_) {
+    if (EqualIgnoringCase(field.name_, aName) && field.value_ != *value) {
+      throw RequestRefusedError(RefusalReason::MalformedRequest);
+    }
+  }
+  return value;
+}
+
 // Returns the deadline that the caller requested, if any.
 std::optional<Duration>
 ParseDeadline(const http::Request& aRequest, const WireDialect& aDialect)
 {
-  const auto field = aRequest.headers_.Get(aDialect.deadlineField_);
+  const auto field = SingleValue(aRequest, aDialect.deadlineField_);
   if (!field) {
     return std::nullopt;
   }
-  // With two different values it would be undefined which one the upstream uses.
-  for (const http::Headers::Field& other : aRequest.headers_) {
-    if (EqualIgnoringCase(other.name_, aDialect.deadlineField_) && other.value_ != *field) {
-      throw RequestRefusedError(RefusalReason::MalformedRequest);
-    }
-  }
   constexpr std::uint64_t kMaxDeadlineMs = 24ULL * 60 * 60 * 1000;
   const auto milliseconds = ParseNumber<std::uint64_t>(*field);
   if (!milliseconds || *milliseconds > kMaxDeadlineMs) {
@@ -127,9 +144,7 @@
   if (!field) {
     return std::nullopt;
   }
-  const bool visibleAscii = std::all_of(
-    field->begin(), field->end(), [](char aChar) { return aChar > ' ' && aChar < '\x7f'; });
-  if (field->empty() || field->size() > kMaxKeyBytes || !visibleAscii) {
+  if (!IsVisibleAscii(*field, kMaxKeyBytes)) {
     throw RequestRefusedError(RefusalReason::KeyInvalid);
   }
   return std::string(*field);
@@ -149,6 +164,22 @@
   return path;
 }
 
+std::optional<RequestId>
+ParseCallerRequestId(const http::Request& aRequest, const WireDialect& aDialect)
+{
+  if (!aDialect.callerSetsRequestId_) {
+    return std::nullopt;
+  }
+  const auto field = SingleValue(aRequest, aDialect.requestIdField_);
+  if (!field) {
+    return std::nullopt;
+  }
+  if (!IsVisibleAscii(*field, kMaxRequestIdBytes)) {
+    throw RequestRefusedError(RefusalReason::MalformedRequest);
+  }
+  return RequestId(std::string(*field));
+}
+
 CallOptions
 ResolveCallOptions(const http::Request& aRequest,
                    std::string_view aPath,
--- a/boragepier/entry/request_checks.h
+++ b/boragepier/entry/request_checks.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "boragepier/base/errors.h"
+#include "boragepier/base/ids.h"
 #include "boragepier/base/outcome.h"
 #include "boragepier/base/time.h"
 #include "boragepier/config/route_config.h"
@@ -49,6 +50,13 @@
 std::string_view
 ParseRequestPath(std::string_view aTarget);
 
+/// @return the request id that the caller set; nothing if it set none, or if the dialect lets
+///   boragepier set request ids
+/// @throws RequestRefusedError (MalformedRequest) if the id is not 1 to 128 visible ASCII
+///   characters, or if there are different ids
+std::optional<RequestId>
+ParseCallerRequestId(const http::Request& aRequest, const WireDialect& aDialect);
+
 /// Options of one request: what the caller requested in header fields, within the limits of the
 /// service or route.
 struct CallOptions
--- a/boragepier/entry/request_checks_test.cc
+++ b/boragepier/entry/request_checks_test.cc
@@ -76,6 +76,30 @@
   CHECK(options.repeatability_ == Repeatability::AtMostOnce);
 }
 
+// Guards against a request id that cannot be sent back, logged or compared as it is.
+TEST(RequestChecks, CallerRequestIdIsVisibleAsciiOfAtMost128Bytes)
+{
+  WireDialect dialect = NativeDialect();
+  CHECK(!ParseCallerRequestId(request_, dialect));
+  request_.headers_.Set(dialect.requestIdField_, "\xff\xfe");
+  CHECK(!ParseCallerRequestId(request_, dialect)); // the caller's field has no meaning
+  dialect.callerSetsRequestId_ = true;
+  for (const std::string& id : { std::string("\xff\xfe"),
+                                 std::string("a b"),
+                                 std::string("a\x7f"),
+                                 std::string(),
+                                 std::string(129, 'a') }) {
+    request_.headers_.Set(dialect.requestIdField_, id);
+    CHECK_THROWS(RequestRefusedError, ParseCallerRequestId(request_, dialect));
+  }
+  const std::string longestId(128, '~');
+  request_.headers_.Set(dialect.requestIdField_, longestId);
+  request_.headers_.Add(dialect.requestIdField_, longestId);
+  CHECK(ParseCallerRequestId(request_, dialect) == RequestId(longestId));
+  request_.headers_.Add(dialect.requestIdField_, "another");
+  CHECK_THROWS(RequestRefusedError, ParseCallerRequestId(request_, dialect));
+}
+
 // Guards against taking two different requests with the same key for one request.
 TEST(RequestChecks, FingerprintSeparatesTargetAndBody)
 {
--- a/boragepier/telemetry/explain.cc
+++ b/boragepier/telemetry/explain.cc
@@ -4,19 +4,14 @@
 
 #include <nlohmann/json.hpp>
 
+#include "boragepier/base/json_text.h"
+
 namespace boragepier {
 
 namespace {
 
 using nlohmann::json;
 
-// Replaces invalid UTF-8: paths may contain any bytes.
-std::string
-SerializeJson(const json& aJson)
-{
-  return aJson.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 // Truncates the list to kMaxCandidates: the chosen candidate, which comes first, and those with the
 // shortest expected wait.
 void
--- /dev/null
+++ b/testing/e2e/foreign_bytes_test.cc
@@ -0,0 +1,82 @@
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+
+#include "testing/e2e/child_process.h"
+#include "testing/wire/raw_socket.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier::testing {
+
+namespace {
+
+std::filesystem::path
+MakeSettingsFile(std::uint16_t aStorePort)
+{
+  std::string path = (std::filesystem::temp_directory_path() / "boragepier-XXXXXX").string();
+  const int descriptor = ::mkstemp(path.data());
+  if (descriptor < 0) {
+    throw ChildProcessError("cannot create a temporary settings file");
+  }
+  ::close(descriptor);
+  std::ofstream(path) << "[instance]\nid = front-1\nzone = a\n[store]\naddress = 127.0.0.1:"
+                      << aStorePort << "\n[fleet]\nfirst-start = true\n";
+  return path;
+}
+
+} // namespace
+
+// Runs the real binary with the binding to the users' store, whose callers set their request ids.
+TEST_GROUP(ForeignBytes)
+{
+  RawListener store_; // accepts no connection, so that the instance stays without a configuration
+  std::filesystem::path settings_ = MakeSettingsFile(store_.Port());
+  ChildProcess instance_{ BORAGEPIER_BINARY, { "--settings", settings_.string() } };
+  std::uint16_t port_ = instance_.ReadPort("listening");
+
+  void teardown() override
+  {
+    std::filesystem::remove(settings_);
+  }
+
+  std::string SendAndReceive(const std::string& aBytes)
+  {
+    RawSocket caller(port_);
+    caller.Send(aBytes);
+    return caller.ReadMessage();
+  }
+
+  void CheckContains(const std::string& aText, const std::string& aPart)
+  {
+    CHECK_TEXT(aText.find(aPart) != std::string::npos, aText.c_str());
+  }
+};
+
+// Guards against a request id that ends the process, with the requests of all other callers.
+TEST(ForeignBytes, InvalidRequestIdIsRefusedAndTheProcessGoesOn)
+{
+  for (const std::string& id : { std::string("\xff\xfe"),
+                                 std::string("a b"),
+                                 std::string(),
+                                 std::string(129, 'a'),
+                                 std::string("a\r\nAttempt-Id: b") }) {
+    const std::string response =
+      SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\nAttempt-Id: " + id + "\r\n\r\n");
+    CHECK_TEXT(response.starts_with("HTTP/1.1 400"), response.c_str());
+    CheckContains(response, "Boragepier-Outcome: not-run\r\n");
+    CheckContains(response, "Boragepier-Request-Id: front-1-");
+    CHECK(id.empty() || response.find(id) == std::string::npos);
+  }
+  const std::string longestId(128, '~');
+  CheckContains(
+    SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\nAttempt-Id: " + longestId + "\r\n\r\n"),
+    "Boragepier-Request-Id: " + longestId + "\r\n");
+  CheckContains(SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n\r\n"), "HTTP/1.1 503");
+}
+
+} // namespace boragepier::testing
