End only the request, answer, message or task that throws, not the process

Cause: no callback was guarded between the bytes from outside and the thread.

Fix: RunContained() reports an exception (event 1008, new metric boragepier_internal_errors_total) and goes on. It stands at the points of entry: - Call: its start and each callback. The request is answered with 500 internal-error (new reason); the outcome is not-run only if no attempt was begun and no claim is undecided, else unknown. - http::Server: the handler, whose connection is then closed, and the writing of a response. ServerConnection resets its flag of re-entrancy. - http::Client: the callback of one answer, and the dispatch of a request that waits for a connection; a request that cannot be dispatched ends by its timeout. - peer links, the decoding of a store entry, the routing table made from it, and an answer of the store; the next call to the store is scheduled in any case. - net::TcpStream: a handler that throws gets OnEnd(), in which it releases what its connection holds. - net::EventLoop: each I/O callback, timer and task, as the last resort. Timers that repeat are set again before their work. No exception, no cost: the guards are try blocks.

--- a/boragepier/admin/admin_api.cc
+++ b/boragepier/admin/admin_api.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/base/json_text.h"
 #include "boragepier/config/service_file.h"
 #include "boragepier/telemetry/log.h"
@@ -78,8 +79,8 @@
 {
   try {
     return Route(aRequest);
-  } catch (const std::exception& error) {
-    Log(EventId::InternalError, { { "where", "admin" }, { "error", error.what() } });
+  } catch (...) {
+    ReportInternalError(ErrorScope::AdminRequest);
     return ErrorResponse(
       503, "unavailable", "the instance cannot answer the request now; try again");
   }
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -40,8 +40,9 @@
   ShuttingDown,
   NotConfigured, ///< the instance has not received a configuration yet
   CallerLeft,    ///< the caller ended its input and may have closed the connection
+  InternalError, ///< an unexpected error ended the request
 };
-inline constexpr int kRefusalReasonCount = 21;
+inline constexpr int kRefusalReasonCount = 22;
 
 /// Why an attempt did not yield a complete response.
 enum class AttemptFailure : std::uint8_t
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/directory/directory_state.h"
 #include "boragepier/directory/directory_timing.h"
 #include "boragepier/directory/instance_registrar.h"
@@ -287,6 +288,15 @@
   }
 
   void OnSubscribeTimer()
+  {
+    RunContained(ErrorScope::Task, [this] { RenewSubscriptions(); });
+    const bool awaitsReply = IsAwaitingFirstData() && !sourceReplied_;
+    scheduler_.After(
+      jitter_(awaitsReply ? timing_.initialSubscribeInterval_ : timing_.subscribeInterval_),
+      [this] { OnSubscribeTimer(); });
+  }
+
+  void RenewSubscriptions()
   {
     const MonotonicTime now = scheduler_.Now();
     subscribers_.RemoveExpired(now);
@@ -296,10 +306,6 @@
     SendSubscribes();
     reader_.Start();
     ReportSource();
-    const bool awaitsReply = IsAwaitingFirstData() && !sourceReplied_;
-    scheduler_.After(
-      jitter_(awaitsReply ? timing_.initialSubscribeInterval_ : timing_.subscribeInterval_),
-      [this] { OnSubscribeTimer(); });
   }
 
   bool ShouldChangeSource(MonotonicTime aNow) const
@@ -422,7 +428,9 @@
     std::vector<DecodedFeedRow> items;
     items.reserve(aRows.size());
     for (const FeedRow& row : aRows) {
-      items.push_back(feed_.Decode(aTopic, row, now));
+      DecodedFeedRow& item =
+        items.emplace_back(DecodedFeedRow{ row.key_, UnreadableEntry{ "an internal error" } });
+      RunContained(ErrorScope::StoreEntry, [&] { item = feed_.Decode(aTopic, row, now); });
     }
     state_.ApplyChanges(items, now);
   }
@@ -438,7 +446,8 @@
       UpdateRelayRole();
     }
     if (state_.TakeRoutingChanged() && onRoutingChanged_) {
-      onRoutingChanged_(state_.MakeRoutingTable());
+      RunContained(ErrorScope::StoreEntry,
+                   [this] { onRoutingChanged_(state_.MakeRoutingTable()); });
     }
     if (const auto nextRemoval = state_.NextRemoval(); nextRemoval && !removalTimerArmed_) {
       removalTimerArmed_ = true;
--- a/boragepier/directory/store_reader.h
+++ b/boragepier/directory/store_reader.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/directory/directory_timing.h"
 #include "boragepier/directory/store_view.h"
 #include "boragepier/ports/directory_feed.h"
@@ -179,7 +180,8 @@
     Duration delay{};
     std::optional<std::size_t> changedCount;
     if (aResponse.status_ == FeedStatus::Ok) {
-      changedCount = Apply(aCall, aResponse);
+      // Whatever the response does, the next call must be scheduled.
+      RunContained(ErrorScope::Answer, [&] { changedCount = Apply(aCall, aResponse); });
     }
     if (changedCount) {
       OnAnswered();
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/decision/upstream_start.h"
 #include "boragepier/entry/attempt_reports.h"
 #include "boragepier/entry/balancer_driver.h"
@@ -23,7 +24,8 @@
 
 /// Processes one request of a caller from its arrival to its response: validates and routes it,
 /// claims its idempotency key, has the balancer choose an upstream, and sends, hedges and retries
-/// attempts. Runs in the thread of its scheduler. Pending callbacks keep the object alive.
+/// attempts. Runs in the thread of its scheduler. Pending callbacks keep the object alive. An
+/// unexpected exception in one of its callbacks ends this request only.
 ///
 /// The outcome that the caller receives is Answered if an upstream answered this request, or an
 /// earlier one with the same key, completely; NotRun only if no attempt can have run; otherwise
@@ -60,10 +62,55 @@
 
   /// Starts processing. Call once, on an object that is owned by a shared_ptr.
   void Start()
+  {
+    Run([this] { RouteAndSubmit(); });
+  }
+
+private:
+  /// An attempt that was handed to the sender.
+  struct Attempt
+  {
+    UpstreamHandle upstream_{};
+    std::shared_ptr<const UpstreamEndpoint> endpoint_; ///< as it was when the request was sent
+    http::SendId sendId_{};
+    MonotonicTime startedAt_;
+    bool active_ = true; ///< has neither ended nor been cancelled
+  };
+
+  MonotonicTime Now() const { return deps_.scheduler_.Now(); }
+  bool DeadlinePassed() const { return Now() >= requestInfo_.deadline_; }
+
+  // Runs everything that happens to the request: its start and each callback.
+  template<typename Function>
+  void Run(Function aFunction)
+  {
+    if (!RunContained(ErrorScope::Request, aFunction)) {
+      EndAfterError();
+    }
+  }
+
+  // Answers the request after an exception, which may have left any step incomplete.
+  void EndAfterError()
+  {
+    if (finished_) {
+      return;
+    }
+    // A claim that is not decided yet may belong to a request that has run.
+    const bool claimUndecided = callOptions_.idempotencyKey_ && !claim_;
+    const Outcome outcome =
+      attempts_.empty() && !claimUndecided ? Outcome::NotRun : Outcome::Unknown;
+    if (!RunContained(ErrorScope::Request,
+                      [&] { Refuse(RefusalReason::InternalError, outcome); })) {
+      finished_ = true;
+      exchange_->Abort();
+    }
+  }
+
+  void RouteAndSubmit()
   {
     exchange_->SetAbandonedCallback([weak = this->weak_from_this()](http::CallerEnd aEnd) {
       if (const auto self = weak.lock()) {
-        self->OnCallerEnd(aEnd);
+        self->Run([&] { self->OnCallerEnd(aEnd); });
       }
     });
     try {
@@ -79,20 +126,6 @@
     }
   }
 
-private:
-  /// An attempt that was handed to the sender.
-  struct Attempt
-  {
-    UpstreamHandle upstream_{};
-    std::shared_ptr<const UpstreamEndpoint> endpoint_; ///< as it was when the request was sent
-    http::SendId sendId_{};
-    MonotonicTime startedAt_;
-    bool active_ = true; ///< has neither ended nor been cancelled
-  };
-
-  MonotonicTime Now() const { return deps_.scheduler_.Now(); }
-  bool DeadlinePassed() const { return Now() >= requestInfo_.deadline_; }
-
   // Finds the service and resolves the call options. Throws RequestRefusedError.
   void RouteAndValidate()
   {
@@ -151,7 +184,9 @@
     claimRequest.arrivalTime_ = record_.arrival_;
     deps_.claims_.Claim(
       std::move(claimRequest), Now(), [self = this->shared_from_this()](ClaimResult aResult) {
-        std::visit([&](auto& aCase) { self->OnClaimResult(std::move(aCase)); }, aResult);
+        self->Run([&] {
+          std::visit([&](auto& aCase) { self->OnClaimResult(std::move(aCase)); }, aResult);
+        });
       });
   }
 
@@ -223,7 +258,8 @@
     const auto self = this->shared_from_this();
     const RoutingDecision decision =
       service_->Submit(requestInfo_, now, [self](RoutingDecision aDecision) {
-        self->deps_.scheduler_.Post([self, aDecision] { self->HandleDecision(aDecision); });
+        self->deps_.scheduler_.Post(
+          [self, aDecision] { self->Run([&] { self->HandleDecision(aDecision); }); });
       });
     if (decision.kind_ == RoutingDecision::Kind::Queued) {
       StartQueueWait(now);
@@ -237,14 +273,19 @@
     queuedSince_ = aNow;
     queueDeadlineTimer_ =
       deps_.scheduler_.After(requestInfo_.deadline_ - aNow, [self = this->shared_from_this()] {
-        self->queueDeadlineTimer_ = net::TimerId::None;
-        if (self->CancelQueueWait()) {
-          self->GiveUp(RefusalReason::DeadlineExpired);
-        }
+        self->Run([&] { self->OnQueueDeadline(); });
       });
     driver_.Drive(service_);
   }
 
+  void OnQueueDeadline()
+  {
+    queueDeadlineTimer_ = net::TimerId::None;
+    if (CancelQueueWait()) {
+      GiveUp(RefusalReason::DeadlineExpired);
+    }
+  }
+
   // Returns false if the request had left the queue; HandleDecision() has run or will run then.
   bool CancelQueueWait()
   {
@@ -311,9 +352,11 @@
       MakeUpstreamRequest(*endpoint, now),
       sendOptions,
       [self = this->shared_from_this(), index](http::SendResult aResult) {
-        self->OnAttemptEnded(
-          index,
-          ValidateResponse(std::move(aResult), self->callerRequestId_, self->deps_.dialect_));
+        self->Run([&] {
+          self->OnAttemptEnded(
+            index,
+            ValidateResponse(std::move(aResult), self->callerRequestId_, self->deps_.dialect_));
+        });
       });
     deps_.observer_.OnAttemptStarted(record_);
     if (!hedged_) {
@@ -351,7 +394,7 @@
     }
     hedgeTimer_ = deps_.scheduler_.After(*delay, [weak = this->weak_from_this()] {
       if (const auto self = weak.lock()) {
-        self->OnHedgeTimer();
+        self->Run([&] { self->OnHedgeTimer(); });
       }
     });
   }
@@ -618,6 +661,9 @@
 
   void RecordAttemptEnd(std::size_t aIndex, const AttemptReport& aReport)
   {
+    if (aIndex >= record_.attempts_.size()) {
+      return; // an exception interrupted the start of the attempt
+    }
     ExplainAttempt& attempt = record_.attempts_[aIndex];
     attempt.latency_ = aReport.latency_;
     attempt.outcome_ = aReport.outcome_;
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -415,4 +415,53 @@
   CHECK_EQUAL(300U, observer_.records_.size());
 }
 
+// Guards against an unexpected exception that ends the process, leaves its request without an
+// answer, or calls a request not-run that may have run.
+TEST(Call, ExceptionEndsOnlyItsRequestWithATrueOutcome)
+{
+  observer_.throwsOnAttemptStarted_ = true;
+  const auto sent = Send("POST");
+  CheckRefusal(*sent, RefusalReason::InternalError, "unknown");
+  CHECK(sender_.sentRequests_.at(0).cancelled_);
+  observer_.throwsOnAttemptStarted_ = false;
+
+  const auto answered = Send("POST");
+  observer_.throwsOnAttemptEnded_ = true;
+  sender_.Answer(1, MakeResponse(200));
+  CheckRefusal(*answered, RefusalReason::InternalError, "unknown");
+  observer_.throwsOnAttemptEnded_ = false;
+
+  observer_.throwsOnClaimEvent_ = true;
+  const auto claimed = Send("POST", "key");
+  claims_.ResolveNext(InProgress{});
+  CheckRefusal(*claimed, RefusalReason::InternalError, "unknown");
+  observer_.throwsOnClaimEvent_ = false;
+
+  const auto sound = Send("POST");
+  sender_.Answer(2, MakeResponse(200));
+  CHECK(sound->OutcomeField() == "answered");
+  CHECK_EQUAL(4U, observer_.records_.size());
+}
+
+TEST(Call, ExceptionBeforeAnyAttemptEndsAsNotRun)
+{
+  observer_.throwsOnSplitRequest_ = true;
+  RoutingTable table;
+  table.services_.push_back(MakeServiceRoute());
+  table.instances_.emplace_back("i1");
+  RouteConfig route;
+  route.name_ = "split";
+  route.host_ = "a";
+  route.pathPrefix_ = "/orders/";
+  route.services_ = { { ServiceName("order-entry"), 1 }, { ServiceName("order-entry"), 1 } };
+  table.routes_.push_back(route);
+  router_.Apply(table, scheduler_.Now());
+  http::Request request{ "POST", "/orders/1", {}, "" };
+  request.headers_.Add("Host", "a");
+  const auto exchange = std::make_shared<FakeExchange>(request, scheduler_.Now());
+  pipeline_.Handle(exchange);
+  CheckRefusal(*exchange, RefusalReason::InternalError, "not-run");
+  CHECK(sender_.sentRequests_.empty());
+}
+
 } // namespace boragepier
--- a/boragepier/entry/control_plane_thread.cc
+++ b/boragepier/entry/control_plane_thread.cc
@@ -114,24 +114,24 @@
 void
 ControlPlaneThread::Tick()
 {
+  loop_.After(kTickInterval, [this] { Tick(); });
   lastTickNs_ = loop_.Now().time_since_epoch().count();
   sweeper_.Advance(loop_.Now(), WallClockNow());
   const PeerCounters peerCounters = peers_.Counters();
   metrics_.SetControlThreadUsage(ThreadCpuTime(), peerCounters.bytesSent_);
   ReportSuppressedEvents();
-  loop_.After(kTickInterval, [this] { Tick(); });
 }
 
 void
 ControlPlaneThread::RunEverySecond()
 {
+  loop_.After(std::chrono::seconds(1), [this] { RunEverySecond(); });
   const ControlStatus status = plane_->Status();
   metrics_.SetPeerCount(status.peers_.size());
   for (const EventId event : monitor_.Observe(status)) {
     Log(event, { { "instance", settings_.id_ } });
   }
   periodicTask_();
-  loop_.After(std::chrono::seconds(1), [this] { RunEverySecond(); });
 }
 
 void
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -176,10 +176,10 @@
 
   void RunEverySecond()
   {
+    loop_.After(std::chrono::seconds(1), [this] { RunEverySecond(); });
     lastTickNs_ = loop_.Now().time_since_epoch().count();
     ReportSuppressedEvents();
     periodicTask_();
-    loop_.After(std::chrono::seconds(1), [this] { RunEverySecond(); });
   }
 
   Metrics& metrics_;
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -49,6 +49,7 @@
              RequestIdPrefix(aSettings.id_),
              aPlatformBinding.dialect_)
 {
+  LogInternalErrors();
 }
 
 EntryInstance::~EntryInstance()
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <utility>
 #include <vector>
 
@@ -195,15 +196,21 @@
 class FakeObserver : public CallObserver
 {
 public:
-  void OnSplitRequest(std::string_view, const ServiceName&) override {}
-  void OnAttemptStarted(const ExplainRecord&) override {}
-  void OnAttemptEnded(const ExplainRecord&, const ExplainAttempt&) override {}
+  void OnSplitRequest(std::string_view, const ServiceName&) override
+  {
+    ThrowIf(throwsOnSplitRequest_);
+  }
+  void OnAttemptStarted(const ExplainRecord&) override { ThrowIf(throwsOnAttemptStarted_); }
+  void OnAttemptEnded(const ExplainRecord&, const ExplainAttempt&) override
+  {
+    ThrowIf(throwsOnAttemptEnded_);
+  }
   void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) override
   {
     records_.push_back(std::move(aRecord));
     abandonedCount_ += aAbandoned ? 1 : 0;
   }
-  void OnClaimEvent(const ServiceName&, ClaimEvent) override {}
+  void OnClaimEvent(const ServiceName&, ClaimEvent) override { ThrowIf(throwsOnClaimEvent_); }
   void OnProbe(const ServiceName&) override {}
   void OnRetry(const ServiceName&, RetryReason aReason) override
   {
@@ -219,6 +226,18 @@
   int abandonedCount_ = 0;
   std::vector<RetryReason> retryReasons_;
   std::vector<UpstreamId> leavingUpstreams_;
+  bool throwsOnAttemptStarted_ = false;
+  bool throwsOnAttemptEnded_ = false;
+  bool throwsOnClaimEvent_ = false;
+  bool throwsOnSplitRequest_ = false;
+
+private:
+  static void ThrowIf(bool aThrows)
+  {
+    if (aThrows) {
+      throw std::runtime_error("observer");
+    }
+  }
 };
 
 } // namespace boragepier
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -129,12 +129,12 @@
 TrafficThread::Tick()
 {
   const bool claimsEnabled = settings_.storeEndpoint_.port_ == 0;
+  loop_.After(claimsEnabled ? kClaimTickInterval : kKeylessTickInterval, [this] { Tick(); });
   if (claimsEnabled) {
     claims_.Advance(loop_.Now());
   }
   connectionCount_ = server_.ConnectionCount();
   drained_ = stoppedAccepting_ && server_.ConnectionCount() == 0 && claims_.NothingPending();
-  loop_.After(claimsEnabled ? kClaimTickInterval : kKeylessTickInterval, [this] { Tick(); });
 }
 
 } // namespace boragepier
--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/http/client_connection.h"
 
 namespace boragepier::http {
@@ -214,10 +215,14 @@
   {
     while (!aPool.waitingForConnection_.empty()) {
       const SendId id = aPool.waitingForConnection_.front();
-      if (!TryDispatch(id, pendingRequests_.at(id))) {
+      aPool.waitingForConnection_.pop_front();
+      bool dispatched = true; // a request that fails with an exception ends by its timeout
+      RunContained(ErrorScope::Request,
+                   [&] { dispatched = TryDispatch(id, pendingRequests_.at(id)); });
+      if (!dispatched) {
+        aPool.waitingForConnection_.push_front(id);
         return;
       }
-      aPool.waitingForConnection_.pop_front();
     }
   }
 
@@ -265,7 +270,7 @@
   {
     aResult.latency_ = loop_.Now() - aPending.startTime_;
     aResult.connection_ = aPending.connectionId_;
-    aPending.callback_(std::move(aResult));
+    RunContained(ErrorScope::Answer, [&] { aPending.callback_(std::move(aResult)); });
   }
 
   void ErasePoolIfUnused(const Target& aTarget)
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -479,4 +479,19 @@
   STRCMP_EQUAL("", peer.ReadToEnd().c_str());
 }
 
+// Guards against a callback that throws and so ends the thread with all other requests, or leaves
+// the requests that wait for a connection without an end.
+TEST(Client, CallbackThatThrowsEndsAlone)
+{
+  ClientFixture client;
+  client.options_.maxConnections_ = 1;
+  auto first = client.Send();
+  client.onNextResult_ = [] { throw std::runtime_error("callback"); };
+  auto second = client.Send();
+  RawSocket peer = client.listener_.Accept();
+  ClientFixture::RespondOk(peer);
+  ClientFixture::RespondOk(peer);
+  CHECK(Await(std::move(second)).outcome_ == Outcome::Answered);
+}
+
 } // namespace boragepier::http
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/http/server_connection.h"
 #include "boragepier/net/tcp_listener.h"
 
@@ -72,7 +73,14 @@
   const ServerLimits& Limits() const override { return limits_; }
   bool Draining() const override { return draining_; }
   bool AcceptingStopped() const override { return acceptingStopped_; }
-  void Handle(std::shared_ptr<Exchange> aExchange) override { handler_(std::move(aExchange)); }
+  void Handle(std::shared_ptr<Exchange> aExchange) override
+  {
+    // Whether the request was passed on before an exception is unknown here, so no response can
+    // tell its outcome.
+    if (!RunContained(ErrorScope::Request, [&] { handler_(aExchange); })) {
+      aExchange->Abort();
+    }
+  }
   Response MakeRefusal(RefusalReason aReason) override { return refusalFormatter_(aReason); }
   void OnUnanswered(UnansweredCause aCause) override
   {
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -59,6 +59,7 @@
 
 /// HTTP/1.1 server. It uses boragepier/net for I/O and Boost.Beast for message framing. Malformed
 /// and oversized requests are refused and never reach the handler.
+/// A request whose handler throws is closed without a response.
 class Server
 {
 public:
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/http/writer.h"
 
 namespace boragepier::http {
@@ -40,7 +41,9 @@
   {
     if (const auto connection = std::exchange(connection_, nullptr)) {
       onAbandoned_ = nullptr;
-      connection->SendResponse(aResponse);
+      if (!RunContained(ErrorScope::Request, [&] { connection->SendResponse(aResponse); })) {
+        connection->Close(UnansweredCause::Aborted);
+      }
     }
   }
 
@@ -210,7 +213,12 @@
     return;
   }
   const auto self = shared_from_this();
-  while (state_ == State::Reading && ProcessNextRequest()) {
+  try {
+    while (state_ == State::Reading && ProcessNextRequest()) {
+    }
+  } catch (...) {
+    processingInput_ = false;
+    throw;
   }
   processingInput_ = false;
 }
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -3,6 +3,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <stdexcept>
 #include <vector>
 
 #include "testing/wire/loop_thread.h"
@@ -100,6 +101,13 @@
       exchangeHeld_.notify_all();
       return;
     }
+    if (request.target_ == "/throw") {
+      throw std::runtime_error("handler");
+    }
+    if (request.target_ == "/status") {
+      aExchange->Respond(MakeResponse(5000, "")); // the writer rejects this status
+      return;
+    }
     std::string body = request.method_ + " " + request.target_ + " " + request.body_;
     if (const auto trailer = request.headers_.Get("X-Trailer")) {
       body += " trailer";
@@ -742,4 +750,27 @@
   CHECK(socket.ReadMessage().find("\nX-Injected") == std::string::npos);
 }
 
+// Guards against one request whose handling throws and so ends the thread with all other requests,
+// or whose connection stays open without a response.
+TEST(Server, RequestWhoseHandlerOrResponseThrowsEndsAlone)
+{
+  ServerFixture server;
+  std::vector<UnansweredCause> causes;
+  server.Run([&] {
+    server.GetServer().SetUnansweredCallback(
+      [&](UnansweredCause aCause) { causes.push_back(aCause); });
+  });
+  RawSocket other = server.Connect();
+  other.Send("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto held = server.TakeHeldExchange();
+  for (const char* target : { "/throw", "/status" }) {
+    const std::string request = "GET "s + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    CHECK_EQUAL(""s, server.SendAndReadToEnd(request + request));
+  }
+  server.Respond(held, "held");
+  CHECK(other.ReadMessage().ends_with("held"));
+  CHECK_EQUAL(2U, causes.size());
+  CHECK(causes.at(0) == UnansweredCause::Aborted && causes.at(1) == UnansweredCause::Aborted);
+}
+
 } // namespace boragepier::http
--- a/boragepier/net/event_loop.cc
+++ b/boragepier/net/event_loop.cc
@@ -14,6 +14,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "boragepier/base/internal_error.h"
+
 namespace boragepier::net {
 
 class EventLoop::Impl
@@ -33,8 +35,8 @@
       const std::lock_guard lock(mutex_);
       tasks.swap(posted_);
     }
-    for (Task& task : tasks) {
-      task();
+    for (const Task& task : tasks) {
+      RunContained(ErrorScope::Task, task);
     }
   }
 
@@ -43,7 +45,7 @@
     while (!timers_.empty() && timers_.begin()->first.first <= aNow) {
       const auto node = timers_.extract(timers_.begin());
       dueTimes_.erase(node.key().second);
-      node.mapped()();
+      RunContained(ErrorScope::Task, node.mapped());
     }
   }
 
@@ -78,16 +80,24 @@
   {
     if (!HasPosted()) {
       SetWakeTimer();
-      context_.run_one();
+      RunContained(ErrorScope::Task, [this] { context_.run_one(); });
     }
     const MonotonicTime now = std::chrono::steady_clock::now();
     const bool timerDue = !timers_.empty() && timers_.begin()->first.first <= now;
     const int maxCallbacks = timerDue ? kMaxCallbacksWhenTimerDue : kMaxCallbacksPerIteration;
-    for (int i = 0; i < maxCallbacks && context_.poll_one() > 0; ++i) {
+    for (int i = 0; i < maxCallbacks && PollOne(); ++i) {
     }
     return now;
   }
 
+  // Runs one ready I/O callback. Returns whether there was one.
+  bool PollOne()
+  {
+    std::size_t count = 1; // also if the callback throws
+    RunContained(ErrorScope::Task, [&] { count = context_.poll_one(); });
+    return count > 0;
+  }
+
   void Wake()
   {
     boost::asio::post(context_, [] {});
--- a/boragepier/net/event_loop.h
+++ b/boragepier/net/event_loop.h
@@ -20,7 +20,8 @@
 };
 
 /// Runs I/O callbacks, timers and posted tasks in one thread, using a Boost.Asio io_context. Idle
-/// connections add no cost per iteration.
+/// connections add no cost per iteration. A callback or task that throws is reported
+/// (ReportInternalError()) and abandoned; the loop goes on.
 class EventLoop
 {
 public:
--- a/boragepier/net/event_loop_test.cc
+++ b/boragepier/net/event_loop_test.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -13,6 +14,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include "boragepier/base/internal_error.h"
+
 #include <CppUTest/TestHarness.h>
 
 namespace boragepier::net {
@@ -69,4 +72,23 @@
   CHECK(rounds > 0);
 }
 
+// Guards against one callback that throws and so ends the thread with all other requests.
+TEST(EventLoop, TaskTimerAndIoCallbackThatThrowEndAlone)
+{
+  const std::uint64_t countBefore = InternalErrorCount(ErrorScope::Task);
+  std::string order;
+  loop_.Post([] { throw std::runtime_error("task"); });
+  loop_.Post([&] { order += 'p'; });
+  boost::asio::post(loop_.Context(), [] { throw 1; });
+  boost::asio::post(loop_.Context(), [&] { order += 'i'; });
+  loop_.After(Duration(0), [] { throw std::runtime_error("timer"); });
+  loop_.After(std::chrono::milliseconds(10), [&] {
+    order += 't';
+    loop_.Stop();
+  });
+  loop_.Run();
+  CHECK_EQUAL(std::string("pit"), order);
+  CHECK_EQUAL(3U, InternalErrorCount(ErrorScope::Task) - countBefore);
+}
+
 } // namespace boragepier::net
--- a/boragepier/net/socket_stream.h
+++ b/boragepier/net/socket_stream.h
@@ -48,6 +48,8 @@
   void OnSocketError(const ErrorCode& aError);
   void TryWrite();
   void OnWritten(std::size_t aCount);
+  template<typename Function>
+  void Deliver(Function aFunction);
   void PostEnd(StreamEnd aEnd);
   void ReportEnd(StreamEnd aEnd);
   void OnConnectEnded(const ErrorCode& aError);
--- a/boragepier/net/tcp_stream.cc
+++ b/boragepier/net/tcp_stream.cc
@@ -12,6 +12,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include "boragepier/base/internal_error.h"
+
 namespace boragepier::net {
 
 namespace {
@@ -240,8 +242,20 @@
 SocketStream::ReportEnd(StreamEnd aEnd)
 {
   ended_ = true;
-  if (handler_ != nullptr) {
-    handler_->OnEnd(aEnd);
+  if (handler_ != nullptr &&
+      !RunContained(ErrorScope::Connection, [&] { handler_->OnEnd(aEnd); })) {
+    Close();
+  }
+}
+
+// Calls the handler. If it throws, its state may be incomplete, so the stream ends: the handler
+// then gets OnEnd(), in which it releases what the connection holds.
+template<typename Function>
+void
+SocketStream::Deliver(Function aFunction)
+{
+  if (!RunContained(ErrorScope::Connection, aFunction) && !Closed() && !ended_) {
+    PostEnd(StreamEnd::Broken);
   }
 }
 
@@ -257,8 +271,8 @@
   }
   connecting_ = false;
   ConfigureSocket();
-  handler_->OnConnected();
-  if (!Closed()) {
+  Deliver([this] { handler_->OnConnected(); });
+  if (!Closed() && !ended_) {
     TryWrite();
     WaitForInput();
   }
@@ -289,7 +303,7 @@
     return;
   }
   deliveringInput_ = true;
-  handler_->OnInput({ readBuffer_.data(), count });
+  Deliver([&] { handler_->OnInput({ readBuffer_.data(), count }); });
   deliveringInput_ = false;
   if (Closed()) {
     return;
@@ -313,7 +327,7 @@
   }
   TryWrite();
   if (outputQueue_.empty() && !Closed() && !ended_) {
-    handler_->OnOutputFlushed();
+    Deliver([this] { handler_->OnOutputFlushed(); });
   }
 }
 
--- a/boragepier/net/tcp_stream.h
+++ b/boragepier/net/tcp_stream.h
@@ -14,11 +14,13 @@
 enum class StreamEnd : std::uint8_t
 {
   Closed, ///< the peer closed its side of the connection without a reset
-  Broken, ///< connecting failed, the peer reset the connection, or a socket error occurred
+  Broken, ///< connecting failed, the peer reset the connection, a socket error occurred, or the
+          ///< handler threw an exception
 };
 
 /// Receives the events of a TcpStream, in the loop thread. No event is delivered inside a call to
-/// the stream. OnEnd() is the last event; none follows Close().
+/// the stream. OnEnd() is the last event; none follows Close(). After an event that throws, the
+/// stream reports the exception and ends with StreamEnd::Broken.
 class StreamHandler
 {
 public:
--- a/boragepier/peer/http2_transport_test.cc
+++ b/boragepier/peer/http2_transport_test.cc
@@ -1,5 +1,7 @@
 #include "boragepier/peer/http2_transport.h"
 
+#include <stdexcept>
+
 #include <CppUTest/TestHarness.h>
 
 #include "boragepier/peer/peer_codec.h"
@@ -237,4 +239,29 @@
   CHECK(!second.Read(24).empty()); // the connection preface of HTTP/2
 }
 
+// Guards against one message whose handling throws and so ends the thread, or the connection with
+// the messages that follow.
+TEST(Http2Transport, MessageWhoseHandlingThrowsEndsAlone)
+{
+  net::EventLoop loop;
+  TestInstance sender(loop, "a");
+  Http2Transport receiver(loop);
+  const PeerEndpoint self{ InstanceId("b"), "127.0.0.1", receiver.Listen("127.0.0.1", 0) };
+  int handled = 0;
+  receiver.Start(
+    self,
+    [&](const PeerEndpoint&, const PeerMessage&, std::size_t) {
+      if (++handled == 1) {
+        throw std::runtime_error("message");
+      }
+    },
+    [](const InstanceId&) {});
+  testing::LoopThread thread(loop);
+  thread.Run([&] { return sender.transport_.Send(self, MakePull("x")); });
+  WaitFor(thread, [&] { return handled == 1; });
+  thread.Run([&] { return sender.transport_.Send(self, MakePull("y")); });
+  WaitFor(thread, [&] { return handled == 2; });
+  CHECK_EQUAL(0U, thread.Run([&] { return sender.transport_.Counters().dropped_; }));
+}
+
 } // namespace boragepier::peer
--- a/boragepier/peer/incoming_link.cc
+++ b/boragepier/peer/incoming_link.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/peer/peer_codec.h"
 #include "boragepier/peer/peer_link.h"
 
@@ -56,6 +57,9 @@
   } catch (const Error&) { // PeerProtocolError or PeerMessageError
     ++counters_.malformed_;
     Close();
+  } catch (...) {
+    ReportInternalError(ErrorScope::PeerMessage);
+    Close();
   }
 }
 
@@ -100,7 +104,8 @@
   messageBudget_.Take(1, loop_.Now());
   PeerMessage message = DecodePeerMessage(aBody);
   ++counters_.messagesReceived_;
-  callbacks_.onMessage_(aSender, std::move(message), aBody.size());
+  RunContained(ErrorScope::PeerMessage,
+               [&] { callbacks_.onMessage_(aSender, std::move(message), aBody.size()); });
 }
 
 void
--- a/boragepier/peer/outgoing_link.cc
+++ b/boragepier/peer/outgoing_link.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/peer/peer_link.h"
 
 namespace boragepier::peer {
@@ -92,6 +93,10 @@
     ++counters_.malformed_;
     Fail();
     return;
+  } catch (...) {
+    ReportInternalError(ErrorScope::PeerMessage);
+    Fail();
+    return;
   }
   Flush();
   if (session_->Ended()) {
--- a/boragepier/platform/http_platform.cc
+++ b/boragepier/platform/http_platform.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <memory>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/platform/instance_codec.h"
 #include "boragepier/platform/table_codec.h"
 
@@ -42,6 +43,9 @@
       return { TableReply::Status::Done, DecodeTableResults(aResult.response_.body_, aRequest) };
     } catch (const ProtocolError&) {
       return { TableReply::Status::Unknown, {} };
+    } catch (const std::exception&) {
+      ReportInternalError(ErrorScope::Answer);
+      return { TableReply::Status::Unknown, {} };
     }
   }
   return { TableReply::Status::Unknown, {} };
@@ -201,6 +205,9 @@
     listEtag_ = std::string(response.headers_.Get("ETag").value_or(""));
   } catch (const ProtocolError&) {
     return std::nullopt;
+  } catch (const std::exception&) {
+    ReportInternalError(ErrorScope::Answer);
+    return std::nullopt;
   }
   return lastList_;
 }
--- a/boragepier/telemetry/log.cc
+++ b/boragepier/telemetry/log.cc
@@ -18,6 +18,7 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include "boragepier/base/internal_error.h"
 #include "boragepier/telemetry/event_rate_limiter.h"
 #include "boragepier/telemetry/request_log_limiter.h"
 
@@ -256,6 +257,14 @@
   }
 }
 
+void
+LogInternalErrors()
+{
+  SetInternalErrorCallback([](ErrorScope aScope, std::string_view aText) {
+    Log(EventId::InternalError, { { "where", ToString(aScope) }, { "error", aText } });
+  });
+}
+
 std::string
 FormatLogLine(EventId aEvent, std::initializer_list<LogField> aFields)
 {
--- a/boragepier/telemetry/log.h
+++ b/boragepier/telemetry/log.h
@@ -140,6 +140,10 @@
 void
 LogRequest(EventId aEvent, bool aHighPriority, std::initializer_list<LogField> aFields);
 
+/// Writes EventId::InternalError for each ReportInternalError() from now on.
+void
+LogInternalErrors();
+
 /// @return the line of an event with the present time, as the log would write it, without a line
 ///   break and without regard to levels and rate limits
 std::string
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <stdexcept>
 
+#include "boragepier/base/internal_error.h"
+
 namespace boragepier {
 
 namespace {
@@ -27,6 +29,9 @@
               "counter",
               "requests that were read completely and whose connection ended before the complete "
               "response, by cause" },
+  MetricInfo{ "boragepier_internal_errors_total",
+              "counter",
+              "unexpected errors that ended one request, answer, message or task, by its kind" },
   MetricInfo{ "boragepier_split_requests_total",
               "counter",
               "requests of routes with several services, by the service selected" },
@@ -234,6 +239,18 @@
   }
 }
 
+void
+PrometheusWriter::WriteInternalErrors()
+{
+  constexpr std::string_view kName = "boragepier_internal_errors_total";
+  WriteHeader(kName);
+  for (int i = 0; i < kErrorScopeCount; ++i) {
+    const auto scope = static_cast<ErrorScope>(i);
+    WriteSample(
+      kName, { { "where", ToString(scope) } }, static_cast<double>(InternalErrorCount(scope)));
+  }
+}
+
 void
 PrometheusWriter::WriteSplitRequests()
 {
@@ -279,6 +296,7 @@
 {
   WriteInstance();
   WriteUnanswered();
+  WriteInternalErrors();
   WriteSplitRequests();
   WriteServices();
   return std::move(text_);
