Refuse registrations from peers that are not visible ASCII

What callers saw: a message of a peer that registers an instance whose id, address or zone is not UTF-8 ended the process of the instance that writes to the store, by SIGABRT.

Cause: the registration is serialized as JSON for the row of the store, and dump() throws on such text.

Evidence: e2e_foreign_bytes_test (RegistrationThatIsNotTextEndsNoProcess) on the binary before the guards:

ERROR event=1012 name=process-failed error="[json.exception.type_error.316] invalid UTF-8 byte at index 0: 0xFF"

Fix: the peer codec, the point of entry of peer messages, refuses the message as malformed.

Result: e2e_foreign_bytes_test, peer_codec_test and entry_request_checks_test pass.

--- a/boragepier/entry/request_checks.cc
+++ b/boragepier/entry/request_checks.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <vector>
 
+#include "boragepier/base/text.h"
 #include "boragepier/state/claim_record.h"
 
 namespace boragepier {
@@ -98,11 +99,9 @@
 }
 
 bool
-IsVisibleAscii(std::string_view aText, std::size_t aMaxBytes)
+IsToken(std::string_view aText, std::size_t aMaxBytes)
 {
-  return !aText.empty() && aText.size() <= aMaxBytes &&
-         std::all_of(
-           aText.begin(), aText.end(), [](char aChar) { return aChar > ' ' && aChar < '\x7f'; });
+  return !aText.empty() && aText.size() <= aMaxBytes && IsVisibleAscii(aText);
 }
 
 // Returns the value of a field that has one meaning: with two different values it would be
@@ -144,7 +143,7 @@
   if (!field) {
     return std::nullopt;
   }
-  if (!IsVisibleAscii(*field, kMaxKeyBytes)) {
+  if (!IsToken(*field, kMaxKeyBytes)) {
     throw RequestRefusedError(RefusalReason::KeyInvalid);
   }
   return std::string(*field);
@@ -174,7 +173,7 @@
   if (!field) {
     return std::nullopt;
   }
-  if (!IsVisibleAscii(*field, kMaxRequestIdBytes)) {
+  if (!IsToken(*field, kMaxRequestIdBytes)) {
     throw RequestRefusedError(RefusalReason::MalformedRequest);
   }
   return RequestId(std::string(*field));
--- a/boragepier/peer/peer_codec.cc
+++ b/boragepier/peer/peer_codec.cc
@@ -7,6 +7,8 @@
 
 #include <msgpack.hpp>
 
+#include "boragepier/base/text.h"
+
 namespace boragepier::peer {
 
 namespace {
@@ -339,6 +341,15 @@
       Get(aObject.via.array.ptr[i], aValue[i]);
     }
   }
+  // Instances that are to be registered are written to the store, whose rows hold text.
+  static void Get(const msgpack::object& aObject, InstanceEntry& aValue)
+  {
+    FieldDecoder decoder(aObject);
+    VisitFields(decoder, aValue);
+    Require(IsVisibleAscii(aValue.id_.View()) && IsVisibleAscii(aValue.address_) &&
+              IsVisibleAscii(aValue.zone_.View()),
+            "instance is not described by visible ASCII");
+  }
   template<typename T>
   requires std::is_aggregate_v<T>
   static void Get(const msgpack::object& aObject, T& aValue)
--- a/boragepier/peer/peer_codec_test.cc
+++ b/boragepier/peer/peer_codec_test.cc
@@ -80,6 +80,22 @@
   CHECK_THROWS(PeerMessageError, DecodePeerMessage(std::string(kMaxPeerMessageBytes + 1, 'x')));
 }
 
+// Guards against an instance whose registration cannot be written to the store as text: it would be
+// lost with all others of its batch.
+TEST(PeerCodec, RegistrationThatIsNotVisibleAsciiIsRejected)
+{
+  const InstanceEntry sound{ InstanceId("i"), "127.0.0.1", 1, 1.5, ZoneName("z") };
+  DecodePeerMessage(EncodePeerMessage(PeerSubscribe{ 1, { 0, 0, 0 }, { sound } }));
+  for (int field = 0; field < 3; ++field) {
+    InstanceEntry entry = sound;
+    entry.id_ = field == 0 ? InstanceId("\xff\xfe") : entry.id_;
+    entry.address_ = field == 1 ? "\xff\xfe" : entry.address_;
+    entry.zone_ = field == 2 ? ZoneName("\xff\xfe") : entry.zone_;
+    CHECK_THROWS(PeerMessageError,
+                 DecodePeerMessage(EncodePeerMessage(PeerSubscribe{ 1, { 0, 0, 0 }, { entry } })));
+  }
+}
+
 // Guards against accepting a round near the end of the integer range, which no later round could
 // exceed.
 TEST(PeerCodec, RoundBeyondTheLimitIsRejected)
--- a/testing/e2e/foreign_bytes_test.cc
+++ b/testing/e2e/foreign_bytes_test.cc
@@ -6,6 +6,8 @@
 #include <memory>
 #include <string>
 
+#include "boragepier/peer/http2_session.h"
+#include "boragepier/peer/peer_codec.h"
 #include "testing/e2e/child_process.h"
 #include "testing/wire/raw_socket.h"
 
@@ -79,4 +81,19 @@
   CheckContains(SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n\r\n"), "HTTP/1.1 503");
 }
 
+// Guards against a message of a peer that ends the process: the registration of an instance whose
+// name cannot be written to the store.
+TEST(ForeignBytes, RegistrationThatIsNotTextEndsNoProcess)
+{
+  RawSocket socket(instance_.ReadPort("peer"));
+  peer::Http2Session session = peer::Http2Session::Client([](std::size_t, bool) {});
+  session.Submit(
+    { InstanceId("front-2"), "127.0.0.1", 1 },
+    peer::EncodePeerMessage(PeerSubscribe{
+      1, { 0, 0, 0 }, { { InstanceId("\xff\xfe"), "127.0.0.1", 1, 1.0, ZoneName("a") } } }));
+  socket.Send(session.TakeOutput());
+  socket.ReadToEnd(); // the message is refused as malformed
+  CheckContains(SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n\r\n"), "HTTP/1.1 503");
+}
+
 } // namespace boragepier::testing
