Refuse header fields that the HTTP parser cannot hold

What callers saw: where traffic.max-header-bytes or the store's header_bytes allow more than 64 KiB, a request with a field of 64 KiB or more ended the process; with the guards, its connection without an answer.

Cause: Boost.Beast holds fields of less than 64 KiB and throws std::length_error from put(). A limit near 2^32 from the store also wrapped around to 0, at which every request is refused.

Evidence: http_server_test (FieldLongerThanTheParserHoldsIsRefused) got no answer instead of 431.

Result: http_server_test passes.

--- a/boragepier/http/message_parser.h
+++ b/boragepier/http/message_parser.h
@@ -3,9 +3,13 @@
 
 // Internal to this package: shared by RequestReader and ResponseReader.
 
+#include <algorithm>
 #include <cctype>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
+#include <new>
+#include <stdexcept>
 #include <string_view>
 
 #include <boost/beast/http/parser.hpp>
@@ -99,7 +103,9 @@
   {
     // Beast applies its header limit to each call separately, so a header that arrives in pieces
     // could exceed it. Advance() applies the limit to the total.
-    parser_.header_limit(static_cast<std::uint32_t>(aMaxHeaderBytes + 1));
+    constexpr std::size_t kMaxHeaderLimit = std::numeric_limits<std::uint32_t>::max() - 1;
+    parser_.header_limit(
+      static_cast<std::uint32_t>(std::min(aMaxHeaderBytes, kMaxHeaderLimit) + 1));
     parser_.body_limit(aMaxBodyBytes);
   }
 
@@ -111,7 +117,14 @@
     }
     beast::error_code error;
     const std::string_view unread = aInput.View();
-    const std::size_t consumed = parser_.put({ unread.data(), unread.size() }, error);
+    std::size_t consumed = 0;
+    try {
+      consumed = parser_.put({ unread.data(), unread.size() }, error);
+    } catch (const std::length_error&) {
+      return ParseStatus::HeaderTooLarge; // Beast holds fields of less than 64 KiB only
+    } catch (const std::bad_alloc&) {
+      return ParseStatus::BodyTooLarge;
+    }
     aInput.Consume(consumed);
     if (const ParseStatus status = Classify(error, consumed, aInput.View());
         status != ParseStatus::Progress) {
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -190,6 +190,18 @@
   }
 }
 
+// Guards against a field that the limit of the settings allows and at which the parser throws.
+TEST(Server, FieldLongerThanTheParserHoldsIsRefused)
+{
+  ServerFixture server({ .maxHeader_ = 1 << 20 });
+  for (const std::string& field :
+       { "X: " + std::string(70000, 'x'), std::string(70000, 'x') + ": x" }) {
+    CHECK_EQUAL("HTTP/1.1 431"s,
+                StatusLineStart(
+                  server.SendAndReadToEnd("GET / HTTP/1.1\r\nHost: a\r\n" + field + "\r\n\r\n")));
+  }
+}
+
 // Guards against accepting an oversized header because it arrives in pieces.
 TEST(Server, HeaderAboveTheLimitIsRefusedAlsoInPieces)
 {
