Refuse recorded answers that cannot be written as a response

What callers saw: a claim row of another writer whose answer has a status above 999 or a field of 64 KiB or more made the writer of the response throw, which ended the process; with the guards, the connection without an answer.

Evidence: state_claim_service_test (AnswerThatIsNoResponseIsAnError) failed with "but threw nothing".

Fix: DecodeClaimRecord() treats such a row as malformed, like any other field that is out of range.

Result: state_claim_service_test passes.

--- a/boragepier/state/claim_record.cc
+++ b/boragepier/state/claim_record.cc
@@ -16,6 +16,7 @@
 constexpr std::size_t kMaxArrayElements = 4096;
 constexpr std::size_t kMaxStringBytes = std::size_t{ 1 } << 20;
 constexpr std::size_t kMaxNestingDepth = 8;
+constexpr std::size_t kMaxFieldBytes = 65533; // of a name or a value, as Beast writes them
 
 using HeaderFields = std::vector<std::pair<std::string, std::string>>;
 // Format version, claim id, fingerprint, creation time in ms since the epoch, status (0 if there is
@@ -51,6 +52,16 @@
   return text;
 }
 
+// Whether a recorded answer can be written as a response; status 0 stands for no answer.
+bool
+IsResponse(int aStatus, const HeaderFields& aHeaders)
+{
+  return (aStatus == 0 || (aStatus >= 200 && aStatus <= 999)) &&
+         std::ranges::all_of(aHeaders, [](const auto& aField) {
+           return aField.first.size() <= kMaxFieldBytes && aField.second.size() <= kMaxFieldBytes;
+         });
+}
+
 // Adds the field names listed in the value of a Connection field. Those fields are hop-by-hop.
 void
 AddConnectionOptions(std::string_view aValue, std::vector<std::string>& aNames)
@@ -143,7 +154,7 @@
     }
     auto [version, id, fingerprint, created, status, headers, body, omitted] =
       handle.get().as<ClaimRow>();
-    if (version != kFormatVersion || id.empty() || status < 0) {
+    if (version != kFormatVersion || id.empty() || !IsResponse(status, headers)) {
       throw ClaimRecordError("invalid claim row: unsupported format version or invalid field");
     }
     ClaimRecord record{ std::move(id),
--- a/boragepier/state/claim_service_test.cc
+++ b/boragepier/state/claim_service_test.cc
@@ -280,6 +280,20 @@
   CHECK(DecodeClaimRecord(EncodeClaimRecord(record)) == record);
 }
 
+// Guards against a row of another writer whose answer cannot be written as a response.
+TEST(ClaimRecord, AnswerThatIsNoResponseIsAnError)
+{
+  const ClaimRecord claim{ "c-1", "f-1", WallTime(123ms), std::nullopt };
+  for (const RecordedAnswer& answer :
+       { RecordedAnswer{ 1000, {}, "" },
+         RecordedAnswer{ 199, {}, "" },
+         RecordedAnswer{ 200, { { "A", std::string(70000, 'x') } }, "" },
+         RecordedAnswer{ 200, { { std::string(70000, 'x'), "" } }, "" } }) {
+    const std::string encoded = EncodeClaimRecord(WithAnswer(claim, answer));
+    CHECK_THROWS(ClaimRecordError, DecodeClaimRecord(encoded));
+  }
+}
+
 // Guards against replaying fields that applied only to the connection of the first answer.
 TEST(ClaimRecord, HopByHopFieldsAreNotRecorded)
 {
