--- a/boragepier/base/time.h
+++ b/boragepier/base/time.h
@@ -24,12 +24,23 @@
 }
 
 /// @param aMilliseconds a length in milliseconds, with fractions
-/// @return the same length, rounded towards zero to a nanosecond
+/// @return the same length, rounded towards zero to a nanosecond; limited to 100 years, so that it
+///   can be added to a time, and zero if aMilliseconds is not a number
 constexpr Duration
 FromMilliseconds(double aMilliseconds)
 {
-  return std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double, std::milli>(aMilliseconds));
+  constexpr Duration kLimit = std::chrono::hours(24) * 36525;
+  const double limitMs = ToMilliseconds(kLimit);
+  if (aMilliseconds >= limitMs) {
+    return kLimit;
+  }
+  if (aMilliseconds <= -limitMs) {
+    return -kLimit;
+  }
+  return aMilliseconds != aMilliseconds
+           ? Duration::zero()
+           : std::chrono::duration_cast<Duration>(
+               std::chrono::duration<double, std::milli>(aMilliseconds));
 }
 
 } // namespace boragepier
