Close connections that no descriptor is left to accept

Each listener keeps a spare descriptor. When accept() fails because the machine lacks a descriptor or memory, the spare one is closed, the connection accepted and closed at once, and the spare one opened again. Such connections are counted. If even that fails, accepting is tried again after 50 ms as before.

--- /dev/null
+++ b/boragepier/net/descriptor_shortage.cc
@@ -0,0 +1,80 @@
+#include "boragepier/net/descriptor_shortage.h"
+
+#include <atomic>
+#include <cerrno>
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace boragepier::net {
+
+namespace {
+
+std::atomic<std::uint64_t> shortageCount = 0;
+
+} // namespace
+
+bool
+IsLocalLimit(const boost::system::error_code& aError)
+{
+  if (aError.category() != boost::system::system_category()) {
+    return false;
+  }
+  switch (aError.value()) {
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EADDRNOTAVAIL:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void
+CountDescriptorShortage()
+{
+  shortageCount.fetch_add(1, std::memory_order_relaxed);
+}
+
+std::uint64_t
+DescriptorShortageCount()
+{
+  return shortageCount.load(std::memory_order_relaxed);
+}
+
+SpareDescriptor::SpareDescriptor()
+{
+  Open();
+}
+
+SpareDescriptor::~SpareDescriptor()
+{
+  if (descriptor_ >= 0) {
+    ::close(descriptor_);
+  }
+}
+
+void
+SpareDescriptor::Open()
+{
+  descriptor_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+}
+
+bool
+SpareDescriptor::CloseNextConnection(int aListener)
+{
+  if (descriptor_ >= 0) {
+    ::close(descriptor_);
+  }
+  const int connection = ::accept4(aListener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  if (connection >= 0) {
+    ::close(connection);
+  }
+  Open();
+  return connection >= 0;
+}
+
+} // namespace boragepier::net
--- /dev/null
+++ b/boragepier/net/descriptor_shortage.h
@@ -0,0 +1,45 @@
+#ifndef BORAGEPIER_NET_DESCRIPTOR_SHORTAGE_H
+#define BORAGEPIER_NET_DESCRIPTOR_SHORTAGE_H
+
+#include <cstdint>
+
+#include <boost/system/error_code.hpp>
+
+namespace boragepier::net {
+
+/// @return whether a socket could not be opened, accepted or connected because this machine, not
+/// the peer, lacks something: a descriptor, a local port or memory
+bool
+IsLocalLimit(const boost::system::error_code& aError);
+
+/// Counts a connection that was not opened, or was closed when it was accepted, because of
+/// IsLocalLimit(). Thread-safe.
+void
+CountDescriptorShortage();
+/// @return number of these connections in this process. Thread-safe.
+std::uint64_t
+DescriptorShortageCount();
+
+/// A descriptor that is kept to be able to accept, and close, a connection when no other is left.
+class SpareDescriptor
+{
+public:
+  SpareDescriptor();
+  ~SpareDescriptor();
+  SpareDescriptor(const SpareDescriptor&) = delete;
+  SpareDescriptor& operator=(const SpareDescriptor&) = delete;
+
+  /// Accepts one connection with the spare descriptor and closes it.
+  /// @param aListener descriptor of a non-blocking listening socket
+  /// @return false if no connection could be accepted
+  bool CloseNextConnection(int aListener);
+
+private:
+  void Open();
+
+  int descriptor_ = -1; ///< -1 if none could be opened
+};
+
+} // namespace boragepier::net
+
+#endif
--- a/boragepier/net/tcp_listener.cc
+++ b/boragepier/net/tcp_listener.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "boragepier/net/descriptor_shortage.h"
 #include "boragepier/net/errors.h"
 #include "boragepier/net/socket_stream.h"
 
@@ -18,8 +19,8 @@
 
 constexpr int kListenBacklog = 1024;
 
-// Delay before accepting again after an error. Without it the loop would spin on the pending
-// connection while file descriptors are exhausted.
+// Delay before accepting again after an error. Without it the loop would spin on a pending
+// connection that can be neither accepted nor closed.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 } // namespace
@@ -109,6 +110,12 @@
       return;
     }
     const bool open = acceptor_.is_open();
+    if (open && IsLocalLimit(aError) &&
+        spareDescriptor_.CloseNextConnection(acceptor_.native_handle())) {
+      CountDescriptorShortage();
+      Accept();
+      return;
+    }
     if (aError) {
       if (open) {
         acceptRetryTimer_ = loop_.After(kAcceptRetryDelay, [this] { Accept(); });
@@ -125,6 +132,7 @@
   EventLoop& loop_;
   const AcceptCallback acceptCallback_;
   tcp::acceptor acceptor_;
+  SpareDescriptor spareDescriptor_;
   TimerId acceptRetryTimer_ = TimerId::None;
   std::uint16_t port_ = 0;
   bool closed_ = false; ///< no callback may run any more
