Tell a missing descriptor apart from an upstream that fails

A connect for which this machine lacks a descriptor, port or memory now fails as local-limit. The balancers count it neither as a failure nor as an unanswered probe, and the request is refused as overloaded if nothing else is possible. The client first closes an idle connection to whichever target and sends again; without one the request waits for the next connection that ends or is idle. The same happens at SetMaxConnections(), a limit over all targets together, which nothing sets yet.

With the distinction disabled, MissingDescriptorIsNoFailureOfTheTarget fails: "but was <connect-failed>". http_client_test (4 new tests), entry_call_test, decision_service_balancer_test and decision_fresh_probe_balancer_test (1 new test each) pass.

--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -37,9 +37,16 @@
 
 // In the order of AttemptFailure.
 constexpr std::array<std::string_view, kAttemptFailureCount> kAttemptFailureNames = {
-  "none",      "connect-failed",     "nothing-written",
-  "refused",   "connection-lost",    "timeout",
-  "truncated", "malformed-response", "response-too-large",
+  "none",
+  "connect-failed",
+  "local-limit",
+  "nothing-written",
+  "refused",
+  "connection-lost",
+  "timeout",
+  "truncated",
+  "malformed-response",
+  "response-too-large",
   "cancelled",
 };
 
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -49,6 +49,7 @@
 {
   None,              ///< a complete response arrived
   ConnectFailed,     ///< the connection could not be established
+  LocalLimit,        ///< this instance had no descriptor, port or memory for a connection
   NothingWritten,    ///< the connection broke before the first byte of the request was written
   Refused,           ///< the upstream stated that it did not execute the request
   ConnectionLost,    ///< the connection broke after the request was written, before any response
@@ -58,7 +59,7 @@
   ResponseTooLarge,  ///< the response exceeds the limit of the service
   Cancelled,         ///< by boragepier: the caller disconnected, or another attempt succeeded
 };
-inline constexpr int kAttemptFailureCount = 10;
+inline constexpr int kAttemptFailureCount = 11;
 
 /// Why a further attempt was sent. Each reason has a counter.
 enum class RetryReason : std::uint8_t
--- a/boragepier/decision/attempt_rules.cc
+++ b/boragepier/decision/attempt_rules.cc
@@ -22,6 +22,7 @@
     case AttemptFailure::Truncated:
     case AttemptFailure::MalformedResponse:
       return RetryReason::TruncatedResponse;
+    case AttemptFailure::LocalLimit:
     case AttemptFailure::ResponseTooLarge:
     case AttemptFailure::Cancelled:
       return std::nullopt;
--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -48,6 +48,7 @@
       return aReport.status_ >= 500;
     case AttemptFailure::Refused:
     case AttemptFailure::Cancelled:
+    case AttemptFailure::LocalLimit:
     case AttemptFailure::ResponseTooLarge:
       return false;
     default:
--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -64,6 +64,7 @@
                     std::optional<LoadReport> aLoad,
                     Duration aRoundTrip,
                     MonotonicTime aNow);
+  void OnProbeNotSent(UpstreamHandle aUpstream, MonotonicTime aNow);
   std::shared_ptr<const UpstreamEndpoint> Endpoint(UpstreamHandle aUpstream) const;
   std::optional<UpstreamHandle> Find(const UpstreamId& aId) const;
   unsigned ConnectionLimit() const;
@@ -129,6 +130,7 @@
 
   /// @return whether an upstream is listed and not leaving
   static bool AcceptsRequests(const Upstream& aUpstream);
+  void StopAwaitingProbe(std::uint32_t aIndex, MonotonicTime aNow);
   /// @return the latest attempt of a request, or null if it is not in flight
   const OutstandingAttempt* FindOutstanding(const CallInfo& aCall) const;
   /// Adds the work done since the last update, given the present slowness of the machine.
--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -595,8 +595,22 @@
     meanInFlight_ += kMeanInFlightEwmaWeight * (aLoad->inFlight_ - meanInFlight_);
     estimate.OnReport(*aLoad, aNow - aRoundTrip / 2);
   }
+  StopAwaitingProbe(index, aNow);
+}
+
+void
+FreshProbeBalancer::OnProbeNotSent(UpstreamHandle aUpstream, MonotonicTime aNow)
+{
+  const auto index = static_cast<std::uint32_t>(aUpstream);
+  upstreams_.at(index).estimate_.OnProbeNotSent();
+  StopAwaitingProbe(index, aNow);
+}
+
+void
+FreshProbeBalancer::StopAwaitingProbe(std::uint32_t aIndex, MonotonicTime aNow)
+{
   for (QueuedRequest& queued : queue_) {
-    std::erase(queued.awaitedProbes_, index);
+    std::erase(queued.awaitedProbes_, aIndex);
     if (queued.awaitedProbes_.empty()) {
       queued.stageDeadline_ = std::min(queued.stageDeadline_, aNow);
     }
--- a/boragepier/decision/fresh_probe_balancer_test.cc
+++ b/boragepier/decision/fresh_probe_balancer_test.cc
@@ -298,6 +298,24 @@
   CHECK(submit().starts_with("a-"));
 }
 
+// Guards against avoiding upstreams because this instance has no descriptor for a connection.
+TEST(FreshProbeBalancer, LocalLimitIsNoFailureOfTheUpstream)
+{
+  const UpstreamHandle upstream = *balancer_.Find(UpstreamId("a-1"));
+  for (int i = 0; i < 4; ++i) {
+    now_ += milliseconds(100);
+    CHECK(SubmitAndGetUpstream(
+            { { "a-1", MakeLoad(0) }, { "a-2", MakeLoad(2) }, { "b-1", MakeLoad(2) } }) == "a-1");
+    AttemptReport report;
+    report.upstream_ = upstream;
+    report.outcome_ = Outcome::NotRun;
+    report.failure_ = AttemptFailure::LocalLimit;
+    balancer_.OnAttemptEnded(report, now_);
+    balancer_.OnProbeNotSent(upstream, now_);
+  }
+  DOUBLES_EQUAL(1, balancer_.Candidates(now_).at(0).healthWeight_, 1e-9);
+}
+
 // Guards against avoiding an upstream for seconds after timeouts on a machine that was slow only
 // for a moment.
 TEST(FreshProbeBalancer, TimeoutsOnSlowMachinesAreNotUpstreamFailures)
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -205,6 +205,11 @@
                     std::optional<LoadReport> aLoad,
                     Duration aRoundTrip,
                     MonotonicTime aNow);
+  /// A probe from NextProbe() could not be sent because of a limit of this instance.
+  void OnProbeNotSent(UpstreamHandle aUpstream, MonotonicTime aNow)
+  {
+    OnProbeEnded(aUpstream, std::nullopt, {}, aNow);
+  }
 
   /// @return the endpoint of an upstream; never null
   std::shared_ptr<const UpstreamEndpoint> Endpoint(UpstreamHandle aUpstream) const;
--- a/boragepier/decision/service_balancer_attempts.cc
+++ b/boragepier/decision/service_balancer_attempts.cc
@@ -69,6 +69,9 @@
     }
     return;
   }
+  if (aReport.failure_ == AttemptFailure::LocalLimit) {
+    return; // says nothing about the upstream
+  }
   if (aReport.failure_ == AttemptFailure::Refused) {
     // A rejection is a signal of overload, not of a fault: the upstream counts as full until the
     // next report, or until this one has aged.
--- a/boragepier/decision/service_balancer_test.cc
+++ b/boragepier/decision/service_balancer_test.cc
@@ -98,6 +98,28 @@
   CHECK(!balancer.DecideRetry(call, report, call.deadline_).allowed_);
 }
 
+// Guards against ejecting upstreams because this instance has no descriptor for a connection.
+TEST(ServiceBalancer, LocalLimitIsNoFailureOfTheUpstream)
+{
+  ServiceBalancer balancer(config_, ZoneName("a"), 7);
+  balancer.SetUpstreams(MakeEndpoints(3), kStart);
+  for (int i = 0; i < 100; ++i) {
+    const CallInfo call = MakeCall(1, kStart);
+    const RoutingDecision decision = balancer.Submit(call, kStart);
+    CHECK(decision.kind_ == RoutingDecision::Kind::Dispatch);
+    AttemptReport report;
+    report.upstream_ = decision.upstream_;
+    report.outcome_ = Outcome::NotRun;
+    report.failure_ = AttemptFailure::LocalLimit;
+    balancer.OnAttemptEnded(report, kStart);
+    CHECK(!balancer.DecideRetry(call, report, kStart).allowed_);
+  }
+  for (const CandidateInfo& candidate : balancer.Candidates(kStart)) {
+    DOUBLES_EQUAL(1, candidate.healthWeight_, 1e-9);
+    CHECK_EQUAL(0U, candidate.ownOutstanding_);
+  }
+}
+
 // Guards against attempts that time out at once while no latency is known yet, and against timeouts
 // beyond the deadline.
 TEST(ServiceBalancer, AttemptTimeoutLeavesTimeBeforeAnyAnswer)
--- a/boragepier/decision/upstream_estimate.h
+++ b/boragepier/decision/upstream_estimate.h
@@ -39,6 +39,8 @@
   /// Records the end of a probe. A failed one invalidates the report, an answered one updates the
   /// moving average of the round-trip time.
   void OnProbeEnded(bool aAnswered, Duration aRoundTrip);
+  /// The probe that OnProbeSent() announced was not sent after all.
+  void OnProbeNotSent() { probeInFlight_ = false; }
   bool ProbeInFlight() const { return probeInFlight_; }
   /// @return number of consecutive probes without an answer
   unsigned FailedProbes() const { return failedProbes_; }
--- a/boragepier/entry/attempt_reports.cc
+++ b/boragepier/entry/attempt_reports.cc
@@ -54,6 +54,7 @@
     case AttemptFailure::ConnectFailed:
     case AttemptFailure::NothingWritten:
       return RefusalReason::NoUpstream;
+    case AttemptFailure::LocalLimit:
     case AttemptFailure::Refused:
       return RefusalReason::Overloaded;
     case AttemptFailure::Timeout:
--- a/boragepier/entry/balancer_driver.h
+++ b/boragepier/entry/balancer_driver.h
@@ -113,6 +113,11 @@
       return;
     }
     const MonotonicTime now = deps_.scheduler_.Now();
+    if (aResult.failure_ == AttemptFailure::LocalLimit) {
+      aService->WithBalancer([&](auto& aBalancer) { aBalancer.OnProbeNotSent(aUpstream, now); });
+      Drive(aService);
+      return;
+    }
     UpstreamFeedback feedback;
     if (aResult.outcome_ == Outcome::Answered) {
       feedback = deps_.dialect_.parseFeedback_(aResult.response_);
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -116,6 +116,16 @@
   CHECK_EQUAL(201, exchange->response_->status_);
 }
 
+// Guards against blaming the upstreams for a descriptor that this instance lacks.
+TEST(Call, RequestWithoutADescriptorIsRefusedAsOverloaded)
+{
+  const auto exchange = Send("POST");
+  sender_.Fail(0, Outcome::NotRun, AttemptFailure::LocalLimit);
+  scheduler_.Advance(std::chrono::milliseconds(100));
+  CHECK_EQUAL(1U, sender_.sentRequests_.size());
+  CheckRefusal(*exchange, RefusalReason::Overloaded, "not-run");
+}
+
 // Guards against running an at-most-once request on a second upstream after it ran and failed on
 // the first.
 TEST(Call, AtMostOnceRequestIsNotRetriedAfterServerError)
--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -37,6 +38,8 @@
     }
   }
 
+  void SetMaxConnections(std::size_t aCount) { maxConnections_ = aCount; }
+
   SendId Send(const Target& aTarget,
               std::shared_ptr<const Request> aRequest,
               const SendOptions& aOptions,
@@ -83,9 +86,16 @@
 
   void OnRequestEnded(ClientConnection& aConnection, SendResult aResult, bool aReusable) override
   {
-    const auto node = pendingRequests_.extract(aConnection.CurrentSendId());
+    auto node = pendingRequests_.extract(aConnection.CurrentSendId());
     Pool& pool = *node.mapped().pool_;
-    if (aReusable) {
+    if (aResult.failure_ == AttemptFailure::LocalLimit) {
+      Remove(pool, aConnection);
+      const bool descriptorReleased = CloseLeastRecentlyUsedIdle();
+      if (descriptorReleased || connectionCount_ > 0) {
+        SendAgain(std::move(node), descriptorReleased);
+        return;
+      }
+    } else if (aReusable) {
       pool.idle_.push_back(&aConnection);
       ScheduleIdleSweep();
     } else {
@@ -110,6 +120,7 @@
     std::unordered_map<ClientConnection*, std::shared_ptr<ClientConnection>> connections_;
     std::vector<ClientConnection*> idle_; // least recently used first
     std::deque<SendId> waitingForConnection_;
+    std::size_t waitingForDescriptorCount_ = 0; // requests in Impl::waitingForDescriptor_
   };
 
   struct PendingRequest
@@ -123,6 +134,15 @@
     net::TimerId timeoutTimer_ = net::TimerId::None;
     ClientConnection* connection_ = nullptr; // null while the request waits for a connection
     ConnectionId connectionId_ = ConnectionId::None;
+    bool waitsForDescriptor_ = false; // in waitingForDescriptor_
+  };
+  using PendingNode = std::unordered_map<SendId, PendingRequest>::node_type;
+
+  enum class DispatchResult : std::uint8_t
+  {
+    Dispatched,
+    TargetLimit,     // the connection limit of the target is reached
+    DescriptorLimit, // that of all targets is reached, and no connection is idle
   };
 
   static Outcome OutcomeIfAborted(const PendingRequest& aPending)
@@ -134,30 +154,70 @@
   // Assigns a connection to the request, or queues the request.
   void Dispatch(SendId aId, PendingRequest& aPending)
   {
-    if (!TryDispatch(aId, aPending)) {
+    QueueUnlessDispatched(TryDispatch(aId, aPending), aId, aPending);
+  }
+
+  void QueueUnlessDispatched(DispatchResult aResult, SendId aId, PendingRequest& aPending)
+  {
+    if (aResult == DispatchResult::TargetLimit) {
       aPending.pool_->waitingForConnection_.push_back(aId);
+    } else if (aResult == DispatchResult::DescriptorLimit) {
+      QueueForDescriptor(aId, aPending);
+    }
+  }
+
+  void QueueForDescriptor(SendId aId, PendingRequest& aPending)
+  {
+    aPending.waitsForDescriptor_ = true;
+    ++aPending.pool_->waitingForDescriptorCount_;
+    waitingForDescriptor_.push_back(aId);
+  }
+
+  // Dispatches a request again whose new connection got no descriptor. If none was released since
+  // then, the request waits.
+  void SendAgain(PendingNode aNode, bool aDescriptorReleased)
+  {
+    const SendId id = aNode.key();
+    PendingRequest& pending = pendingRequests_.insert(std::move(aNode)).position->second;
+    pending.connection_ = nullptr;
+    pending.connectionId_ = ConnectionId::None;
+    if (aDescriptorReleased) {
+      Dispatch(id, pending);
+    } else {
+      QueueForDescriptor(id, pending);
     }
   }
 
-  // Returns false if the connection limit is reached and no connection is idle.
-  bool TryDispatch(SendId aId, PendingRequest& aPending)
+  DispatchResult TryDispatch(SendId aId, PendingRequest& aPending)
   {
     Pool& pool = *aPending.pool_;
     ClientConnection* connection = TakeIdle(pool, aPending.options_);
     if (connection == nullptr) {
       if (pool.connections_.size() >= aPending.options_.maxConnections_ &&
           !CloseLeastRecentlyUsedIdle(pool)) {
-        return false;
+        return DispatchResult::TargetLimit;
+      }
+      if (connectionCount_ >= maxConnections_ && !CloseLeastRecentlyUsedIdle()) {
+        return DispatchResult::DescriptorLimit;
       }
       auto newConnection = std::make_shared<ClientConnection>(
         loop_, ConnectionId{ ++lastConnectionId_ }, aPending.target_, *this);
       connection = newConnection.get();
       pool.connections_.emplace(connection, std::move(newConnection));
+      ++connectionCount_;
     }
     aPending.connection_ = connection;
     aPending.connectionId_ = connection->Id();
     connection->Send(aId, aPending.request_, aPending.options_);
-    return true;
+    return DispatchResult::Dispatched;
+  }
+
+  // A request that fails with an exception is not queued again; it ends by its timeout.
+  DispatchResult TryDispatchContained(SendId aId)
+  {
+    DispatchResult result = DispatchResult::Dispatched;
+    RunContained(ErrorScope::Request, [&] { result = TryDispatch(aId, pendingRequests_.at(aId)); });
+    return result;
   }
 
   ClientConnection* TakeIdle(Pool& aPool, const SendOptions& aOptions)
@@ -192,6 +252,20 @@
     return true;
   }
 
+  // Closes the idle connection that was not used for the longest time, to whichever target.
+  bool CloseLeastRecentlyUsedIdle()
+  {
+    Pool* leastRecentlyUsed = nullptr;
+    for (auto& [target, pool] : pools_) {
+      if (!pool.idle_.empty() &&
+          (leastRecentlyUsed == nullptr ||
+           pool.idle_.front()->LastActivity() < leastRecentlyUsed->idle_.front()->LastActivity())) {
+        leastRecentlyUsed = &pool;
+      }
+    }
+    return leastRecentlyUsed != nullptr && CloseLeastRecentlyUsedIdle(*leastRecentlyUsed);
+  }
+
   template<typename Predicate>
   void CloseIdleIf(Pool& aPool, Predicate aPredicate)
   {
@@ -209,20 +283,32 @@
     aConnection.Close();
     const auto node = aPool.connections_.extract(&aConnection);
     loop_.DeferDestruction(node.mapped());
+    --connectionCount_;
   }
 
+  // Dispatches waiting requests after a connection of the pool was closed or became idle.
   void DispatchWaiting(Pool& aPool)
   {
     while (!aPool.waitingForConnection_.empty()) {
       const SendId id = aPool.waitingForConnection_.front();
+      const auto result = TryDispatchContained(id);
+      if (result == DispatchResult::TargetLimit) {
+        break;
+      }
       aPool.waitingForConnection_.pop_front();
-      bool dispatched = true; // a request that fails with an exception ends by its timeout
-      RunContained(ErrorScope::Request,
-                   [&] { dispatched = TryDispatch(id, pendingRequests_.at(id)); });
-      if (!dispatched) {
-        aPool.waitingForConnection_.push_front(id);
-        return;
+      QueueUnlessDispatched(result, id, pendingRequests_.at(id));
+    }
+    while (!waitingForDescriptor_.empty()) {
+      const SendId id = waitingForDescriptor_.front();
+      const auto result = TryDispatchContained(id);
+      if (result == DispatchResult::DescriptorLimit) {
+        break;
       }
+      waitingForDescriptor_.pop_front();
+      PendingRequest& pending = pendingRequests_.at(id);
+      pending.waitsForDescriptor_ = false;
+      --pending.pool_->waitingForDescriptorCount_;
+      QueueUnlessDispatched(result, id, pending);
     }
   }
 
@@ -230,7 +316,10 @@
   // out of the queue.
   void ReleaseConnection(SendId aId, const PendingRequest& aPending)
   {
-    if (aPending.connection_ == nullptr) {
+    if (aPending.waitsForDescriptor_) {
+      std::erase(waitingForDescriptor_, aId);
+      --aPending.pool_->waitingForDescriptorCount_;
+    } else if (aPending.connection_ == nullptr) {
       std::erase(aPending.pool_->waitingForConnection_, aId);
     } else {
       Remove(*aPending.pool_, *aPending.connection_);
@@ -244,7 +333,8 @@
     const PendingRequest& pending = node.mapped();
     SendResult result;
     result.outcome_ = OutcomeIfAborted(pending);
-    result.failure_ = AttemptFailure::Timeout;
+    result.failure_ =
+      pending.waitsForDescriptor_ ? AttemptFailure::LocalLimit : AttemptFailure::Timeout;
     if (const ClientConnection* const connection = pending.connection_) {
       result.newConnection_ = connection->HasNoResponseYet();
       if (!connection->Connected()) {
@@ -277,7 +367,8 @@
   {
     if (const auto found = pools_.find(aTarget); found != pools_.end() &&
                                                  found->second.connections_.empty() &&
-                                                 found->second.waitingForConnection_.empty()) {
+                                                 found->second.waitingForConnection_.empty() &&
+                                                 found->second.waitingForDescriptorCount_ == 0) {
       pools_.erase(found);
     }
   }
@@ -308,6 +399,9 @@
   net::EventLoop& loop_;
   std::map<Target, Pool> pools_;
   std::unordered_map<SendId, PendingRequest> pendingRequests_;
+  std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max(); ///< to all targets
+  std::size_t connectionCount_ = 0;                                      ///< to all targets
+  std::deque<SendId> waitingForDescriptor_; ///< until a connection to any target ends or is idle
   std::uint64_t lastSendId_ = 0;
   std::uint64_t lastConnectionId_ = 0;
   net::TimerId idleSweepTimer_ = net::TimerId::None;
@@ -320,6 +414,12 @@
 
 Client::~Client() = default;
 
+void
+Client::SetMaxConnections(std::size_t aCount)
+{
+  impl_->SetMaxConnections(aCount);
+}
+
 SendId
 Client::Send(const Target& aTarget,
              std::shared_ptr<const Request> aRequest,
--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -70,7 +70,9 @@
 /// Boost.Beast for message framing. It never retries a request. A connection is reused only after a
 /// complete response that no further bytes follow, so a late response cannot be taken for that of
 /// another request. When a request times out on an open connection, the idle connections to its
-/// target without activity since the request was written are closed too. Loop thread only.
+/// target without activity since the request was written are closed too. For a connection beyond
+/// SetMaxConnections(), or for which the process has no descriptor, an idle one to any target is
+/// closed first; if there is none, the request waits for one. Loop thread only.
 class Client
 {
 public:
@@ -85,7 +87,10 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  /// Sends a request, or queues it while the connection limit of the target is reached.
+  /// Limits the number of connections to all targets together. Call before the first Send().
+  void SetMaxConnections(std::size_t aCount);
+  /// Sends a request, or queues it while the connection limit of the target, or that of all targets
+  /// together, is reached. A request that ends while it waits for the latter fails as LocalLimit.
   /// @param aCallback runs exactly once in the loop thread, unless Cancel() is called; never runs
   ///   inside this call
   /// @return the id for Cancel()
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -157,7 +157,8 @@
     return;
   }
   if (!connected_) {
-    Fail(AttemptFailure::ConnectFailed);
+    Fail(aEnd == net::StreamEnd::LocalLimit ? AttemptFailure::LocalLimit
+                                            : AttemptFailure::ConnectFailed);
   } else if (OutcomeIfAborted() == Outcome::NotRun) {
     Fail(AttemptFailure::NothingWritten);
   } else if (!reader_->Started(input_)) {
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "testing/wire/descriptors_taken.h"
 #include "testing/wire/loop_thread.h"
 #include "testing/wire/raw_socket.h"
 
@@ -11,6 +12,7 @@
 namespace boragepier::http {
 
 using boragepier::testing::Await;
+using boragepier::testing::DescriptorsTaken;
 using boragepier::testing::LoopThread;
 using boragepier::testing::RawListener;
 using boragepier::testing::RawSocket;
@@ -408,6 +410,82 @@
   CHECK(!client.listener_.HasPending());
 }
 
+// Guards against more connections than the process has descriptors for: idle ones, also to other
+// targets, are closed first.
+TEST(Client, ConnectionLimitOfAllTargetsReplacesIdleConnections)
+{
+  ClientFixture client;
+  client.Run([&] { client.client_.SetMaxConnections(2); });
+  RawSocket idle = client.OpenIdleConnection();
+  RawListener otherListener;
+  client.target_.port_ = otherListener.Port();
+  auto first = client.Send();
+  auto second = client.Send();
+  auto third = client.Send();
+  STRCMP_EQUAL("", idle.ReadToEnd().c_str());
+  client.options_.timeout_ = milliseconds(50);
+  CheckFailure(Await(client.Send()), Outcome::NotRun, AttemptFailure::LocalLimit);
+  RawSocket peer = otherListener.Accept();
+  RawSocket otherPeer = otherListener.Accept();
+  CHECK(!otherListener.HasPending());
+  ClientFixture::RespondOk(peer);
+  ClientFixture::RespondOk(peer); // the third request, which has waited
+  ClientFixture::RespondOk(otherPeer);
+  CheckResponse(Await(std::move(first)), 200, "ok");
+  CheckResponse(Await(std::move(second)), 200, "ok");
+  CheckResponse(Await(std::move(third)), 200, "ok");
+}
+
+// Guards against a request to another target that waits for ever, or whose pool is released while
+// it waits.
+TEST(Client, RequestThatWaitsForADescriptorIsSentWhenAnotherTargetReleasesOne)
+{
+  ClientFixture client;
+  client.Run([&] { client.client_.SetMaxConnections(1); });
+  auto first = client.Send();
+  RawSocket peer = client.listener_.Accept();
+  peer.ReadMessage();
+  RawListener otherListener;
+  const Target other{ "127.0.0.1", otherListener.Port() };
+  client.target_ = other;
+  auto second = client.Send();
+  const SendId cancelled = (client.Send(), client.lastSendId_);
+  client.Run([&] { client.client_.CloseIdle(other); });
+  CHECK(client.Run([&] { return client.client_.Cancel(cancelled); }) == Outcome::NotRun);
+  peer.Close();
+  CheckFailure(Await(std::move(first)), Outcome::Unknown, AttemptFailure::ConnectionLost);
+  RawSocket otherPeer = otherListener.Accept();
+  ClientFixture::RespondOk(otherPeer);
+  CheckResponse(Await(std::move(second)), 200, "ok");
+}
+
+// Guards against an upstream that is taken for failed because this process has no descriptor left.
+TEST(Client, MissingDescriptorIsNoFailureOfTheTarget)
+{
+  ClientFixture client;
+  const DescriptorsTaken descriptorsTaken;
+  CheckFailure(Await(client.Send()), Outcome::NotRun, AttemptFailure::LocalLimit);
+  CHECK_EQUAL(0U, client.ConnectionCount());
+}
+
+// Guards against a request that fails for want of a descriptor that an idle connection holds.
+TEST(Client, MissingDescriptorIsTakenFromAnIdleConnection)
+{
+  ClientFixture client;
+  RawSocket idle = client.OpenIdleConnection();
+  RawListener otherListener;
+  client.target_.port_ = otherListener.Port();
+  auto descriptorsTaken = std::make_unique<DescriptorsTaken>();
+  auto result = client.Send();
+  STRCMP_EQUAL("", idle.ReadToEnd().c_str());
+  // Only the client needs no further descriptor; the test does, to accept.
+  WaitUntil([&] { return otherListener.HasPending(); });
+  descriptorsTaken.reset();
+  RawSocket peer = otherListener.Accept();
+  ClientFixture::RespondOk(peer);
+  CheckResponse(Await(std::move(result)), 200, "ok");
+}
+
 // Guards against a request that is answered with a late second answer to an earlier one, and
 // against a connection on which each further request gets the answer to the one before it.
 TEST(Client, ForeignResponsesAreSkippedAndTheConnectionIsNotUsedAgain)
--- a/boragepier/net/tcp_listener.h
+++ b/boragepier/net/tcp_listener.h
@@ -11,8 +11,8 @@
 
 namespace boragepier::net {
 
-/// Accepts TCP connections until it is stopped or destroyed. A connection for which no descriptor is
-/// left is closed at once. Loop thread only, or before the loop runs.
+/// Accepts TCP connections until it is stopped or destroyed. A connection for which no descriptor
+/// is left is closed at once. Loop thread only, or before the loop runs.
 class TcpListener
 {
 public:
--- a/boragepier/net/tcp_stream.cc
+++ b/boragepier/net/tcp_stream.cc
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 
 #include "boragepier/base/internal_error.h"
+#include "boragepier/net/descriptor_shortage.h"
 
 namespace boragepier::net {
 
@@ -41,6 +42,17 @@
   static_cast<void>(::setsockopt(aHandle, aLevel, aOption, &value, sizeof(value)));
 }
 
+// Returns how a stream ended that could not connect.
+StreamEnd
+ConnectFailure(const error_code& aError)
+{
+  if (!IsLocalLimit(aError)) {
+    return StreamEnd::Broken;
+  }
+  CountDescriptorShortage();
+  return StreamEnd::LocalLimit;
+}
+
 bool
 WouldBlock(const error_code& aError)
 {
@@ -78,9 +90,15 @@
     PostEnd(StreamEnd::Broken);
     return;
   }
-  socket_.async_connect(
-    tcp::endpoint(address, aPort),
-    [self = shared_from_this()](const ErrorCode& aError) { self->OnConnectEnded(aError); });
+  const tcp::endpoint endpoint(address, aPort);
+  socket_.open(endpoint.protocol(), error);
+  if (error) {
+    PostEnd(ConnectFailure(error));
+    return;
+  }
+  socket_.async_connect(endpoint, [self = shared_from_this()](const ErrorCode& aError) {
+    self->OnConnectEnded(aError);
+  });
 }
 
 void
@@ -266,7 +284,7 @@
     return;
   }
   if (aError) {
-    ReportEnd(StreamEnd::Broken);
+    ReportEnd(ConnectFailure(aError));
     return;
   }
   connecting_ = false;
