Divide the descriptors of the process between its parts

Nothing compared traffic.max-connections with the limit, the soft limit was not raised, and callers could take the descriptors of all other parts. 64 idle clients of the admin address kept /ready unanswered as well.

The soft limit is raised to the hard one, and the limit divided into shares to which each part keeps. Callers get at most as many connections as upstreams, so each can have a request in progress. A caller beyond its share replaces a connection that is idle for 5 s, or is refused at once; every one is, because the one refused first makes room.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -15,6 +15,7 @@
 #include "boragepier/base/errors.h"
 #include "boragepier/config/settings.h"
 #include "boragepier/entry/entry_instance.h"
+#include "boragepier/entry/process_environment.h"
 #include "boragepier/telemetry/log.h"
 #include "boragepier/telemetry/process_failure.h"
 #include "platform/platform_binding.h"
@@ -167,7 +168,7 @@
                                               : LogOutput::StandardError);
   ReportProcessFailureTo(aSettings.logToStandardOutput_ ? STDOUT_FILENO : STDERR_FILENO);
   SettingsReloader reloader(aPath);
-  EntryInstance instance(aSettings, ChoosePlatformBinding(aSettings));
+  EntryInstance instance(FitToDescriptorLimit(aSettings), ChoosePlatformBinding(aSettings));
   const InstancePorts ports = StartInstance(instance);
   std::cout << "listening " << ports.caller_ << "\npeer " << ports.peer_ << "\nadmin "
             << ports.admin_ << std::endl;
--- a/boragepier/admin/admin_server.cc
+++ b/boragepier/admin/admin_server.cc
@@ -15,11 +15,13 @@
 namespace {
 
 http::ServerLimits
-AdminLimits()
+AdminLimits(const DescriptorShares& aDescriptors)
 {
   http::ServerLimits limits;
   limits.maxBody_ = kMaxAnnounceBodyBytes;
-  limits.maxConnections_ = 64;
+  limits.maxConnections_ = aDescriptors.admin_;
+  limits.maxRefusedConnections_ = aDescriptors.adminRefused_;
+  limits.replaceableIdleTime_ = Duration(0); // a monitor must not wait for an idle client
   limits.idleTimeout_ = std::chrono::seconds(5);
   limits.requestTimeout_ = std::chrono::seconds(2);
   return limits;
@@ -49,11 +51,14 @@
 class AdminServer::Impl
 {
 public:
-  Impl(const std::string& aAddress, std::uint16_t aPort, AdminHooks aHooks)
+  Impl(const std::string& aAddress,
+       std::uint16_t aPort,
+       AdminHooks aHooks,
+       const DescriptorShares& aDescriptors)
     : api_(std::move(aHooks))
     , server_(
         loop_,
-        AdminLimits(),
+        AdminLimits(aDescriptors),
         [this](const std::shared_ptr<http::Exchange>& aExchange) { Handle(*aExchange); },
         RefusalResponse)
     , port_(Listen(aAddress, aPort))
@@ -101,8 +106,11 @@
   std::thread thread_;
 };
 
-AdminServer::AdminServer(const std::string& aAddress, std::uint16_t aPort, AdminHooks aHooks)
-  : impl_(std::make_unique<Impl>(aAddress, aPort, std::move(aHooks)))
+AdminServer::AdminServer(const std::string& aAddress,
+                         std::uint16_t aPort,
+                         AdminHooks aHooks,
+                         const DescriptorShares& aDescriptors)
+  : impl_(std::make_unique<Impl>(aAddress, aPort, std::move(aHooks), aDescriptors))
 {
 }
 
--- a/boragepier/admin/admin_server.h
+++ b/boragepier/admin/admin_server.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "boragepier/admin/admin_hooks.h"
+#include "boragepier/base/descriptor_budget.h"
 #include "boragepier/base/errors.h"
 
 namespace boragepier {
@@ -26,8 +27,12 @@
   /// @param aAddress IP address
   /// @param aPort TCP port; 0 lets the system choose
   /// @param aHooks data sources; called in the thread of the server
+  /// @param aDescriptors limits on the connections
   /// @throws AdminListenError if the server cannot listen on the address
-  AdminServer(const std::string& aAddress, std::uint16_t aPort, AdminHooks aHooks);
+  AdminServer(const std::string& aAddress,
+              std::uint16_t aPort,
+              AdminHooks aHooks,
+              const DescriptorShares& aDescriptors = {});
   /// Stops the event loop, waits for its thread and closes all connections.
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -49,6 +49,18 @@
       .meaning_ = "network bandwidth of the instance in Mbit/s; used like "
                   "processor-cores" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.linkMbps_, aValue); } },
+  KeyBinding<Settings>{ { .section_ = "instance",
+                          .name_ = "file-descriptors",
+                          .type_ = KeyType::Integer,
+                          .minimum_ = 0,
+                          .maximum_ = 1000000000,
+                          .default_ = "0",
+                          .meaning_ = "descriptors that the instance may open, if that is less "
+                                      "than the limit of the process (RLIMIT_NOFILE); 0 if only "
+                                      "that limit applies" },
+                        [](Settings& aSettings, const KeyValue& aValue) {
+                          Assign(aSettings.fileDescriptors_, aValue);
+                        } },
   KeyBinding<Settings>{ { .section_ = "listen",
                           .name_ = "caller-address",
                           .type_ = KeyType::Address,
@@ -251,7 +263,8 @@
                           .minimum_ = 1,
                           .maximum_ = 1000000,
                           .default_ = "4096",
-                          .meaning_ = "maximum number of connections from callers" },
+                          .meaning_ = "maximum number of connections from callers; lowered to what "
+                                      "the limit on descriptors allows" },
                         [](Settings& aSettings, const KeyValue& aValue) {
                           Assign(aSettings.maxConnections_, aValue);
                         } },
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "boragepier/base/descriptor_budget.h"
 #include "boragepier/base/ids.h"
 #include "boragepier/base/log_level.h"
 #include "boragepier/base/time.h"
@@ -26,6 +27,8 @@
   // others.
   double processorCores_ = 1; ///< CPU cores available to the instance
   double linkMbps_ = 1000;    ///< bandwidth of the instance's network link in Mbit/s
+  /// Descriptors that the process may open; 0 if only its RLIMIT_NOFILE applies.
+  std::size_t fileDescriptors_ = 0;
 
   // Listening addresses; with port 0 the operating system chooses a port.
   Endpoint callerEndpoint_{ "127.0.0.1", 0 }; ///< for callers
@@ -59,6 +62,8 @@
   LogLevel logLevel_ = LogLevel::Info;
   std::string logFile_;              ///< path; if empty, logToStandardOutput_ applies
   bool logToStandardOutput_ = false; ///< otherwise to standard error
+
+  DescriptorShares descriptors_; ///< not in the file: see FitToDescriptorLimit()
 };
 
 /// Parses the settings file of an instance (INI) and checks all values. Unknown keys are errors.
--- a/boragepier/entry/control_plane_thread.cc
+++ b/boragepier/entry/control_plane_thread.cc
@@ -24,6 +24,15 @@
   return seeds;
 }
 
+peer::PeerLimits
+PeerLimitsFrom(const DescriptorShares& aDescriptors)
+{
+  peer::PeerLimits limits;
+  limits.maxIncomingConnections_ = aDescriptors.peersIncoming_;
+  limits.maxOutgoingConnections_ = aDescriptors.peersOutgoing_;
+  return limits;
+}
+
 Duration
 ThreadCpuTime()
 {
@@ -46,9 +55,10 @@
   , platform_(loop_, client_, PlatformOptionsFrom(aSettings))
   , table_(platform_)
   , list_(platform_)
-  , peers_(loop_)
+  , peers_(loop_, PeerLimitsFrom(aSettings.descriptors_))
   , sweeper_(table_, aSettings.id_)
 {
+  client_.SetMaxConnections(aSettings.descriptors_.storeConnections_);
 }
 
 ControlPlaneThread::~ControlPlaneThread()
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -62,8 +62,9 @@
     , settings_(aSettings)
     , client_(loop_)
     , feed_(aFeedFactory(client_, aSettings))
-    , peers_(loop_, RelayLimits())
+    , peers_(loop_, RelayLimits(aSettings.descriptors_))
   {
+    client_.SetMaxConnections(aSettings.descriptors_.storeConnections_);
   }
 
   ~DirectoryThread() override { DirectoryThread::Stop(); }
@@ -156,9 +157,11 @@
 
   // The limits allow for an instance that reads the store and relays every change to the other
   // instances, and the whole configuration to an instance that starts.
-  static peer::PeerLimits RelayLimits()
+  static peer::PeerLimits RelayLimits(const DescriptorShares& aDescriptors)
   {
     peer::PeerLimits limits;
+    limits.maxIncomingConnections_ = aDescriptors.peersIncoming_;
+    limits.maxOutgoingConnections_ = aDescriptors.peersOutgoing_;
     limits.maxPendingBytes_ = 2 * kMaxPeerMessageBytes;
     limits.maxReceivedBytesPerSecond_ = 4 << 20;
     limits.maxBackoff_ = std::chrono::seconds(1);
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -5,7 +5,9 @@
 #include <random>
 #include <string>
 #include <thread>
+#include <utility>
 
+#include "boragepier/net/descriptor_shortage.h"
 #include "boragepier/telemetry/log.h"
 
 namespace boragepier {
@@ -50,6 +52,7 @@
              aPlatformBinding.dialect_)
 {
   LogInternalErrors();
+  metrics_.SetDescriptorLimit(settings_.descriptors_.limit_);
 }
 
 EntryInstance::~EntryInstance()
@@ -68,8 +71,10 @@
   ports.caller_ = traffic_.Listen();
   ports.peer_ = control_->Start();
   traffic_.Start();
-  admin_ = std::make_unique<AdminServer>(
-    settings_.adminEndpoint_.address_, settings_.adminEndpoint_.port_, MakeAdminHooks());
+  admin_ = std::make_unique<AdminServer>(settings_.adminEndpoint_.address_,
+                                         settings_.adminEndpoint_.port_,
+                                         MakeAdminHooks(),
+                                         settings_.descriptors_);
   ports.admin_ = admin_->Port();
   Log(EventId::InstanceStarted,
       { { "instance", settings_.id_ },
@@ -100,6 +105,7 @@
 EntryInstance::RunPeriodicTasks()
 {
   metrics_.SetCallerConnectionCount(traffic_.ConnectionCount());
+  ReportRefusedConnections();
   const auto services = router_.Services();
   for (const auto& service : *services) {
     const auto config = service->Config();
@@ -118,6 +124,23 @@
   }
 }
 
+void
+EntryInstance::ReportRefusedConnections()
+{
+  const std::uint64_t refused = traffic_.RefusedConnectionCount();
+  if (const std::uint64_t before = std::exchange(refusedConnections_, refused); refused > before) {
+    Log(EventId::ConnectionLimitReached,
+        { { "limit", settings_.maxConnections_ }, { "connections", refused - before } });
+  }
+  const std::uint64_t shortages = net::DescriptorShortageCount();
+  if (const std::uint64_t before = std::exchange(descriptorShortages_, shortages);
+      shortages > before) {
+    Log(EventId::DescriptorShortage,
+        { { "instance", settings_.id_ }, { "connections", shortages - before } });
+  }
+  metrics_.SetRefusedConnectionCounts(refused, shortages);
+}
+
 InstanceStatus
 EntryInstance::Status()
 {
--- a/boragepier/entry/entry_instance.h
+++ b/boragepier/entry/entry_instance.h
@@ -61,6 +61,8 @@
   void OnRoutingTable(const std::shared_ptr<const RoutingTable>& aTable);
   /// Updates metrics and logs changes of upstreams. Control thread only, about once a second.
   void RunPeriodicTasks();
+  /// Counts and logs connections that were refused since the last call.
+  void ReportRefusedConnections();
   AdminHooks MakeAdminHooks();
   InstanceStatus Status();
 
@@ -70,8 +72,10 @@
   std::atomic<bool> configured_ = false; ///< a routing table with services was received
   std::atomic<bool> draining_ = false;
   ServiceRouter router_;
-  std::size_t instanceCount_ = 1;   ///< live instances, this one included; control thread only
-  UpstreamMonitor upstreamMonitor_; ///< control thread only
+  std::size_t instanceCount_ = 1;        ///< live instances, this one included; control thread only
+  UpstreamMonitor upstreamMonitor_;      ///< control thread only
+  std::uint64_t refusedConnections_ = 0; ///< reported so far; control thread only
+  std::uint64_t descriptorShortages_ = 0; ///< reported so far; control thread only
   CallTelemetry telemetry_;
   std::unique_ptr<ControlThreadBase> control_;
   TrafficThread traffic_;
--- a/boragepier/entry/process_environment.h
+++ b/boragepier/entry/process_environment.h
@@ -12,6 +12,14 @@
 platform::PlatformOptions
 PlatformOptionsFrom(const Settings& aSettings);
 
+/// Raises the soft limit of the process on descriptors to the hard limit, divides the descriptors
+/// and logs the result. To be called once, at the start.
+/// @param aSettings settings of the instance
+/// @return the settings with Settings::descriptors_, and with Settings::maxConnections_ lowered to
+///   what the limit allows
+Settings
+FitToDescriptorLimit(Settings aSettings);
+
 /// @return the current wall-clock time, for records that outlive the process
 WallTime
 WallClockNow();
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -15,6 +15,9 @@
 constexpr Duration kClaimTickInterval = std::chrono::milliseconds(10);
 // Without claims, a tick only publishes connectionCount_ and drained_ to other threads.
 constexpr Duration kKeylessTickInterval = std::chrono::milliseconds(100);
+// At the connection limit, callers that are idle for this time make room for others. Common HTTP
+// servers close idle connections after this time, so that callers are prepared for it.
+constexpr Duration kReplaceableIdleTime = std::chrono::seconds(5);
 
 Random
 MakeEntropySeededRandom()
@@ -33,6 +36,8 @@
   limits.idleTimeout_ = aSettings.idleTimeout_;
   limits.requestTimeout_ = aSettings.requestTimeout_;
   limits.maxConnections_ = aSettings.maxConnections_;
+  limits.maxRefusedConnections_ = aSettings.descriptors_.callersRefused_;
+  limits.replaceableIdleTime_ = kReplaceableIdleTime;
   return limits;
 }
 
@@ -59,6 +64,7 @@
         return MakeRefusalResponse(aReason, Outcome::NotRun, RequestId());
       })
 {
+  client_.SetMaxConnections(aSettings.descriptors_.upstreams_);
   server_.SetUnansweredCallback(
     [&aObserver](UnansweredCause aCause) { aObserver.OnUnanswered(aCause); });
 }
@@ -134,6 +140,7 @@
     claims_.Advance(loop_.Now());
   }
   connectionCount_ = server_.ConnectionCount();
+  refusedConnectionCount_ = server_.RefusedConnectionCount();
   drained_ = stoppedAccepting_ && server_.ConnectionCount() == 0 && claims_.NothingPending();
 }
 
--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -61,6 +61,9 @@
   bool Drained() const { return drained_; }
   /// @return the number of connections to callers at the last tick. Thread-safe.
   std::size_t ConnectionCount() const { return connectionCount_; }
+  /// @return the number of connections refused up to the last tick because of the connection limit.
+  ///   Thread-safe.
+  std::uint64_t RefusedConnectionCount() const { return refusedConnectionCount_; }
   /// Ends the thread and waits for it. Not to be called in the thread itself.
   void Stop();
 
@@ -81,6 +84,7 @@
   std::atomic<bool> drained_ = false;
   std::atomic<bool> stoppedAccepting_ = false;
   std::atomic<std::size_t> connectionCount_ = 0;
+  std::atomic<std::uint64_t> refusedConnectionCount_ = 0;
   std::thread thread_;
 };
 
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -10,14 +10,6 @@
 
 namespace boragepier::http {
 
-namespace {
-
-// Number of connections above the connection limit that receive a refusal at the same time. Further
-// ones are closed without a response.
-constexpr std::size_t kMaxConnectionsBeingRefused = 64;
-
-} // namespace
-
 class Server::Impl : public ServerContext
 {
 public:
@@ -53,7 +45,11 @@
     return listener_->Port();
   }
 
-  void SetLimits(const ServerLimits& aLimits) { limits_ = aLimits; }
+  void SetLimits(const ServerLimits& aLimits)
+  {
+    limits_ = aLimits;
+    nextReplacement_ = {};
+  }
   void BeginDrain() { draining_ = true; }
 
   void StopAccepting()
@@ -68,6 +64,7 @@
   }
 
   std::size_t ConnectionCount() const { return connections_.size(); }
+  std::uint64_t RefusedConnectionCount() const { return refusedConnectionCount_; }
 
   net::EventLoop& Loop() override { return loop_; }
   const ServerLimits& Limits() const override { return limits_; }
@@ -91,6 +88,7 @@
   void OnClosed(ServerConnection& aConnection) override
   {
     // Destruction is deferred, because this may run inside a callback of the connection.
+    std::erase(beingRefused_, &aConnection);
     if (const auto node = connections_.extract(&aConnection); !node.empty()) {
       loop_.DeferDestruction(node.mapped());
     }
@@ -99,21 +97,59 @@
 private:
   void OnAccepted(std::shared_ptr<net::TcpStream> aStream)
   {
-    if (connections_.size() >= limits_.maxConnections_ + kMaxConnectionsBeingRefused) {
-      aStream->Close();
-      return;
+    if (connections_.size() - beingRefused_.size() >= limits_.maxConnections_ &&
+        !CloseLongestIdle()) {
+      Refuse(std::move(aStream));
+    } else {
+      ServerConnection& connection = AddConnection(std::move(aStream));
+      connection.Start();
+      if (acceptingStopped_) {
+        connection.CloseIfIdle(); // it was accepted later than the others were closed
+      }
     }
-    const bool refused = connections_.size() >= limits_.maxConnections_;
+  }
+
+  ServerConnection& AddConnection(std::shared_ptr<net::TcpStream> aStream)
+  {
     const auto connection = std::make_shared<ServerConnection>(*this, std::move(aStream));
     connections_.emplace(connection.get(), connection);
-    if (refused) {
-      connection->StartRefused(RefusalReason::Overloaded);
-    } else {
-      connection->Start();
+    return *connection;
+  }
+
+  void Refuse(std::shared_ptr<net::TcpStream> aStream)
+  {
+    ++refusedConnectionCount_;
+    if (!beingRefused_.empty() && beingRefused_.size() >= limits_.maxRefusedConnections_) {
+      beingRefused_.front()->Close(UnansweredCause::Aborted);
+    }
+    ServerConnection& connection = AddConnection(std::move(aStream));
+    beingRefused_.push_back(&connection);
+    connection.StartRefused(RefusalReason::Overloaded);
+  }
+
+  // Closes the connection that is idle for longest, if it is idle for long enough.
+  bool CloseLongestIdle()
+  {
+    const MonotonicTime now = loop_.Now();
+    if (limits_.replaceableIdleTime_ == Duration::max() || now < nextReplacement_) {
+      return false;
     }
-    if (acceptingStopped_) {
-      connection->CloseIfIdle(); // it was accepted later than the others were closed
+    // A connection that becomes idle later is not replaceable before this time.
+    nextReplacement_ = now + limits_.replaceableIdleTime_;
+    std::vector<std::pair<MonotonicTime, ServerConnection*>> replaceable;
+    for (const auto& [connection, owner] : connections_) {
+      if (const auto since = connection->IdleSince()) {
+        const MonotonicTime time = *since + limits_.replaceableIdleTime_;
+        nextReplacement_ = std::min(nextReplacement_, time);
+        if (time <= now) {
+          replaceable.emplace_back(*since, connection);
+        }
+      }
     }
+    std::sort(replaceable.begin(), replaceable.end());
+    return std::any_of(replaceable.begin(), replaceable.end(), [](const auto& aEntry) {
+      return aEntry.second->CloseIfIdle();
+    });
   }
 
   std::vector<std::shared_ptr<ServerConnection>> CopyConnections() const
@@ -132,6 +168,9 @@
   std::function<void(UnansweredCause)> unansweredCallback_;
   std::unique_ptr<net::TcpListener> listener_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
+  std::vector<ServerConnection*> beingRefused_; ///< in the order of their refusal
+  std::uint64_t refusedConnectionCount_ = 0;
+  MonotonicTime nextReplacement_{}; ///< no connection is replaceable before
   bool draining_ = false;
   bool acceptingStopped_ = false;
 };
@@ -176,6 +215,18 @@
   impl_->StopAccepting();
 }
 
+std::size_t
+Server::UnfinishedConnections() const
+{
+  return impl_->UnfinishedConnections();
+}
+
+std::uint64_t
+Server::RefusedConnectionCount() const
+{
+  return impl_->RefusedConnectionCount();
+}
+
 std::size_t
 Server::ConnectionCount() const
 {
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -55,6 +55,12 @@
   /// that end their input have closed the connection, and work for those is to stop within 500 ms.
   Duration halfCloseGrace_ = std::chrono::milliseconds(250);
   std::size_t maxConnections_ = 4096; ///< further ones get a refusal (Overloaded) and are closed
+  /// Connections that may be open in addition while they are refused; a further one replaces the
+  /// one that was refused first.
+  std::size_t maxRefusedConnections_ = 64;
+  /// At maxConnections_, a new connection replaces the one that is idle for longest if it is idle
+  /// for at least this time.
+  Duration replaceableIdleTime_ = Duration::max();
 };
 
 /// HTTP/1.1 server. It uses boragepier/net for I/O and Boost.Beast for message framing. Malformed
@@ -100,6 +106,8 @@
   /// for their caller to read the last response. At 0 after StopAccepting(), no further request
   /// reaches the handler, and the end of the process discards no response. Loop thread only.
   std::size_t ConnectionCount() const;
+  /// @return number of connections refused so far because of maxConnections_. Loop thread only.
+  std::uint64_t RefusedConnectionCount() const;
 
 private:
   class Impl;
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -121,12 +121,21 @@
   SendRefusal(aReason);
 }
 
-void
+bool
 ServerConnection::CloseIfIdle()
 {
-  if (state_ == State::Reading && !reader_.Started(input_) && !stream_->HasUndeliveredInput()) {
-    Close(UnansweredCause::Aborted); // no request is unanswered while reading
+  if (!IdleSince() || stream_->HasUndeliveredInput()) {
+    return false;
   }
+  Close(UnansweredCause::Aborted); // no request is unanswered while reading
+  return true;
+}
+
+std::optional<MonotonicTime>
+ServerConnection::IdleSince() const
+{
+  return state_ == State::Reading && !reader_.Started(input_) ? std::optional(idleSince_)
+                                                              : std::nullopt;
 }
 
 void
@@ -257,6 +266,7 @@
   const MonotonicTime now = context_.Loop().Now();
   if (!reader_.Started(input_)) {
     requestStarted_ = false;
+    idleSince_ = now;
     timeout_.Set(now + context_.Limits().idleTimeout_);
     return;
   }
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -51,7 +51,11 @@
   /// Starts the connection by sending a refusal, without waiting for a request.
   void StartRefused(RefusalReason aReason);
   /// Closes the connection if no byte of a request is pending.
-  void CloseIfIdle();
+  /// @return whether it was closed
+  bool CloseIfIdle();
+  /// @return the time since which a request is awaited; nothing if a part of one was received or it
+  /// is being handled
+  std::optional<MonotonicTime> IdleSince() const;
   /// Closes immediately, without running the abandoned callback of an exchange in progress.
   /// @param aCause reported if a request that was read completely has no complete response yet
   void Close(UnansweredCause aCause);
@@ -92,6 +96,7 @@
   State state_ = State::Reading;
   bool processingInput_ = false;
   bool requestStarted_ = false;
+  MonotonicTime idleSince_{};      ///< valid while no part of a request was received
   MonotonicTime requestStartTime_; ///< arrival of its first byte; valid if requestStarted_
   /// When the caller ended its sending side; it may wait for responses to what it has sent.
   std::optional<MonotonicTime> inputEndTime_;
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -503,6 +503,66 @@
   STRCMP_EQUAL("HTTP/1.1 200", StatusLineStart(third.ReadMessage()).c_str());
 }
 
+// Guards against refused connections that get no answer because others are still being refused.
+TEST(Server, RefusedConnectionReplacesTheOneRefusedFirst)
+{
+  ServerLimits limits;
+  limits.maxConnections_ = 0;
+  limits.maxRefusedConnections_ = 2;
+  ServerFixture server(limits);
+  std::vector<RawSocket> callers;
+  for (int i = 0; i < 10; ++i) {
+    callers.push_back(server.Connect());
+    STRCMP_EQUAL("HTTP/1.1 503", StatusLineStart(callers.back().ReadMessage()).c_str());
+  }
+  CHECK(server.Run([&] { return server.GetServer().ConnectionCount(); }) <= 2);
+  CHECK_EQUAL(10U, server.Run([&] { return server.GetServer().RefusedConnectionCount(); }));
+}
+
+// Guards against a caller that is refused although others hold idle connections, and against a
+// connection with a request that is closed to make room.
+TEST(Server, NewConnectionReplacesTheLongestIdle)
+{
+  ServerLimits limits;
+  limits.maxConnections_ = 3;
+  limits.replaceableIdleTime_ = Duration(0);
+  ServerFixture server(limits);
+  RawSocket started = server.Connect();
+  started.Send("GET /a HTTP/1.1\r\n");
+  RawSocket busy = server.Connect();
+  busy.Send(kGetHeld);
+  const auto exchange = server.TakeHeldExchange();
+  RawSocket idle = server.Connect();
+  idle.Send(kGet);
+  idle.ReadMessage();
+  RawSocket next = server.Connect();
+  next.Send(kGetHeld);
+  const auto nextExchange = server.TakeHeldExchange();
+  STRCMP_EQUAL("", idle.ReadToEnd().c_str());
+  STRCMP_EQUAL("HTTP/1.1 503", StatusLineStart(server.SendAndReadToEnd(kGet)).c_str());
+  started.Send("Host: h\r\n\r\n");
+  STRCMP_EQUAL("HTTP/1.1 200", StatusLineStart(started.ReadMessage()).c_str());
+  server.Respond(exchange, "done");
+  CHECK(busy.ReadMessage().ends_with("done"));
+  server.Respond(nextExchange, "done");
+  CHECK(next.ReadMessage().ends_with("done"));
+}
+
+// Guards against closing a connection that its caller is about to use again.
+TEST(Server, ConnectionThatWasJustUsedIsNotReplaced)
+{
+  ServerLimits limits;
+  limits.maxConnections_ = 1;
+  limits.replaceableIdleTime_ = std::chrono::hours(1);
+  ServerFixture server(limits);
+  RawSocket first = server.Connect();
+  first.Send(kGet);
+  first.ReadMessage();
+  STRCMP_EQUAL("HTTP/1.1 503", StatusLineStart(server.SendAndReadToEnd(kGet)).c_str());
+  first.Send(kGet);
+  STRCMP_EQUAL("HTTP/1.1 200", StatusLineStart(first.ReadMessage()).c_str());
+}
+
 // Guards against a caller that waits for "100 Continue" until its own timeout.
 TEST(Server, ExpectContinueIsAnswered)
 {
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -72,6 +72,26 @@
              "the process ends because of the given exception or signal; requests in progress get "
              "no answer",
              "report the fault with this event" },
+  EventInfo{ EventId::DescriptorLimit,
+             LogLevel::Info,
+             "descriptor-limit",
+             "limit on open descriptors, and the greatest numbers of connections from callers and "
+             "to upstreams that follow from it",
+             "no action needed" },
+  EventInfo{ EventId::MaxConnectionsLowered,
+             LogLevel::Warn,
+             "max-connections-lowered",
+             "traffic.max-connections is more than the limit on open descriptors allows; the "
+             "allowed number applies",
+             "raise the hard limit (RLIMIT_NOFILE) or instance.file-descriptors, or lower "
+             "traffic.max-connections" },
+  EventInfo{ EventId::DescriptorShortage,
+             LogLevel::Warn,
+             "descriptor-shortage",
+             "connections were closed when they were accepted, or not opened, because the machine "
+             "lacked a descriptor, port or memory for a socket",
+             "raise the limits of the process and the machine; if boragepier_descriptors is near "
+             "boragepier_descriptor_limit, report the fault" },
 
   EventInfo{ EventId::ConfigAccepted,
              LogLevel::Info,
@@ -269,9 +289,9 @@
   EventInfo{ EventId::ConnectionLimitReached,
              LogLevel::Warn,
              "connection-limit-reached",
-             "a caller's connection was closed because traffic.max-connections connections "
-             "are open",
-             "add instances or raise traffic.max-connections" },
+             "connections from callers were refused because as many are open as "
+             "traffic.max-connections and the limit on descriptors allow",
+             "add instances or raise the limit; see max-connections-lowered" },
   EventInfo{ EventId::AdminRequestRefused,
              LogLevel::Warn,
              "admin-request-refused",
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -25,6 +25,9 @@
   SettingsReloaded = 1010,
   SettingsRejected = 1011,
   ProcessFailed = 1012,
+  DescriptorLimit = 1021,
+  MaxConnectionsLowered = 1022,
+  DescriptorShortage = 1023,
 
   ConfigAccepted = 2001,
   ConfigRejected = 2002,
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -165,6 +165,15 @@
   void SetPeerCount(std::uint64_t aCount) { peerCount_ = aCount; }
   void SetInstanceCount(std::uint64_t aCount) { instanceCount_ = aCount; }
   void SetCallerConnectionCount(std::uint64_t aCount) { callerConnectionCount_ = aCount; }
+  /// @param aCount descriptors that the process may have open
+  void SetDescriptorLimit(std::uint64_t aCount) { descriptorLimit_ = aCount; }
+  /// @param aAtLimit connections from callers that were refused at the connection limit
+  /// @param aWithoutDescriptor connections that got no descriptor
+  void SetRefusedConnectionCounts(std::uint64_t aAtLimit, std::uint64_t aWithoutDescriptor)
+  {
+    refusedConnectionCount_ = aAtLimit;
+    descriptorShortageCount_ = aWithoutDescriptor;
+  }
   /// @param aCpuTime CPU time of the control thread since the start of the process
   /// @param aBytesSent bytes that the control thread has sent to peers and the platform since then
   void SetControlThreadUsage(Duration aCpuTime, std::uint64_t aBytesSent);
@@ -188,6 +197,9 @@
   std::atomic<std::uint64_t> peerCount_ = 0;
   std::atomic<std::uint64_t> instanceCount_ = 0;
   std::atomic<std::uint64_t> callerConnectionCount_ = 0;
+  std::atomic<std::uint64_t> refusedConnectionCount_ = 0;
+  std::atomic<std::uint64_t> descriptorShortageCount_ = 0;
+  std::atomic<std::uint64_t> descriptorLimit_ = 0;
   std::atomic<std::int64_t> controlThreadCpuNs_ = 0;
   std::atomic<std::uint64_t> controlThreadBytesSent_ = 0;
 };
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <stdexcept>
 
+#include "boragepier/base/descriptor_budget.h"
 #include "boragepier/base/internal_error.h"
 
 namespace boragepier {
@@ -18,6 +19,17 @@
   MetricInfo{ "boragepier_peers", "gauge", "open streams to other instances" },
   MetricInfo{ "boragepier_instances", "gauge", "live instances known to this instance" },
   MetricInfo{ "boragepier_caller_connections", "gauge", "open connections from callers" },
+  MetricInfo{ "boragepier_refused_connections_total",
+              "counter",
+              "connections from callers that were refused at the connection limit" },
+  MetricInfo{ "boragepier_descriptors",
+              "gauge",
+              "open descriptors of the process; absent if the system does not list them" },
+  MetricInfo{ "boragepier_descriptor_limit", "gauge", "descriptors that the process may open" },
+  MetricInfo{ "boragepier_descriptor_shortages_total",
+              "counter",
+              "connections that were not opened, or were closed at once, because a descriptor, "
+              "port or memory for a socket was missing" },
   MetricInfo{ "boragepier_control_processor_seconds_total",
               "counter",
               "CPU time of the control thread" },
@@ -220,6 +232,15 @@
   WriteGauge("boragepier_peers", LoadAsDouble(metrics_.peerCount_));
   WriteGauge("boragepier_instances", LoadAsDouble(metrics_.instanceCount_));
   WriteGauge("boragepier_caller_connections", LoadAsDouble(metrics_.callerConnectionCount_));
+  WriteGauge("boragepier_refused_connections_total",
+             LoadAsDouble(metrics_.refusedConnectionCount_));
+  WriteHeader("boragepier_descriptors");
+  if (const auto count = CountOpenDescriptors()) {
+    WriteSample("boragepier_descriptors", {}, static_cast<double>(*count));
+  }
+  WriteGauge("boragepier_descriptor_limit", LoadAsDouble(metrics_.descriptorLimit_));
+  WriteGauge("boragepier_descriptor_shortages_total",
+             LoadAsDouble(metrics_.descriptorShortageCount_));
   WriteGauge("boragepier_control_processor_seconds_total",
              static_cast<double>(metrics_.controlThreadCpuNs_.load()) / 1e9);
   WriteGauge("boragepier_control_bytes_total", LoadAsDouble(metrics_.controlThreadBytesSent_));
--- a/testing/e2e/child_process.cc
+++ b/testing/e2e/child_process.cc
@@ -15,8 +15,36 @@
 
 namespace boragepier::testing {
 
-ChildProcess::ChildProcess(const std::string& aProgram, const std::vector<std::string>& aArguments)
+namespace {
+
+constexpr const char* kShell = "/bin/sh";
+
+// Returns the command line that starts a program with the limits. The limits of this process are
+// not changed, because its other threads use them too.
+std::vector<std::string>
+MakeCommandLine(const std::string& aProgram,
+                const std::vector<std::string>& aArguments,
+                std::optional<DescriptorLimit> aLimit)
+{
+  std::vector<std::string> commandLine;
+  if (aLimit) {
+    commandLine = { kShell,
+                    "-c",
+                    "ulimit -S -n " + std::to_string(aLimit->soft_) + " && ulimit -H -n " +
+                      std::to_string(aLimit->hard_) + " && exec \"$0\" \"$@\"" };
+  }
+  commandLine.push_back(aProgram);
+  commandLine.insert(commandLine.end(), aArguments.begin(), aArguments.end());
+  return commandLine;
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::string& aProgram,
+                           const std::vector<std::string>& aArguments,
+                           std::optional<DescriptorLimit> aLimit)
 {
+  std::vector<std::string> commandLine = MakeCommandLine(aProgram, aArguments, aLimit);
   std::array<int, 2> pipe{};
   if (pipe2(pipe.data(), O_CLOEXEC) != 0) {
     throw ChildProcessError("cannot create a pipe for the output of a child process");
@@ -24,13 +52,12 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
-  std::vector<char*> arguments{ const_cast<char*>(aProgram.c_str()) };
-  for (const std::string& argument : aArguments) {
-    arguments.push_back(const_cast<char*>(argument.c_str()));
+  std::vector<char*> arguments;
+  for (std::string& argument : commandLine) {
+    arguments.push_back(argument.data());
   }
   arguments.push_back(nullptr);
-  const int error =
-    posix_spawn(&pid_, aProgram.c_str(), &actions, nullptr, arguments.data(), environ);
+  const int error = posix_spawn(&pid_, arguments[0], &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   close(pipe[1]);
   outputFd_ = pipe[0];
--- a/testing/e2e/child_process.h
+++ b/testing/e2e/child_process.h
@@ -22,6 +22,13 @@
   using Error::Error;
 };
 
+/// Limits of a child process on open descriptors (RLIMIT_NOFILE).
+struct DescriptorLimit
+{
+  unsigned soft_ = 0;
+  unsigned hard_ = 0;
+};
+
 /// A program run as a child process. The destructor kills it.
 class ChildProcess
 {
@@ -31,8 +38,11 @@
 
   /// @param aProgram path of the program
   /// @param aArguments its arguments, without the program name
+  /// @param aLimit limits with which the program starts; without them it inherits those of the test
   /// @throws ChildProcessError if the program cannot be started
-  ChildProcess(const std::string& aProgram, const std::vector<std::string>& aArguments);
+  ChildProcess(const std::string& aProgram,
+               const std::vector<std::string>& aArguments,
+               std::optional<DescriptorLimit> aLimit = std::nullopt);
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -99,7 +99,7 @@
 }
 
 RunningInstance&
-Fleet::AddInstance(const std::string& aSettings)
+Fleet::AddInstance(const std::string& aSettings, std::optional<DescriptorLimit> aLimit)
 {
   auto instance = std::make_unique<RunningInstance>();
   instance->id_ = "i" + std::to_string(instances_.size() + 1);
@@ -109,7 +109,7 @@
               "\nzone = a\n[platform]\naddress = 127.0.0.1\nport = " +
               std::to_string(instancePlatformPort_) + "\n" + aSettings);
   instance->process_ = std::make_unique<ChildProcess>(
-    BORAGEPIER_BINARY, std::vector<std::string>{ "--settings", file.string() });
+    BORAGEPIER_BINARY, std::vector<std::string>{ "--settings", file.string() }, aLimit);
   instance->callerPort_ = instance->process_->ReadPort("listening");
   instance->peerPort_ = instance->process_->ReadPort("peer");
   instance->adminPort_ = instance->process_->ReadPort("admin");
--- a/testing/e2e/fleet.h
+++ b/testing/e2e/fleet.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,7 +61,9 @@
                                const std::vector<std::string>& aOptions = {});
   /// Starts an instance and registers it with the platform.
   /// @param aSettings further lines of its settings file
-  RunningInstance& AddInstance(const std::string& aSettings = {});
+  /// @param aLimit limits on its descriptors; without them it inherits those of the test
+  RunningInstance& AddInstance(const std::string& aSettings = {},
+                               std::optional<DescriptorLimit> aLimit = std::nullopt);
 
   RunningInstance& Instance(std::size_t aIndex) { return *instances_.at(aIndex); }
   RunningUpstream& Upstream(std::size_t aIndex) { return *upstreams_.at(aIndex); }
