Check that the shares of descriptors suffice at limits of 64 and 256

The sum of the shares is tested, but not that an instance keeps to them. The tests with a hard limit now also require that no connection lacked a descriptor (boragepier_descriptor_shortages_total 0), and one holds as many requests as an instance accepts at a limit of 64.

--- a/boragepier/net/tcp_listener_test.cc
+++ b/boragepier/net/tcp_listener_test.cc
@@ -28,8 +28,10 @@
   TcpListener listener(loop, "127.0.0.1", 0, [&](std::shared_ptr<TcpStream> aStream) {
     accepted.push_back(std::move(aStream));
   });
+  constexpr int kCallers = 20;
   std::vector<RawSocket> callers;
-  for (int i = 0; i < 20; ++i) {
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back(listener.Port());
   }
   const std::uint64_t shortagesBefore = DescriptorShortageCount();
--- a/testing/e2e/child_process.cc
+++ b/testing/e2e/child_process.cc
@@ -53,6 +53,7 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, pipe[1], STDOUT_FILENO);
   std::vector<char*> arguments;
+  arguments.reserve(commandLine.size() + 1);
   for (std::string& argument : commandLine) {
     arguments.push_back(argument.data());
   }
--- a/testing/e2e/descriptor_test.cc
+++ b/testing/e2e/descriptor_test.cc
@@ -62,6 +62,59 @@
     fleet_.WaitForVersion("shop", 1);
     return instance;
   }
+
+  // The shares must suffice, so that the spare descriptors of the listeners are not used. Both
+  // metrics are set at the same time, about once a second.
+  void CheckNoShortage(const RunningInstance& aInstance, std::size_t aRefusals)
+  {
+    const std::string refused =
+      "\nboragepier_refused_connections_total " + std::to_string(aRefusals) + "\n";
+    std::string metrics;
+    WaitUntil([&] {
+      metrics = fleet_.Client().Get(aInstance.adminPort_, "/metrics");
+      return metrics.find(refused) != std::string::npos;
+    });
+    CHECK_TEXT(metrics.find("\nboragepier_descriptor_shortages_total 0\n") != std::string::npos,
+               metrics.c_str());
+  }
+
+  // Holds as many requests at an upstream as the instance accepts, and answers them.
+  void CheckAcceptedRequestsArePassedOn(DescriptorLimit aLimit)
+  {
+    constexpr std::size_t kCallers = 600;
+    RawListener upstream;
+    RunningInstance& instance = StartInstance(aLimit);
+    fleet_.RegisterUpstream("raw", "shop", upstream.Port());
+    fleet_.WaitForUpstreams(instance, "shop", 1);
+    std::vector<RawSocket> callers;
+    std::vector<RawSocket> accepted;
+    std::vector<RawSocket> upstreamConnections;
+    callers.reserve(kCallers);
+    for (std::size_t i = 0; i < kCallers; ++i) {
+      RawSocket caller(instance.callerPort_);
+      caller.Send(kGetRequest);
+      WaitUntil([&] { return caller.HasInput() || upstream.HasPending(); });
+      if (caller.HasInput()) {
+        const std::string response = caller.ReadMessage();
+        CHECK_TEXT(IsRefusal(response), response.c_str());
+        callers.push_back(std::move(caller));
+      } else {
+        upstreamConnections.push_back(upstream.Accept());
+        upstreamConnections.back().ReadMessage();
+        accepted.push_back(std::move(caller));
+      }
+    }
+    CHECK(!accepted.empty());
+    CheckReady(instance);
+    for (RawSocket& connection : upstreamConnections) {
+      connection.Send(kCompleteResponse);
+    }
+    for (RawSocket& caller : accepted) {
+      const std::string response = caller.ReadMessage();
+      CHECK_TEXT(IsAnswer(response), response.c_str());
+    }
+    CheckNoShortage(instance, callers.size());
+  }
 };
 
 // Guards against callers that hang without an answer because the soft limit, which a process may
@@ -102,6 +155,7 @@
   }
   CHECK(answers > 0 && refusals > 0);
   CheckReady(instance);
+  CheckNoShortage(instance, refusals);
   // The others keep their connections idle, so that new callers are served again.
   WaitUntil([&] {
     RawSocket caller(instance.callerPort_);
@@ -113,38 +167,12 @@
 // upstream.
 TEST(Descriptors, AcceptedRequestsArePassedOn)
 {
-  constexpr std::size_t kCallers = 600;
-  RawListener upstream;
-  RunningInstance& instance = StartInstance({ 256, 256 });
-  fleet_.RegisterUpstream("raw", "shop", upstream.Port());
-  fleet_.WaitForUpstreams(instance, "shop", 1);
-  std::vector<RawSocket> callers;
-  std::vector<RawSocket> accepted;
-  std::vector<RawSocket> upstreamConnections;
-  callers.reserve(kCallers);
-  for (std::size_t i = 0; i < kCallers; ++i) {
-    RawSocket caller(instance.callerPort_);
-    caller.Send(kGetRequest);
-    WaitUntil([&] { return caller.HasInput() || upstream.HasPending(); });
-    if (caller.HasInput()) {
-      const std::string response = caller.ReadMessage();
-      CHECK_TEXT(IsRefusal(response), response.c_str());
-      callers.push_back(std::move(caller));
-    } else {
-      upstreamConnections.push_back(upstream.Accept());
-      upstreamConnections.back().ReadMessage();
-      accepted.push_back(std::move(caller));
-    }
-  }
-  CHECK(!accepted.empty());
-  CheckReady(instance);
-  for (RawSocket& connection : upstreamConnections) {
-    connection.Send(kCompleteResponse);
-  }
-  for (RawSocket& caller : accepted) {
-    const std::string response = caller.ReadMessage();
-    CHECK_TEXT(IsAnswer(response), response.c_str());
-  }
+  CheckAcceptedRequestsArePassedOn({ 256, 256 });
+}
+
+TEST(Descriptors, AcceptedRequestsArePassedOnWithTheSmallestLimit)
+{
+  CheckAcceptedRequestsArePassedOn({ 64, 64 });
 }
 
 // Guards against a /ready that is not answered because idle clients hold all connections of the
