Block control signals before the first initializer of a start

Callers saw nothing by themselves, but a process that got SIGHUP or SIGTERM in the first milliseconds after its start ended by the signal (-1, -15): FAULT on a machine that announces a change of the settings or replaces the instance at that time.

Cause: the signals were blocked in Serve(), after the dynamic loading, the initializers of 13 libraries, the arguments and the settings file. Class: a guard that is set up after the moment from which it must hold.

They are now blocked from .preinit_array, which the loader runs before the initializers of all libraries; what arrives later waits until it is asked for. A SIGTERM that is pending when the settings are read ends the process with 0 before an address is open (event 1020).

What remains is the kernel's exec and the work of the dynamic loader before .preinit_array.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstdlib>
-#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -12,6 +11,7 @@
 
 #include <cxxopts.hpp>
 
+#include "apps/boragepier/control_signals.h"
 #include "boragepier/base/errors.h"
 #include "boragepier/config/settings.h"
 #include "boragepier/entry/entry_instance.h"
@@ -61,35 +61,6 @@
   return path == nullptr ? std::string() : path;
 }
 
-// Blocks SIGTERM, SIGINT and SIGHUP in this thread and in threads that it starts later, so that
-// they are delivered through Wait() only. Ignores SIGPIPE, so that a write to a closed connection
-// fails with EPIPE instead of ending the process.
-class SignalReceiver
-{
-public:
-  SignalReceiver()
-  {
-    sigemptyset(&signals_);
-    sigaddset(&signals_, SIGTERM);
-    sigaddset(&signals_, SIGINT);
-    sigaddset(&signals_, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals_, nullptr);
-    signal(SIGPIPE, SIG_IGN);
-  }
-
-  /// Waits for one of the blocked signals.
-  /// @return the signal, or nothing after the timeout
-  std::optional<int> Wait(std::chrono::milliseconds aTimeout) const
-  {
-    const std::timespec timeout{ aTimeout.count() / 1000, aTimeout.count() % 1000 * 1'000'000 };
-    const int received = sigtimedwait(&signals_, nullptr, &timeout);
-    return received > 0 ? std::optional(received) : std::nullopt;
-  }
-
-private:
-  sigset_t signals_{};
-};
-
 // Starts the instance; logs a failure before passing it on.
 InstancePorts
 StartInstance(EntryInstance& aInstance)
@@ -145,12 +116,10 @@
 
 // Polls the settings file until SIGTERM or SIGINT arrives; SIGHUP forces a reload.
 void
-ServeUntilStopSignal(const SignalReceiver& aSignals,
-                     SettingsReloader& aReloader,
-                     EntryInstance& aInstance)
+ServeUntilStopSignal(SettingsReloader& aReloader, EntryInstance& aInstance)
 {
   for (;;) {
-    const auto received = aSignals.Wait(kSettingsPollInterval);
+    const auto received = WaitForSignal(kSettingsPollInterval);
     if (received && *received != SIGHUP) {
       return;
     }
@@ -161,18 +130,23 @@
 int
 Serve(const Settings& aSettings, const std::string& aPath)
 {
-  const SignalReceiver signals;
+  // Lets a write to a closed connection fail with EPIPE instead of ending the process.
+  signal(SIGPIPE, SIG_IGN);
   ConfigureLog(aSettings.logLevel_,
                aSettings.logFile_,
                aSettings.logToStandardOutput_ ? LogOutput::StandardOutput
                                               : LogOutput::StandardError);
   ReportProcessFailureTo(aSettings.logToStandardOutput_ ? STDOUT_FILENO : STDERR_FILENO);
+  if (StopRequested(std::chrono::milliseconds(0))) {
+    Log(EventId::StartCancelled, { { "instance", aSettings.id_ } });
+    return kExitOk;
+  }
   SettingsReloader reloader(aPath);
   EntryInstance instance(FitToDescriptorLimit(aSettings), ChoosePlatformBinding(aSettings));
   const InstancePorts ports = StartInstance(instance);
   std::cout << "listening " << ports.caller_ << "\npeer " << ports.peer_ << "\nadmin "
             << ports.admin_ << std::endl;
-  ServeUntilStopSignal(signals, reloader, instance);
+  ServeUntilStopSignal(reloader, instance);
   return instance.Drain() ? kExitOk : kExitDrainLimitReached;
 }
 
@@ -222,6 +196,11 @@
   return Serve(settings, path);
 }
 
+// Entries of this section run before the initializers of all libraries, so that no signal ends a
+// process that is still starting.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const kBlockSignalsAtLoad)() = BlockControlSignals;
+
 } // namespace
 
 int
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -72,6 +72,11 @@
              "the process ends because of the given exception or signal; requests in progress get "
              "no answer",
              "report the fault with this event" },
+  EventInfo{ EventId::StartCancelled,
+             LogLevel::Info,
+             "start-cancelled",
+             "SIGTERM arrived before the instance listened; the process exits",
+             "no action needed" },
   EventInfo{ EventId::DescriptorLimit,
              LogLevel::Info,
              "descriptor-limit",
--- /dev/null
+++ b/testing/e2e/start_test.cc
@@ -0,0 +1,135 @@
+#include <signal.h>
+#include <sys/stat.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "testing/e2e/child_process.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace boragepier::testing {
+
+namespace {
+
+namespace fs = std::filesystem;
+using std::chrono::milliseconds;
+
+// Settings of an instance on free ports whose platform does not answer.
+const std::string kSettings = "[instance]\nid = i1\nzone = a\n"
+                              "[platform]\naddress = 127.0.0.1\nport = 9\n"
+                              "[traffic]\ndrain-grace-ms = 0\ndrain-limit-ms = 1000\n"
+                              "[log]\noutput = stdout\n";
+
+std::string
+ReadFile(const fs::path& aPath)
+{
+  std::ostringstream text;
+  text << std::ifstream(aPath).rdbuf();
+  return text.str();
+}
+
+template<typename Condition>
+void
+WaitUntil(Condition aCondition)
+{
+  const auto deadline = std::chrono::steady_clock::now() + ChildProcess::kTimeout;
+  while (!aCondition()) {
+    CHECK_TEXT(std::chrono::steady_clock::now() < deadline, "timed out");
+    std::this_thread::sleep_for(std::chrono::microseconds(100));
+  }
+}
+
+} // namespace
+
+// Starts the program with a settings file in a temporary directory.
+TEST_GROUP(Start)
+{
+  fs::path directory_;
+
+  void setup() override
+  {
+    std::string name = (fs::temp_directory_path() / "boragepier-start-XXXXXX").string();
+    CHECK(mkdtemp(name.data()) != nullptr);
+    directory_ = name;
+  }
+
+  void teardown() override
+  {
+    std::error_code ignored;
+    fs::remove_all(directory_, ignored);
+  }
+
+  fs::path SettingsFile() const
+  {
+    return directory_ / "instance.ini";
+  }
+
+  void WriteSettings(const std::string& aText) const
+  {
+    std::ofstream(SettingsFile()) << aText;
+  }
+
+  std::unique_ptr<ChildProcess> StartProgram() const
+  {
+    return std::make_unique<ChildProcess>(
+      BORAGEPIER_BINARY, std::vector<std::string>{ "--settings", SettingsFile().string() });
+  }
+
+  // Starts the program and returns when the dynamic loader calls the first initializer of a
+  // library.
+  std::unique_ptr<ChildProcess> StartUpToTheFirstInitializer() const
+  {
+    setenv("LD_DEBUG", "files", 1);
+    setenv("LD_DEBUG_OUTPUT", (directory_ / "loader").c_str(), 1);
+    auto program = StartProgram();
+    unsetenv("LD_DEBUG");
+    unsetenv("LD_DEBUG_OUTPUT");
+    const fs::path trace = directory_ / ("loader." + std::to_string(program->Pid()));
+    WaitUntil([&] { return ReadFile(trace).find("calling init: ") != std::string::npos; });
+    return program;
+  }
+};
+
+// Guards against a start that a stop or reload signal ends: 128 plus the number of the signal
+// instead of a planned stop, or of an instance that serves.
+TEST(Start, SignalBeforeTheFirstInitializerDoesNotEndTheProcess)
+{
+  WriteSettings(kSettings);
+  constexpr int kStarts = 100;
+  int endedBySignal = 0;
+  for (int start = 0; start < kStarts; ++start) {
+    const auto program = StartUpToTheFirstInitializer();
+    std::this_thread::sleep_for(std::chrono::microseconds(50 * start));
+    const bool reload = start % 2 == 0;
+    program->Signal(reload ? SIGHUP : SIGTERM);
+    if (reload) {
+      std::this_thread::sleep_for(milliseconds(10));
+      program->Signal(SIGTERM);
+    }
+    endedBySignal += program->WaitForExit() != 0 ? 1 : 0;
+  }
+  CHECK_EQUAL(0, endedBySignal);
+}
+
+// Guards against a SIGTERM at the start that opens the instance to callers for the drain grace
+// period before it ends.
+TEST(Start, StopBeforeTheAddressesAreOpenOpensNone)
+{
+  WriteSettings(kSettings);
+  const auto program = StartUpToTheFirstInitializer();
+  program->Signal(SIGTERM);
+  const std::string output = program->ReadToEnd();
+  CHECK_EQUAL(0, program->WaitForExit());
+  STRCMP_CONTAINS("name=start-cancelled", output.c_str());
+  CHECK(output.find("listening ") == std::string::npos);
+}
+
+} // namespace boragepier::testing
