Wait for addresses that another process still uses at the start

A process that starts while its peer, admin or caller port is held, for example by the earlier process that still drains, exited with 1 at once: FAULT.

Cause: each address was tried once. Class: a condition that passes by itself is taken for a final one.

No thread runs before all addresses are open, so a failed try sends nothing to peers or the store; the address for callers is opened last, because closing it would reset connections that were accepted meanwhile.

Evidence: with the programs of e2e_start_test ended with a child process exited before it printed its port; output: ... ERROR event=1007 name=start-failed error="cannot listen on 127.0.0.1:36659: bind: Address already in use" and WaitForAnAddressEndsOnStopAndAfterItsLimit failed; both pass now, with a port that is held for 1 s and for longer than the limit.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -1,11 +1,14 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <string>
 
@@ -16,6 +19,7 @@
 #include "boragepier/config/settings.h"
 #include "boragepier/entry/entry_instance.h"
 #include "boragepier/entry/process_environment.h"
+#include "boragepier/net/errors.h"
 #include "boragepier/telemetry/log.h"
 #include "boragepier/telemetry/process_failure.h"
 #include "platform/platform_binding.h"
@@ -36,6 +40,10 @@
 // The settings file is read this often for changes that no SIGHUP announces.
 constexpr std::chrono::milliseconds kSettingsPollInterval{ 1000 };
 
+// Addresses that another process uses are waited for at least this long.
+constexpr std::chrono::seconds kMinAddressWait{ 5 };
+constexpr std::chrono::milliseconds kAddressRetryInterval{ 100 };
+
 constexpr const char* kVersion = "0.1.0";
 
 std::string
@@ -61,18 +69,6 @@
   return path == nullptr ? std::string() : path;
 }
 
-// Starts the instance; logs a failure before passing it on.
-InstancePorts
-StartInstance(EntryInstance& aInstance)
-{
-  try {
-    return aInstance.Start();
-  } catch (const Error& error) {
-    Log(EventId::StartFailed, { { "error", error.what() } });
-    throw;
-  }
-}
-
 // A store address in the settings selects the binding to the users' platform; without one the
 // instance uses the native binding.
 PlatformBinding
@@ -82,6 +78,40 @@
                                              : MakeNativePlatformBinding();
 }
 
+// Starts an instance. While another process uses one of its addresses, such as the previous
+// process on this machine during its drain, waits for at most as long as a drain takes.
+// Returns the instance, with its ports in aPorts, or nothing if SIGTERM arrived before it listened.
+std::unique_ptr<EntryInstance>
+StartInstance(const Settings& aSettings, InstancePorts& aPorts)
+{
+  using Clock = std::chrono::steady_clock;
+  const Duration limit = std::max<Duration>(aSettings.drainLimit_, kMinAddressWait);
+  const auto deadline = Clock::now() + limit;
+  std::set<std::string> logged;
+  auto interval = std::chrono::milliseconds(0);
+  while (!StopRequested(interval)) {
+    try {
+      auto instance = std::make_unique<EntryInstance>(aSettings, ChoosePlatformBinding(aSettings));
+      aPorts = instance->Start();
+      return instance;
+    } catch (const net::AddressInUseError& error) {
+      if (Clock::now() >= deadline) {
+        Log(EventId::StartFailed, { { "error", error.what() } });
+        throw;
+      }
+      if (logged.insert(error.what()).second) {
+        Log(EventId::StartDelayed, { { "error", error.what() }, { "limit-ms", limit } });
+      }
+      interval = kAddressRetryInterval;
+    } catch (const Error& error) {
+      Log(EventId::StartFailed, { { "error", error.what() } });
+      throw;
+    }
+  }
+  Log(EventId::StartCancelled, { { "instance", aSettings.id_ } });
+  return nullptr;
+}
+
 // Applies changes of the settings file to the running instance.
 class SettingsReloader
 {
@@ -137,17 +167,16 @@
                aSettings.logToStandardOutput_ ? LogOutput::StandardOutput
                                               : LogOutput::StandardError);
   ReportProcessFailureTo(aSettings.logToStandardOutput_ ? STDOUT_FILENO : STDERR_FILENO);
-  if (StopRequested(std::chrono::milliseconds(0))) {
-    Log(EventId::StartCancelled, { { "instance", aSettings.id_ } });
+  SettingsReloader reloader(aPath);
+  InstancePorts ports;
+  const auto instance = StartInstance(FitToDescriptorLimit(aSettings), ports);
+  if (instance == nullptr) {
     return kExitOk;
   }
-  SettingsReloader reloader(aPath);
-  EntryInstance instance(FitToDescriptorLimit(aSettings), ChoosePlatformBinding(aSettings));
-  const InstancePorts ports = StartInstance(instance);
   std::cout << "listening " << ports.caller_ << "\npeer " << ports.peer_ << "\nadmin "
             << ports.admin_ << std::endl;
-  ServeUntilStopSignal(reloader, instance);
-  return instance.Drain() ? kExitOk : kExitDrainLimitReached;
+  ServeUntilStopSignal(reloader, *instance);
+  return instance->Drain() ? kExitOk : kExitDrainLimitReached;
 }
 
 cxxopts::Options
--- a/boragepier/admin/admin_server.cc
+++ b/boragepier/admin/admin_server.cc
@@ -82,6 +82,8 @@
   {
     try {
       return server_.Listen(aAddress, aPort);
+    } catch (const net::AddressInUseError& error) {
+      throw AdminAddressInUseError(error.what());
     } catch (const net::ListenError& error) {
       throw AdminListenError(error.what());
     }
--- a/boragepier/admin/admin_server.h
+++ b/boragepier/admin/admin_server.h
@@ -18,6 +18,13 @@
   using Error::Error;
 };
 
+/// Another socket uses the admin address.
+class AdminAddressInUseError : public AdminListenError
+{
+public:
+  using AdminListenError::AdminListenError;
+};
+
 /// Serves the admin API over HTTP on a separate address, in its own thread. There is no
 /// authentication: anyone who can reach the address can read all data and announce configurations.
 class AdminServer
@@ -28,7 +35,8 @@
   /// @param aPort TCP port; 0 lets the system choose
   /// @param aHooks data sources; called in the thread of the server
   /// @param aDescriptors limits on the connections
-  /// @throws AdminListenError if the server cannot listen on the address
+  /// @throws AdminAddressInUseError if another socket uses the address
+  /// @throws AdminListenError if the server cannot listen on it for another reason
   AdminServer(const std::string& aAddress,
               std::uint16_t aPort,
               AdminHooks aHooks,
--- a/boragepier/entry/control_plane_thread.cc
+++ b/boragepier/entry/control_plane_thread.cc
@@ -67,7 +67,7 @@
 }
 
 std::uint16_t
-ControlPlaneThread::Start()
+ControlPlaneThread::Listen()
 {
   lastTickNs_ = loop_.Now().time_since_epoch().count();
   const std::uint16_t port =
@@ -85,10 +85,15 @@
     Tick();
     RunEverySecond();
   });
-  thread_ = std::thread([this] { loop_.Run(); });
   return port;
 }
 
+void
+ControlPlaneThread::Start()
+{
+  thread_ = std::thread([this] { loop_.Run(); });
+}
+
 void
 ControlPlaneThread::Stop()
 {
--- a/boragepier/entry/control_plane_thread.h
+++ b/boragepier/entry/control_plane_thread.h
@@ -39,7 +39,8 @@
   ControlPlaneThread(const ControlPlaneThread&) = delete;
   ControlPlaneThread& operator=(const ControlPlaneThread&) = delete;
 
-  std::uint16_t Start() override;
+  std::uint16_t Listen() override;
+  void Start() override;
   void Stop() override;
   void ReportLeaving(const UpstreamId& aUpstream, std::uint64_t aStartNumber) override;
   bool Announce(ConfigRecord aRecord) override;
--- a/boragepier/entry/control_thread_base.h
+++ b/boragepier/entry/control_thread_base.h
@@ -33,10 +33,13 @@
   ControlThreadBase(const ControlThreadBase&) = delete;
   ControlThreadBase& operator=(const ControlThreadBase&) = delete;
 
-  /// Listens for other instances, if the implementation has peers, and starts the thread.
+  /// Listens for other instances, if the implementation has peers. Call once.
   /// @return the port for other instances; 0 without peers
   /// @throws net::ListenError if the address cannot be used
-  virtual std::uint16_t Start() = 0;
+  virtual std::uint16_t Listen() = 0;
+  /// Starts the thread; call after Listen(). Functions that wait for the thread may be called
+  /// before.
+  virtual void Start() = 0;
   /// Ends the thread and waits for it. Safe to call more than once.
   virtual void Stop() = 0;
   /// Reports an upstream whose response showed that it is leaving. Thread-safe.
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -69,7 +69,7 @@
 
   ~DirectoryThread() override { DirectoryThread::Stop(); }
 
-  std::uint16_t Start() override
+  std::uint16_t Listen() override
   {
     lastTickNs_ = loop_.Now().time_since_epoch().count();
     const std::uint16_t port =
@@ -102,10 +102,14 @@
       watch_->Start(settings_.fleetStarts_);
       RunEverySecond();
     });
-    thread_ = std::thread([this] { loop_.Run(); });
     return port;
   }
 
+  void Start() override
+  {
+    thread_ = std::thread([this] { loop_.Run(); });
+  }
+
   void Stop() override
   {
     if (thread_.joinable()) {
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "boragepier/net/descriptor_shortage.h"
+#include "boragepier/net/errors.h"
 #include "boragepier/telemetry/log.h"
 
 namespace boragepier {
@@ -68,14 +69,21 @@
 EntryInstance::Start()
 {
   InstancePorts ports;
+  ports.peer_ = control_->Listen();
+  try {
+    admin_ = std::make_unique<AdminServer>(settings_.adminEndpoint_.address_,
+                                           settings_.adminEndpoint_.port_,
+                                           MakeAdminHooks(),
+                                           settings_.descriptors_);
+  } catch (const AdminAddressInUseError& error) {
+    throw net::AddressInUseError(error.what());
+  }
+  ports.admin_ = admin_->Port();
+  // Last, because connections of callers that are accepted here and closed after a failure of
+  // another address would be reset.
   ports.caller_ = traffic_.Listen();
-  ports.peer_ = control_->Start();
+  control_->Start();
   traffic_.Start();
-  admin_ = std::make_unique<AdminServer>(settings_.adminEndpoint_.address_,
-                                         settings_.adminEndpoint_.port_,
-                                         MakeAdminHooks(),
-                                         settings_.descriptors_);
-  ports.admin_ = admin_->Port();
   Log(EventId::InstanceStarted,
       { { "instance", settings_.id_ },
         { "zone", settings_.zone_ },
--- a/boragepier/entry/entry_instance.h
+++ b/boragepier/entry/entry_instance.h
@@ -42,9 +42,11 @@
   EntryInstance(const EntryInstance&) = delete;
   EntryInstance& operator=(const EntryInstance&) = delete;
 
-  /// Listens on all addresses and starts the threads.
+  /// Listens on all addresses and then starts the threads. After an error the object can only be
+  /// destroyed.
   /// @return the ports it listens on, including those that the system chose
-  /// @throws net::ListenError if an address cannot be used
+  /// @throws net::AddressInUseError if another socket uses one of the addresses
+  /// @throws Error if an address cannot be used for another reason
   InstancePorts Start();
 
   /// Applies the settings that may change at run time: the limits that apply to all instances
--- a/boragepier/net/errors.h
+++ b/boragepier/net/errors.h
@@ -12,6 +12,13 @@
   using Error::Error;
 };
 
+/// Another socket uses the address and port.
+class AddressInUseError : public ListenError
+{
+public:
+  using ListenError::ListenError;
+};
+
 } // namespace boragepier::net
 
 #endif
--- a/boragepier/net/tcp_listener.cc
+++ b/boragepier/net/tcp_listener.cc
@@ -45,8 +45,12 @@
       acceptor_.listen(kListenBacklog);
       port_ = acceptor_.local_endpoint().port();
     } catch (const boost::system::system_error& error) {
-      throw ListenError("cannot listen on " + aAddress + ":" + std::to_string(aPort) + ": " +
-                        error.what());
+      const std::string message =
+        "cannot listen on " + aAddress + ":" + std::to_string(aPort) + ": " + error.what();
+      if (error.code() == boost::asio::error::address_in_use) {
+        throw AddressInUseError(message);
+      }
+      throw ListenError(message);
     }
     Accept();
   }
--- a/boragepier/net/tcp_listener.h
+++ b/boragepier/net/tcp_listener.h
@@ -21,7 +21,8 @@
 
   /// @param aAddress IP address
   /// @param aPort TCP port; 0 selects a free port
-  /// @throws ListenError if the address cannot be used
+  /// @throws AddressInUseError if another socket uses the address
+  /// @throws ListenError if the address cannot be used for another reason
   TcpListener(EventLoop& aLoop,
               const std::string& aAddress,
               std::uint16_t aPort,
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -72,6 +72,12 @@
              "the process ends because of the given exception or signal; requests in progress get "
              "no answer",
              "report the fault with this event" },
+  EventInfo{ EventId::StartDelayed,
+             LogLevel::Warn,
+             "start-delayed",
+             "the start waits because of the given error and tries again, for limit-ms in all",
+             "end the process that uses the address, or correct the settings, if start-failed "
+             "follows" },
   EventInfo{ EventId::StartCancelled,
              LogLevel::Info,
              "start-cancelled",
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -25,6 +25,7 @@
   SettingsReloaded = 1010,
   SettingsRejected = 1011,
   ProcessFailed = 1012,
+  StartDelayed = 1019,
   StartCancelled = 1020,
   DescriptorLimit = 1021,
   MaxConnectionsLowered = 1022,
--- a/testing/e2e/start_test.cc
+++ b/testing/e2e/start_test.cc
@@ -2,6 +2,7 @@
 #include <sys/stat.h>
 
 #include <chrono>
+#include <cstdint>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "testing/e2e/child_process.h"
+#include "testing/wire/raw_socket.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -28,6 +30,13 @@
                               "[traffic]\ndrain-grace-ms = 0\ndrain-limit-ms = 1000\n"
                               "[log]\noutput = stdout\n";
 
+std::string
+WithListenPort(const std::string& aKey, std::uint16_t aPort)
+{
+  std::string text = kSettings;
+  return text.append("[listen]\n").append(aKey).append(" = ").append(std::to_string(aPort) + "\n");
+}
+
 std::string
 ReadFile(const fs::path& aPath)
 {
@@ -132,4 +141,46 @@
   CHECK(output.find("listening ") == std::string::npos);
 }
 
+// Guards against an instance that replaces another one on the same addresses and exits with 1
+// because the earlier process has not ended yet.
+TEST(Start, AddressThatIsStillInUseIsWaitedFor)
+{
+  for (const std::string key : { "peer-port", "admin-port", "caller-port" }) {
+    auto holder = std::make_unique<RawListener>();
+    WriteSettings(WithListenPort(key, holder->Port()));
+    const auto program = StartProgram();
+    std::this_thread::sleep_for(milliseconds(1000));
+    holder.reset();
+    const std::uint16_t callerPort = program->ReadPort("listening");
+    CHECK(callerPort != 0);
+    program->Signal(SIGTERM);
+    const std::string output = program->ReadToEnd();
+    CHECK_EQUAL(0, program->WaitForExit());
+    const std::size_t event = output.find("name=start-delayed");
+    CHECK(event != std::string::npos);
+    CHECK(output.find("name=start-delayed", event + 1) == std::string::npos);
+  }
+}
+
+// Guards against a process that waits for an address and does not stop on SIGTERM, or waits
+// without end.
+TEST(Start, WaitForAnAddressEndsOnStopAndAfterItsLimit)
+{
+  const RawListener holder;
+  WriteSettings(WithListenPort("peer-port", holder.Port()));
+  const auto stopped = StartProgram();
+  std::this_thread::sleep_for(milliseconds(500));
+  stopped->Signal(SIGHUP);
+  std::this_thread::sleep_for(milliseconds(100));
+  stopped->Signal(SIGTERM);
+  STRCMP_CONTAINS("name=start-cancelled", stopped->ReadToEnd().c_str());
+  CHECK_EQUAL(0, stopped->WaitForExit());
+
+  const auto begin = std::chrono::steady_clock::now();
+  const auto failed = StartProgram();
+  STRCMP_CONTAINS("name=start-failed", failed->ReadToEnd().c_str());
+  CHECK_EQUAL(1, failed->WaitForExit());
+  CHECK(std::chrono::steady_clock::now() - begin >= std::chrono::seconds(5));
+}
+
 } // namespace boragepier::testing
