Wait for settings that are missing or being written at the start

A cut file that happens to be valid was used, at the start and at a reload, and a change between the two reads of a start was never applied.

Cause: one read was taken for the state of the file. Class as with addresses: a condition that passes by itself is taken for a final one.

StopBeforeTheAddressesAreOpenOpensNone no longer looks for start-cancelled on standard output: a stop before the settings are read is logged on standard error, as log.output is not known yet.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -4,17 +4,16 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <optional>
 #include <set>
-#include <sstream>
 #include <string>
 
 #include <cxxopts.hpp>
 
 #include "apps/boragepier/control_signals.h"
+#include "apps/boragepier/settings_file.h"
 #include "boragepier/base/errors.h"
 #include "boragepier/config/settings.h"
 #include "boragepier/entry/entry_instance.h"
@@ -44,19 +43,10 @@
 constexpr std::chrono::seconds kMinAddressWait{ 5 };
 constexpr std::chrono::milliseconds kAddressRetryInterval{ 100 };
 
-constexpr const char* kVersion = "0.1.0";
+// A settings file that is missing or invalid at the start is read again for this long.
+constexpr std::chrono::seconds kSettingsWait{ 5 };
 
-std::string
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  if (!file) {
-    throw ConfigError(aPath, 0, "", "the file cannot be read");
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
+constexpr const char* kVersion = "0.1.0";
 
 // Returns the path from --settings or else from the environment; empty if neither is given.
 std::string
@@ -112,70 +102,89 @@
   return nullptr;
 }
 
-// Applies changes of the settings file to the running instance.
-class SettingsReloader
+// Polls the settings file until SIGTERM or SIGINT arrives; SIGHUP forces a reload.
+void
+ServeUntilStopSignal(SettingsFile& aFile, EntryInstance& aInstance)
 {
-public:
-  explicit SettingsReloader(std::string aPath)
-    : path_(std::move(aPath))
-    , text_(ReadFile(path_))
-  {
-  }
-
-  /// Reads the file and reloads the instance if the text has changed. If it cannot be read
-  /// or is invalid, logs the error and leaves the instance as it is.
-  /// @param aForceReload reload unchanged text too
-  void ReloadIfChanged(EntryInstance& aInstance, bool aForceReload)
-  {
+  auto interval = kSettingsPollInterval;
+  for (;;) {
+    const auto received = WaitForSignal(interval);
+    if (received && *received != SIGHUP) {
+      return;
+    }
+    if (received) {
+      aFile.ForceReload();
+    }
     try {
-      std::string text = ReadFile(path_);
-      if (text == text_ && !aForceReload) {
-        return;
+      if (const auto settings = aFile.ReadChange()) {
+        aInstance.Reload(*settings);
       }
-      text_ = std::move(text);
-      aInstance.Reload(ParseSettings(text_, path_));
     } catch (const ConfigError& error) {
       Log(EventId::SettingsRejected, { { "error", error.what() } });
     }
+    interval = aFile.Unsettled() ? SettingsFile::kSettleTime : kSettingsPollInterval;
   }
+}
 
-private:
-  const std::string path_;
-  std::string text_;
-};
-
-// Polls the settings file until SIGTERM or SIGINT arrives; SIGHUP forces a reload.
-void
-ServeUntilStopSignal(SettingsReloader& aReloader, EntryInstance& aInstance)
+// Reads the settings for the start. While the file is missing, invalid or being written, tries
+// again for up to kSettingsWait. Returns nothing if SIGTERM arrived before.
+std::optional<Settings>
+WaitForSettings(SettingsFile& aFile)
 {
-  for (;;) {
-    const auto received = WaitForSignal(kSettingsPollInterval);
-    if (received && *received != SIGHUP) {
-      return;
+  using Clock = std::chrono::steady_clock;
+  const auto deadline = Clock::now() + kSettingsWait;
+  bool logged = false;
+  auto interval = std::chrono::milliseconds(0);
+  while (!StopRequested(interval)) {
+    interval = SettingsFile::kSettleTime;
+    try {
+      if (auto settings = aFile.ReadChange()) {
+        return settings;
+      }
+      if (Clock::now() >= deadline) {
+        throw ConfigError(aFile.Path(), 0, "", "the file changes with each read");
+      }
+    } catch (const ConfigError& error) {
+      if (Clock::now() >= deadline) {
+        Log(EventId::StartFailed, { { "error", error.what() } });
+        throw;
+      }
+      if (!logged) {
+        Log(EventId::StartDelayed,
+            { { "error", error.what() }, { "limit-ms", Duration(kSettingsWait) } });
+        logged = true;
+      }
+      aFile.ForceReload();
     }
-    aReloader.ReloadIfChanged(aInstance, received.has_value());
   }
+  Log(EventId::StartCancelled, { { "settings", aFile.Path() } });
+  return std::nullopt;
 }
 
 int
-Serve(const Settings& aSettings, const std::string& aPath)
+Serve(const std::string& aPath)
 {
   // Lets a write to a closed connection fail with EPIPE instead of ending the process.
   signal(SIGPIPE, SIG_IGN);
-  ConfigureLog(aSettings.logLevel_,
-               aSettings.logFile_,
-               aSettings.logToStandardOutput_ ? LogOutput::StandardOutput
+  ConfigureLog(LogLevel::Info, "", LogOutput::StandardError);
+  SettingsFile file(aPath);
+  const auto settings = WaitForSettings(file);
+  if (!settings) {
+    return kExitOk;
+  }
+  ConfigureLog(settings->logLevel_,
+               settings->logFile_,
+               settings->logToStandardOutput_ ? LogOutput::StandardOutput
                                               : LogOutput::StandardError);
-  ReportProcessFailureTo(aSettings.logToStandardOutput_ ? STDOUT_FILENO : STDERR_FILENO);
-  SettingsReloader reloader(aPath);
+  ReportProcessFailureTo(settings->logToStandardOutput_ ? STDOUT_FILENO : STDERR_FILENO);
   InstancePorts ports;
-  const auto instance = StartInstance(FitToDescriptorLimit(aSettings), ports);
+  const auto instance = StartInstance(FitToDescriptorLimit(*settings), ports);
   if (instance == nullptr) {
     return kExitOk;
   }
   std::cout << "listening " << ports.caller_ << "\npeer " << ports.peer_ << "\nadmin "
             << ports.admin_ << std::endl;
-  ServeUntilStopSignal(reloader, *instance);
+  ServeUntilStopSignal(file, *instance);
   return instance->Drain() ? kExitOk : kExitDrainLimitReached;
 }
 
@@ -217,12 +226,12 @@
                  "BORAGEPIER_SETTINGS; see boragepier --help\n";
     return kExitUsage;
   }
-  const Settings settings = ParseSettings(ReadFile(path), path);
   if (arguments.count("check") != 0) {
+    ParseSettings(SettingsFile(path).Read(), path);
     std::cout << "settings are valid\n";
     return kExitOk;
   }
-  return Serve(settings, path);
+  return Serve(path);
 }
 
 // Entries of this section run before the initializers of all libraries, so that no signal ends a
--- a/testing/e2e/start_test.cc
+++ b/testing/e2e/start_test.cc
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <memory>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -137,7 +138,6 @@
   program->Signal(SIGTERM);
   const std::string output = program->ReadToEnd();
   CHECK_EQUAL(0, program->WaitForExit());
-  STRCMP_CONTAINS("name=start-cancelled", output.c_str());
   CHECK(output.find("listening ") == std::string::npos);
 }
 
@@ -183,4 +183,64 @@
   CHECK(std::chrono::steady_clock::now() - begin >= std::chrono::seconds(5));
 }
 
+// Guards against an exit with 3 because the settings file is still being written at the start.
+TEST(Start, SettingsThatAreStillBeingWrittenAreWaitedFor)
+{
+  const std::string cutInAKey = kSettings.substr(0, kSettings.find("port"));
+  for (const auto& text :
+       { std::optional<std::string>(), std::optional<std::string>(""), std::optional(cutInAKey) }) {
+    fs::remove(SettingsFile());
+    if (text) {
+      WriteSettings(*text);
+    }
+    const auto program = StartProgram();
+    std::this_thread::sleep_for(milliseconds(500));
+    WriteSettings(kSettings);
+    CHECK(program->ReadPort("listening") != 0);
+    program->Signal(SIGTERM);
+    CHECK_EQUAL(0, program->WaitForExit());
+  }
+}
+
+// Guards against an instance that runs with the valid first half of a file that is being written.
+TEST(Start, ValidPartOfTheSettingsIsNotApplied)
+{
+  const RawListener holder;
+  WriteSettings("");
+  const auto program = StartProgram();
+  // Without the port, the system would choose a free one and the start would succeed.
+  for (int i = 0; i < 30; ++i) {
+    WriteSettings(kSettings + std::string(static_cast<std::size_t>(i), '#') + "\n");
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  WriteSettings(WithListenPort("caller-port", holder.Port()));
+  std::this_thread::sleep_for(milliseconds(300));
+  program->Signal(SIGTERM);
+  const std::string output = program->ReadToEnd();
+  CHECK_EQUAL(0, program->WaitForExit());
+  STRCMP_CONTAINS("name=start-cancelled", output.c_str());
+  CHECK(output.find("listening ") == std::string::npos);
+}
+
+// Guards against a process that waits for its settings and does not stop on SIGTERM, or waits
+// without end, and against a check that waits.
+TEST(Start, WaitForSettingsEndsOnStopAndAfterItsLimit)
+{
+  const auto stopped = StartProgram();
+  std::this_thread::sleep_for(milliseconds(300));
+  stopped->Signal(SIGHUP);
+  std::this_thread::sleep_for(milliseconds(100));
+  stopped->Signal(SIGTERM);
+  CHECK_EQUAL(0, stopped->WaitForExit());
+
+  auto begin = std::chrono::steady_clock::now();
+  CHECK_EQUAL(3, StartProgram()->WaitForExit());
+  CHECK(std::chrono::steady_clock::now() - begin >= std::chrono::seconds(5));
+
+  begin = std::chrono::steady_clock::now();
+  ChildProcess check(BORAGEPIER_BINARY, { "--settings", SettingsFile().string(), "--check" });
+  CHECK_EQUAL(3, check.WaitForExit());
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(3));
+}
+
 } // namespace boragepier::testing
