Accept settings in the forms in which a template renders them

A start exited with 3 if the platform had no value for a placeholder of deploy/instance.ini (keys may be empty, see the users' page on deployment), rendered a fraction in bounds.grace_s, which the template completed to milliseconds by appending 000, gave a value below 3 s there, or wrote a number with an exponent or above our bounds: FAULT.

Cause: the settings were checked as if a person had written them, and a unit was converted by gluing text. Class: a format that is assumed from examples.

In a settings file an empty value counts as not given; a required key then is reported as missing. Numbers may have an exponent, whole numbers and lengths of time a fraction, flags capitals. traffic.drain-limit-s takes the limit of the platform in its own unit and shortens a longer grace period to half of it. The bounds of what the platform describes (processor, link, budgets, heartbeat) are wide. Service files, which people write, keep their strict forms.

--- a/boragepier/config/config_file_test.cc
+++ b/boragepier/config/config_file_test.cc
@@ -188,4 +188,39 @@
                 "at least");
 }
 
+// Guards against a start that fails because the template of the platform has no value for a key, or
+// renders it in another form.
+TEST(ConfigFile, SettingsAcceptRenderedForms)
+{
+  const Settings settings = ParseSettings(
+    kMinimalSettings + "[listen]\ncaller =\ncaller-port = 7540.0\n"
+                       "[fleet]\nretry-ratio = 2E-1\nretry-slack = 1E+3\nretry-window-s =\n"
+                       "heartbeat-ms = 1500.5\nprobes-per-upstream-s = 1e3\nfirst-start = True\n"
+                       "[peers]\nseeds =\n[log]\nfile =\nlevel =\n"
+                       "[traffic]\nmax-connections = 2e3\ndrain-limit-s = 6.5\n",
+    "f.ini");
+  CHECK((settings.callerEndpoint_ == Endpoint{ "127.0.0.1", 7540 }));
+  DOUBLES_EQUAL(0.2, settings.retryRatio_, 1e-12);
+  DOUBLES_EQUAL(1000, settings.retrySlack_, 0);
+  CHECK(settings.retryWindow_ == std::chrono::seconds(10));
+  CHECK(settings.heartbeatInterval_ == std::chrono::microseconds(1500500));
+  DOUBLES_EQUAL(1000, settings.probesPerUpstreamSecond_, 0);
+  CHECK(settings.fleetStarts_);
+  CHECK(settings.seedPeers_.empty() && settings.logFile_.empty());
+  CHECK_EQUAL(2000U, settings.maxConnections_);
+  CHECK(settings.drainLimit_ == std::chrono::milliseconds(6500));
+  CHECK(settings.drainGrace_ == std::chrono::milliseconds(3250));
+  for (const char* line : { "max-connections = 1.5",
+                            "max-connections = nan",
+                            "max-connections = 1e99",
+                            "max-connections = -1",
+                            "drain-limit-s = inf",
+                            "drain-limit-s = 6 s" }) {
+    CheckContains(ErrorOf(ParseSettings, kMinimalSettings + "[traffic]\n" + line + "\n"),
+                  "f.ini:8: traffic.");
+  }
+  CheckContains(ErrorOf(ParseSettings, "[instance]\nid =\nzone = a\n"),
+                "instance.id: the key is required");
+}
+
 } // namespace boragepier
--- a/boragepier/config/key_table.cc
+++ b/boragepier/config/key_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <sstream>
@@ -50,30 +51,52 @@
                                       : aInfo.choices_;
 }
 
+std::string
+LowerCase(std::string_view aText)
+{
+  std::string lower(aText);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::tolower(aChar));
+  });
+  return lower;
+}
+
 bool
-ParseChoice(const KeyInfo& aInfo, KeyValue& aValue)
+ParseChoice(const KeyInfo& aInfo, KeyValue& aValue, ValueForms aForms)
 {
   const auto choices = ChoicesOf(aInfo);
-  const auto found = std::find(choices.begin(), choices.end(), aValue.text_);
+  const bool anyCase = aForms == ValueForms::Rendered && aInfo.type_ == KeyType::Flag;
+  const std::string text = anyCase ? LowerCase(aValue.text_) : std::string(aValue.text_);
+  const auto found = std::find(choices.begin(), choices.end(), text);
   aValue.choice_ = static_cast<std::size_t>(found - choices.begin());
   return found != choices.end();
 }
 
 bool
-ParseNumber(const KeyInfo& aInfo, KeyValue& aValue)
+ParseNumber(const KeyInfo& aInfo, KeyValue& aValue, ValueForms aForms)
 {
+  const bool rendered = aForms == ValueForms::Rendered;
   const char* const end = aValue.text_.data() + aValue.text_.size();
   const auto [last, error] =
-    std::from_chars(aValue.text_.data(), end, aValue.number_, std::chars_format::fixed);
+    std::from_chars(aValue.text_.data(),
+                    end,
+                    aValue.number_,
+                    rendered ? std::chars_format::general : std::chars_format::fixed);
   // Both comparisons are false for NaN, which is thus rejected.
   const bool inRange = aValue.number_ >= aInfo.minimum_ && aValue.number_ <= aInfo.maximum_;
   if (error != std::errc() || last != end || !inRange) {
     return false;
   }
-  if (aInfo.type_ == KeyType::Integer && aValue.text_.find('.') != std::string_view::npos) {
-    return false;
+  const bool duration = aInfo.unit_ == "ms" || aInfo.unit_ == "s";
+  if (aInfo.type_ == KeyType::Integer) {
+    if (!rendered && aValue.text_.find('.') != std::string_view::npos) {
+      return false;
+    }
+    if (!duration && aValue.number_ != std::trunc(aValue.number_)) {
+      return false;
+    }
   }
-  if (aInfo.unit_ == "ms" || aInfo.unit_ == "s") {
+  if (duration) {
     const double nanosecondsPerUnit = aInfo.unit_ == "s" ? 1e9 : 1e6;
     aValue.duration_ = Duration(std::llround(aValue.number_ * nanosecondsPerUnit));
   }
@@ -81,7 +104,7 @@
 }
 
 bool
-ParseValue(const KeyInfo& aInfo, KeyValue& aValue)
+ParseValue(const KeyInfo& aInfo, KeyValue& aValue, ValueForms aForms)
 {
   switch (aInfo.type_) {
     case KeyType::Name:
@@ -92,10 +115,10 @@
       return ParseMethodRule(aValue.text_).has_value();
     case KeyType::Choice:
     case KeyType::Flag:
-      return ParseChoice(aInfo, aValue);
+      return ParseChoice(aInfo, aValue, aForms);
     case KeyType::Integer:
     case KeyType::Number:
-      return ParseNumber(aInfo, aValue);
+      return ParseNumber(aInfo, aValue, aForms);
     case KeyType::Address:
       return IsIpAddress(aValue.text_);
     case KeyType::Endpoint:
@@ -185,10 +208,14 @@
 }
 
 KeyValue
-CheckValue(const KeyInfo& aInfo, std::string_view aText, std::string_view aFileName, int aLine)
+CheckValue(const KeyInfo& aInfo,
+           std::string_view aText,
+           std::string_view aFileName,
+           int aLine,
+           ValueForms aForms)
 {
   KeyValue value{ .text_ = aText };
-  if (!ParseValue(aInfo, value)) {
+  if (!ParseValue(aInfo, value, aForms)) {
     const std::string unit =
       aInfo.unit_.empty() ? std::string() : std::string(" ").append(aInfo.unit_);
     throw ConfigError(std::string(aFileName),
--- a/boragepier/config/key_table.h
+++ b/boragepier/config/key_table.h
@@ -30,6 +30,14 @@
   FileName,    ///< path of a file
 };
 
+/// Accepted forms of values.
+enum class ValueForms : std::uint8_t
+{
+  Written,  ///< those of the documentation, for files that people write
+  Rendered, ///< also other forms in which a template may render the same value: numbers with an
+            ///< exponent, whole numbers and lengths of time with a fraction, flags in capitals
+};
+
 /// Description of one key, from which values are parsed and checked. docs_test compares it with the
 /// documentation.
 struct KeyInfo
@@ -79,7 +87,11 @@
 /// @return the value; its views refer to aText
 /// @throws ConfigError if the value is not accepted
 KeyValue
-CheckValue(const KeyInfo& aInfo, std::string_view aText, std::string_view aFileName, int aLine);
+CheckValue(const KeyInfo& aInfo,
+           std::string_view aText,
+           std::string_view aFileName,
+           int aLine,
+           ValueForms aForms = ValueForms::Written);
 /// @param aKnown all known keys; the error lists those of the section of aEntry
 /// @throws ConfigError always
 [[noreturn]] void
@@ -124,13 +136,16 @@
 /// @param aKeys the accepted keys, grouped by section
 /// @param aText contents of the file
 /// @param aFileName name used in errors
+/// @param aForms accepted forms of values; with Rendered, a key with an empty value counts as not
+///   given
 /// @return a Target with the defaults of the keys and the values of the text
 /// @throws ConfigError for the first error
 template<typename Target>
 Target
 ParseIniByKeys(std::span<const KeyBinding<Target>> aKeys,
                std::string_view aText,
-               std::string_view aFileName)
+               std::string_view aFileName,
+               ValueForms aForms = ValueForms::Written)
 {
   Target target;
   std::vector<std::string_view> sections;
@@ -152,7 +167,10 @@
       ThrowUnknownKey(entry, aFileName, Describe(aKeys));
     }
     const auto& [info, assign] = aKeys[index];
-    assign(target, CheckValue(info, entry.value_, aFileName, entry.line_));
+    if (aForms == ValueForms::Rendered && entry.value_.empty()) {
+      continue;
+    }
+    assign(target, CheckValue(info, entry.value_, aFileName, entry.line_, aForms));
     given[index] = true;
   }
   for (std::size_t i = 0; i < aKeys.size(); ++i) {
--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -1,5 +1,6 @@
 #include "boragepier/config/settings.h"
 
+#include <algorithm>
 #include <array>
 
 namespace boragepier {
@@ -29,8 +30,8 @@
   KeyBinding<Settings>{ { .section_ = "instance",
                           .name_ = "processor-cores",
                           .type_ = KeyType::Number,
-                          .minimum_ = 0.001,
-                          .maximum_ = 1024,
+                          .minimum_ = 0,
+                          .maximum_ = 1000000,
                           .default_ = "1",
                           .meaning_ =
                             "CPU cores available to the instance; with store.address, "
@@ -43,8 +44,8 @@
     { .section_ = "instance",
       .name_ = "link-mbps",
       .type_ = KeyType::Number,
-      .minimum_ = 0.1,
-      .maximum_ = 1000000,
+      .minimum_ = 0,
+      .maximum_ = 1000000000,
       .default_ = "1000",
       .meaning_ = "network bandwidth of the instance in Mbit/s; used like "
                   "processor-cores" },
@@ -161,7 +162,7 @@
       .name_ = "retry-ratio",
       .type_ = KeyType::Number,
       .minimum_ = 0,
-      .maximum_ = 10,
+      .maximum_ = 1000000000,
       .default_ = "0.1",
       .meaning_ = "extra attempts per request; this section applies only with "
                   "store.address" },
@@ -171,7 +172,7 @@
       .name_ = "retry-slack",
       .type_ = KeyType::Number,
       .minimum_ = 0,
-      .maximum_ = 1000000,
+      .maximum_ = 1000000000,
       .default_ = "0",
       .meaning_ = "extra attempts to a service in a window from the whole fleet, "
                   "in addition to retry-ratio" },
@@ -181,8 +182,8 @@
       .name_ = "retry-window-s",
       .type_ = KeyType::Number,
       .unit_ = "s",
-      .minimum_ = 0.1,
-      .maximum_ = 3600,
+      .minimum_ = 0.001,
+      .maximum_ = 1000000,
       .default_ = "10",
       .meaning_ = "length of the window in which extra attempts are counted" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.retryWindow_, aValue); } },
@@ -190,7 +191,7 @@
                           .name_ = "probes-per-upstream-s",
                           .type_ = KeyType::Number,
                           .minimum_ = 0,
-                          .maximum_ = 100000,
+                          .maximum_ = 1000000000,
                           .default_ = "20",
                           .meaning_ = "probes to one upstream per second from the whole fleet" },
                         [](Settings& aSettings, const KeyValue& aValue) {
@@ -201,7 +202,7 @@
                           .type_ = KeyType::Integer,
                           .unit_ = "ms",
                           .minimum_ = 1,
-                          .maximum_ = 600000,
+                          .maximum_ = 86400000,
                           .default_ = "1500",
                           .meaning_ =
                             "interval at which upstreams renew their entries in the store; "
@@ -247,6 +248,16 @@
       .meaning_ =
         "time after SIGTERM at which the process exits at the latest; at least drain-grace-ms" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.drainLimit_, aValue); } },
+  KeyBinding<Settings>{
+    { .section_ = "traffic",
+      .name_ = "drain-limit-s",
+      .type_ = KeyType::Number,
+      .unit_ = "s",
+      .minimum_ = 0,
+      .maximum_ = 3600,
+      .meaning_ = "time after SIGTERM at which the platform ends the process; replaces "
+                  "drain-limit-ms and shortens drain-grace-ms to at most half of it" },
+    [](Settings& aSettings, const KeyValue& aValue) { aSettings.stopLimit_ = aValue.duration_; } },
   KeyBinding<Settings>{
     { .section_ = "traffic",
       .name_ = "drain-margin-ms",
@@ -351,7 +362,11 @@
 Settings
 ParseSettings(std::string_view aText, std::string_view aFileName)
 {
-  Settings settings = ParseIniByKeys(SettingsKeys(), aText, aFileName);
+  Settings settings = ParseIniByKeys(SettingsKeys(), aText, aFileName, ValueForms::Rendered);
+  if (settings.stopLimit_) {
+    settings.drainLimit_ = *settings.stopLimit_;
+    settings.drainGrace_ = std::min(settings.drainGrace_, settings.drainLimit_ / 2);
+  }
   if (settings.drainLimit_ < settings.drainGrace_) {
     throw ConfigError(std::string(aFileName),
                       0,
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -2,6 +2,7 @@
 #define BORAGEPIER_CONFIG_SETTINGS_H
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -41,13 +42,14 @@
   Endpoint storeEndpoint_;
   std::vector<Endpoint> seedPeers_; ///< instances to which this one connects first after its start
 
-  Duration drainGrace_ = std::chrono::seconds(5);      ///< new connections are still accepted
-  Duration drainLimit_ = std::chrono::seconds(30);     ///< from SIGTERM to the exit
-  Duration drainMargin_{};                             ///< subtracted from drainLimit_
-  std::size_t maxConnections_ = 4096;                  ///< connections from callers
-  std::size_t maxHeader_ = 16 << 10;                   ///< bytes; request line and header fields
-  std::size_t maxRequestBody_ = 64 << 20;              ///< bytes; a service may have a lower limit
-  Duration idleTimeout_ = std::chrono::seconds(60);    ///< of a connection without a request
+  Duration drainGrace_ = std::chrono::seconds(5);   ///< new connections are still accepted
+  Duration drainLimit_ = std::chrono::seconds(30);  ///< from SIGTERM to the exit
+  std::optional<Duration> stopLimit_;               ///< if given, already applied to the two above
+  Duration drainMargin_{};                          ///< subtracted from drainLimit_
+  std::size_t maxConnections_ = 4096;               ///< connections from callers
+  std::size_t maxHeader_ = 16 << 10;                ///< bytes; request line and header fields
+  std::size_t maxRequestBody_ = 64 << 20;           ///< bytes; a service may have a lower limit
+  Duration idleTimeout_ = std::chrono::seconds(60); ///< of a connection without a request
   Duration requestTimeout_ = std::chrono::seconds(30); ///< to receive a request or send a response
 
   // Limits for the whole fleet, used only with storeEndpoint_.
--- a/testing/e2e/start_test.cc
+++ b/testing/e2e/start_test.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -243,4 +244,47 @@
   CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(3));
 }
 
+// Guards against a start that fails because the platform has no value for a placeholder of the
+// deployed template, or renders it in another form.
+TEST(Start, DeployedTemplateIsValidInEveryFormOfItsValues)
+{
+  const std::vector<std::string> numbers = { "6",   "",     "6.0",  "6.5",
+                                             "1e3", "1E+3", "2e-1", "1000000000" };
+  const std::vector<std::string> durations = { "6", "", "0.5", "2", "6.0", "6.5", "1e1", "1E+1" };
+  const std::map<std::string, std::vector<std::string>> forms = {
+    { "node", { "front-a-1" } },
+    { "zone", { "a" } },
+    { "platform.address", { "127.0.0.1:9" } },
+    { "ip", { "127.0.0.1", "" } },
+    { "listen.front", { "127.0.0.1:8548", "" } },
+    { "listen.ready", { "127.0.0.1:8548", "" } },
+    { "internal_ports.0", { "7540", "", "7540.0", "7.54e3" } },
+    { "first_start", { "true", "", "false", "True", "FALSE" } },
+    { "limits.cpu_share", { "0", "0.2", "1", "" } },
+    { "limits.link_mbps", numbers },
+    { "bounds.retry_budget_ratio", numbers },
+    { "bounds.budget_slack", numbers },
+    { "bounds.budget_window_s", { "10", "", "10.0", "0.5", "1e1" } },
+    { "bounds.probes_per_s", numbers },
+    { "bounds.grace_s", durations },
+    { "heartbeat_ms", { "1500", "", "1500.0", "1500.5", "1.5e3" } },
+  };
+  const std::string source = ReadFile(BORAGEPIER_SOURCE_DIR "/deploy/instance.ini");
+  for (const auto& [varied, values] : forms) {
+    for (const std::string& value : values) {
+      std::string text = source;
+      for (std::size_t open = text.find("{{"); open != std::string::npos; open = text.find("{{")) {
+        const std::size_t close = text.find("}}", open);
+        const std::string name = text.substr(open + 2, close - open - 2);
+        text.replace(open, close + 2 - open, name == varied ? value : forms.at(name).front());
+      }
+      fs::remove(SettingsFile());
+      WriteSettings(text);
+      ChildProcess check(BORAGEPIER_BINARY, { "--settings", SettingsFile().string(), "--check" });
+      const int status = check.WaitForExit();
+      CHECK_EQUAL_TEXT(0, status, (varied + " = \"" + value + "\"").c_str());
+    }
+  }
+}
+
 } // namespace boragepier::testing
