--- a/boragepier/admin/admin_server_test.cc
+++ b/boragepier/admin/admin_server_test.cc
@@ -110,7 +110,7 @@
   CHECK_EQUAL(503, notReady.status_);
   CHECK(json::parse(notReady.body_).at("reason") == "no configuration");
   CHECK(DecodeInstanceStatus(fixture.Get("/status").body_) == SampleStatus(false));
-  CHECK(fixture.Get("/metrics").body_.find("\nboragepier_peers 3\n") != std::string::npos);
+  CHECK(fixture.Get("/metrics").body_.View().find("\nboragepier_peers 3\n") != std::string::npos);
 }
 
 TEST(AdminServer, ExplainsByIdAndLast)
--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -15,18 +15,18 @@
 
 // In the order of RefusalReason.
 constexpr std::array<RefusalInfo, kRefusalReasonCount> kRefusalInfos = { {
-  { "malformed-request", 400 },  { "header-too-large", 431 },
-  { "body-too-large", 413 },     { "no-route", 404 },
-  { "key-required", 400 },       { "key-invalid", 400 },
-  { "key-reused", 422 },         { "in-progress", 409 },
-  { "answer-not-kept", 409 },    { "claim-store-unavailable", 503 },
-  { "overloaded", 503 },         { "queue-timeout", 503 },
-  { "no-upstream", 503 },        { "deadline-expired", 504 },
-  { "upstream-lost", 502 },      { "upstream-timeout", 504 },
-  { "upstream-truncated", 502 }, { "response-too-large", 502 },
-  { "shutting-down", 503 },      { "not-configured", 503 },
-  { "caller-left", 503 },
-  { "internal-error", 500 },
+  { "malformed-request", 400 },    { "header-too-large", 431 },
+  { "body-too-large", 413 },       { "no-route", 404 },
+  { "key-required", 400 },         { "key-invalid", 400 },
+  { "key-reused", 422 },           { "in-progress", 409 },
+  { "answer-not-kept", 409 },      { "claim-store-unavailable", 503 },
+  { "overloaded", 503 },           { "queue-timeout", 503 },
+  { "no-upstream", 503 },          { "deadline-expired", 504 },
+  { "upstream-lost", 502 },        { "upstream-timeout", 504 },
+  { "upstream-truncated", 502 },   { "response-too-large", 502 },
+  { "shutting-down", 503 },        { "not-configured", 503 },
+  { "caller-left", 503 },          { "internal-error", 500 },
+  { "body-budget-exceeded", 503 },
 } };
 
 // In the order of RetryReason.
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -38,11 +38,12 @@
   UpstreamTruncated, ///< the response was cut off or malformed
   ResponseTooLarge,
   ShuttingDown,
-  NotConfigured, ///< the instance has not received a configuration yet
-  CallerLeft,    ///< the caller ended its input and may have closed the connection
-  InternalError, ///< an unexpected error ended the request
+  NotConfigured,      ///< the instance has not received a configuration yet
+  CallerLeft,         ///< the caller ended its input and may have closed the connection
+  InternalError,      ///< an unexpected error ended the request
+  BodyBudgetExceeded, ///< the body does not fit in the memory for bodies now
 };
-inline constexpr int kRefusalReasonCount = 22;
+inline constexpr int kRefusalReasonCount = 23;
 
 /// Why an attempt did not yield a complete response.
 enum class AttemptFailure : std::uint8_t
--- a/boragepier/config/config_file_test.cc
+++ b/boragepier/config/config_file_test.cc
@@ -223,4 +223,19 @@
                 "instance.id: the key is required");
 }
 
+// Guards against a budget for bodies that is larger than the memory allows, or that is none.
+TEST(ConfigFile, BodyBudgetFollowsMemoryAndConnections)
+{
+  const auto budget = [](const std::string& aMemoryMb, const std::string& aMaxConnections) {
+    return BodyBudgetBytes(ParseSettings(kMinimalSettings + "[instance]\nmemory-mb = " + aMemoryMb +
+                                           "\n[traffic]\nmax-connections = " + aMaxConnections +
+                                           "\n",
+                                         "f.ini"));
+  };
+  CHECK_EQUAL(183U, budget("260", "2000") / 1'000'000);
+  CHECK_EQUAL(96U, budget("160", "2000") / 1'000'000);
+  CHECK_EQUAL(8U, budget("32", "2000") / 1'000'000);
+  CheckContains(ErrorOf(ParseSettings, kMinimalSettings + "[instance]\nmemory-mb = 31\n"), "32");
+}
+
 } // namespace boragepier
--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstddef>
 
 namespace boragepier {
 
@@ -12,6 +13,11 @@
 
 constexpr std::array<std::string_view, 2> kLogOutputNames = { "stderr", "stdout" };
 
+// Memory of a process without connections.
+constexpr std::size_t kProcessBytes = 32 << 20;
+// Sockets, buffers and headers of a connection of a caller and of one to an upstream.
+constexpr std::size_t kConnectionBytes = 8 << 10;
+
 constexpr std::array kKeys = {
   KeyBinding<Settings>{
     { .section_ = "instance",
@@ -62,6 +68,17 @@
                         [](Settings& aSettings, const KeyValue& aValue) {
                           Assign(aSettings.fileDescriptors_, aValue);
                         } },
+  KeyBinding<Settings>{
+    { .section_ = "instance",
+      .name_ = "memory-mb",
+      .type_ = KeyType::Number,
+      .unit_ = "MB",
+      .minimum_ = 32,
+      .maximum_ = 1000000,
+      .default_ = "256",
+      .meaning_ = "memory that the process may use; bodies of requests and answers that do not fit "
+                  "beside the rest of it are refused or read later" },
+    [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.memoryMb_, aValue); } },
   KeyBinding<Settings>{ { .section_ = "listen",
                           .name_ = "caller-address",
                           .type_ = KeyType::Address,
@@ -359,6 +376,14 @@
   return kKeys;
 }
 
+std::size_t
+BodyBudgetBytes(const Settings& aSettings)
+{
+  const auto memory = static_cast<std::size_t>(aSettings.memoryMb_ * 1e6);
+  const std::size_t rest = kProcessBytes + aSettings.maxConnections_ * kConnectionBytes;
+  return std::max(memory / 4, (memory - std::min(memory, rest)) / 8 * 7);
+}
+
 Settings
 ParseSettings(std::string_view aText, std::string_view aFileName)
 {
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -30,6 +30,7 @@
   double linkMbps_ = 1000;    ///< bandwidth of the instance's network link in Mbit/s
   /// Descriptors that the process may open; 0 if only its RLIMIT_NOFILE applies.
   std::size_t fileDescriptors_ = 0;
+  double memoryMb_ = 256;     ///< memory that the process may use, in MB (1,000,000 bytes)
 
   // Listening addresses; with port 0 the operating system chooses a port.
   Endpoint callerEndpoint_{ "127.0.0.1", 0 }; ///< for callers
@@ -68,6 +69,11 @@
   DescriptorShares descriptors_; ///< not in the file: see FitToDescriptorLimit()
 };
 
+/// @return the greatest number of bytes of message bodies that an instance may hold, so that they
+/// fit in its memory beside the rest of the process; at least a quarter of the memory
+std::size_t
+BodyBudgetBytes(const Settings& aSettings);
+
 /// Parses the settings file of an instance (INI) and checks all values. Unknown keys are errors.
 /// @param aText contents of the file
 /// @param aFileName name used in errors
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -534,7 +534,7 @@
       for (const http::Headers::Field& field : aResponse.headers_) {
         answer.headers_.emplace_back(field.name_, field.value_);
       }
-      answer.body_ = aResponse.body_;
+      answer.body_ = aResponse.body_.Text();
       ReportClaimEvent(ClaimEvent::Recorded);
       deps_.claims_.RecordAnswer(std::move(*claim_), std::move(answer), Now());
       claim_.reset();
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include "boragepier/entry/process_environment.h"
 #include "boragepier/net/descriptor_shortage.h"
 #include "boragepier/net/errors.h"
 #include "boragepier/telemetry/log.h"
@@ -68,6 +69,7 @@
 InstancePorts
 EntryInstance::Start()
 {
+  ConfigureAllocator();
   InstancePorts ports;
   ports.peer_ = control_->Listen();
   try {
@@ -89,7 +91,8 @@
         { "zone", settings_.zone_ },
         { "caller-port", ports.caller_ },
         { "peer-port", ports.peer_ },
-        { "admin-port", ports.admin_ } });
+        { "admin-port", ports.admin_ },
+        { "body-budget", traffic_.GetBodyBudget().Total() } });
   return ports;
 }
 
@@ -114,6 +117,7 @@
 {
   metrics_.SetCallerConnectionCount(traffic_.ConnectionCount());
   ReportRefusedConnections();
+  ReportBodyMemory();
   const auto services = router_.Services();
   for (const auto& service : *services) {
     const auto config = service->Config();
@@ -149,6 +153,21 @@
   metrics_.SetRefusedConnectionCounts(refused, shortages);
 }
 
+void
+EntryInstance::ReportBodyMemory()
+{
+  const http::BodyBudget& budget = traffic_.GetBodyBudget();
+  const std::uint64_t refusals = budget.Refusals();
+  metrics_.SetBodyMemory({ budget.Held(), budget.Total(), refusals });
+  if (const auto before = std::exchange(reportedBodyRefusals_, refusals); refusals > before) {
+    Log(EventId::BodyBudgetExceeded,
+        { { "instance", settings_.id_ },
+          { "requests", refusals - before },
+          { "held", budget.Held() },
+          { "budget", budget.Total() } });
+  }
+}
+
 InstanceStatus
 EntryInstance::Status()
 {
--- a/boragepier/entry/entry_instance.h
+++ b/boragepier/entry/entry_instance.h
@@ -65,6 +65,8 @@
   void RunPeriodicTasks();
   /// Counts and logs connections that were refused since the last call.
   void ReportRefusedConnections();
+  /// Publishes how much of the memory for bodies is held, and logs refusals for the lack of it.
+  void ReportBodyMemory();
   AdminHooks MakeAdminHooks();
   InstanceStatus Status();
 
@@ -73,6 +75,7 @@
   ExplainStore explain_;
   std::atomic<bool> configured_ = false; ///< a routing table with services was received
   std::atomic<bool> draining_ = false;
+  std::uint64_t reportedBodyRefusals_ = 0; ///< used only by ReportBodyMemory()
   ServiceRouter router_;
   std::size_t instanceCount_ = 1;        ///< live instances, this one included; control thread only
   UpstreamMonitor upstreamMonitor_;      ///< control thread only
--- a/boragepier/entry/process_environment.cc
+++ b/boragepier/entry/process_environment.cc
@@ -1,5 +1,7 @@
 #include "boragepier/entry/process_environment.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 
 #include "boragepier/base/descriptor_budget.h"
@@ -7,6 +9,17 @@
 
 namespace boragepier {
 
+namespace {
+
+#ifdef __GLIBC__
+// With a fixed threshold, the allocator does not learn to keep large blocks.
+constexpr int kMappedBlockBytes = 1 << 20;
+constexpr int kKeptHeapBytes = 4 << 20;
+constexpr int kArenas = 2;
+#endif
+
+} // namespace
+
 platform::PlatformOptions
 PlatformOptionsFrom(const Settings& aSettings)
 {
@@ -40,6 +53,24 @@
   return aSettings;
 }
 
+void
+ConfigureAllocator()
+{
+#ifdef __GLIBC__
+  static_cast<void>(mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes));
+  static_cast<void>(mallopt(M_TRIM_THRESHOLD, kKeptHeapBytes));
+  static_cast<void>(mallopt(M_ARENA_MAX, kArenas));
+#endif
+}
+
+void
+ReturnFreeMemory()
+{
+#ifdef __GLIBC__
+  static_cast<void>(malloc_trim(0));
+#endif
+}
+
 WallTime
 WallClockNow()
 {
--- a/boragepier/entry/process_environment.h
+++ b/boragepier/entry/process_environment.h
@@ -24,6 +24,15 @@
 WallTime
 WallClockNow();
 
+/// Sets up the allocator so that the memory of large bodies goes back to the system when they are
+/// released. Call before other threads start.
+void
+ConfigureAllocator();
+
+/// Returns the free memory that the allocator keeps to the system. Thread-safe.
+void
+ReturnFreeMemory();
+
 } // namespace boragepier
 
 #endif
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -1,5 +1,6 @@
 #include "boragepier/entry/traffic_thread.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -19,6 +20,12 @@
 // servers close idle connections after this time, so that callers are prepared for it.
 constexpr Duration kReplaceableIdleTime = std::chrono::seconds(5);
 
+// Interval of WatchBodyMemory().
+constexpr Duration kMemoryWatchInterval = std::chrono::milliseconds(100);
+
+// Bodies of this size in total leave enough free memory behind to return it to the system.
+constexpr std::size_t kReturnedBodyBytes = 8 << 20;
+
 Random
 MakeEntropySeededRandom()
 {
@@ -49,7 +56,8 @@
                              std::string aIdPrefix,
                              const WireDialect& aDialect)
   : settings_(aSettings)
-  , client_(loop_)
+  , bodyBudget_(std::make_shared<http::BodyBudget>(BodyBudgetBytes(aSettings)))
+  , client_(loop_, bodyBudget_)
   , platform_(loop_, client_, PlatformOptionsFrom(aSettings))
   , table_(platform_)
   , claims_(table_, aSettings.id_, MakeEntropySeededRandom())
@@ -60,9 +68,8 @@
       loop_,
       ServerLimitsFrom(aSettings),
       [this](std::shared_ptr<http::Exchange> aExchange) { pipeline_.Handle(std::move(aExchange)); },
-      [](RefusalReason aReason) {
-        return MakeRefusalResponse(aReason, Outcome::NotRun, RequestId());
-      })
+      [this](RefusalReason aReason) { return MakeServerRefusal(aReason); },
+      bodyBudget_)
 {
   client_.SetMaxConnections(aSettings.descriptors_.upstreams_);
   server_.SetUnansweredCallback(
@@ -131,9 +138,37 @@
   }
 }
 
+http::Response
+TrafficThread::MakeServerRefusal(RefusalReason aReason) const
+{
+  Duration retryAfter{};
+  if (aReason == RefusalReason::BodyBudgetExceeded) {
+    retryAfter = bodyHoldTime_.Mean();
+  }
+  return MakeRefusalResponse(aReason, Outcome::NotRun, RequestId(), retryAfter);
+}
+
+// The allocator keeps the memory of released bodies, which large bodies then cannot use.
+void
+TrafficThread::WatchBodyMemory()
+{
+  const MonotonicTime now = loop_.Now();
+  const std::size_t held = bodyBudget_->Held();
+  bodyHoldTime_.Observe(held, bodyBudget_->Released(), now);
+  mostBodyBytes_ = std::max(mostBodyBytes_, held);
+  if (mostBodyBytes_ >= kReturnedBodyBytes && held <= mostBodyBytes_ / 2) {
+    ReturnFreeMemory();
+    mostBodyBytes_ = held;
+  }
+}
+
 void
 TrafficThread::Tick()
 {
+  if (const MonotonicTime now = loop_.Now(); now >= nextMemoryWatch_) {
+    nextMemoryWatch_ = now + kMemoryWatchInterval;
+    WatchBodyMemory();
+  }
   const bool claimsEnabled = settings_.storeEndpoint_.port_ == 0;
   loop_.After(claimsEnabled ? kClaimTickInterval : kKeylessTickInterval, [this] { Tick(); });
   if (claimsEnabled) {
--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -13,6 +13,7 @@
 #include "boragepier/entry/call_observer.h"
 #include "boragepier/entry/request_pipeline.h"
 #include "boragepier/entry/service_router.h"
+#include "boragepier/http/body_budget.h"
 #include "boragepier/http/client.h"
 #include "boragepier/http/server.h"
 #include "boragepier/net/event_loop.h"
@@ -64,6 +65,8 @@
   /// @return the number of connections refused up to the last tick because of the connection limit.
   ///   Thread-safe.
   std::uint64_t RefusedConnectionCount() const { return refusedConnectionCount_; }
+  /// @return the memory for bodies of requests and answers. Thread-safe.
+  const http::BodyBudget& GetBodyBudget() const { return *bodyBudget_; }
   /// Ends the thread and waits for it. Not to be called in the thread itself.
   void Stop();
 
@@ -72,9 +75,15 @@
   using Pipeline = RequestPipeline<net::EventLoop, http::Client, Claims>;
 
   void Tick();
+  void WatchBodyMemory();
+  http::Response MakeServerRefusal(RefusalReason aReason) const;
 
   const Settings settings_;
   net::EventLoop loop_;
+  const std::shared_ptr<http::BodyBudget> bodyBudget_;
+  http::HoldTime bodyHoldTime_;
+  MonotonicTime nextMemoryWatch_{};
+  std::size_t mostBodyBytes_ = 0; ///< held at a tick since memory was last returned
   http::Client client_;
   platform::PlatformClient platform_;
   platform::HttpTableStore table_;
--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -25,8 +25,9 @@
 class Client::Impl : public ClientConnectionHandler
 {
 public:
-  explicit Impl(net::EventLoop& aLoop)
+  Impl(net::EventLoop& aLoop, std::shared_ptr<BodyBudget> aBudget)
     : loop_(aLoop)
+    , budget_(std::move(aBudget))
   {
   }
 
@@ -201,7 +202,7 @@
         return DispatchResult::DescriptorLimit;
       }
       auto newConnection = std::make_shared<ClientConnection>(
-        loop_, ConnectionId{ ++lastConnectionId_ }, aPending.target_, *this);
+        loop_, ConnectionId{ ++lastConnectionId_ }, aPending.target_, *this, budget_);
       connection = newConnection.get();
       pool.connections_.emplace(connection, std::move(newConnection));
       ++connectionCount_;
@@ -397,6 +398,7 @@
   }
 
   net::EventLoop& loop_;
+  const std::shared_ptr<BodyBudget> budget_;
   std::map<Target, Pool> pools_;
   std::unordered_map<SendId, PendingRequest> pendingRequests_;
   std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max(); ///< to all targets
@@ -407,8 +409,8 @@
   net::TimerId idleSweepTimer_ = net::TimerId::None;
 };
 
-Client::Client(net::EventLoop& aLoop)
-  : impl_(std::make_unique<Impl>(aLoop))
+Client::Client(net::EventLoop& aLoop, std::shared_ptr<BodyBudget> aBudget)
+  : impl_(std::make_unique<Impl>(aLoop, std::move(aBudget)))
 {
 }
 
--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -82,7 +82,9 @@
   /// SendOptions::recentlyActiveOnly_ admits.
   static constexpr Duration kRecentActivityWindow = std::chrono::seconds(1);
 
-  explicit Client(net::EventLoop& aLoop);
+  /// @param aBudget pays for the bodies of responses; a response that does not fit is read when it
+  ///   does, until its request times out; if null, any body fits
+  explicit Client(net::EventLoop& aLoop, std::shared_ptr<BodyBudget> aBudget = nullptr);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -1,5 +1,6 @@
 #include "boragepier/http/client_connection.h"
 
+#include <chrono>
 #include <utility>
 
 #include "boragepier/http/writer.h"
@@ -8,6 +9,9 @@
 
 namespace {
 
+// Interval at which a response whose body does not fit is tried again.
+constexpr Duration kMemoryPollInterval = std::chrono::milliseconds(5);
+
 std::string
 HostFieldValue(const Target& aTarget)
 {
@@ -21,13 +25,16 @@
 ClientConnection::ClientConnection(net::EventLoop& aLoop,
                                    ConnectionId aId,
                                    const Target& aTarget,
-                                   ClientConnectionHandler& aHandler)
+                                   ClientConnectionHandler& aHandler,
+                                   std::shared_ptr<BodyBudget> aBudget)
   : loop_(aLoop)
   , id_(aId)
   , target_(aTarget)
   , handler_(aHandler)
   , stream_(net::TcpStream::Connect(aLoop, aTarget.address_, aTarget.port_, *this))
   , hostField_(HostFieldValue(aTarget))
+  , budget_(std::move(aBudget))
+  , memoryTimer_(aLoop, [this] { ReadResponse(); })
 {
 }
 
@@ -56,13 +63,13 @@
 ClientConnection::WriteCurrentRequest()
 {
   requestWriteTime_ = loop_.Now();
-  stream_->Write(WriteRequest(*request_, hostField_));
+  WriteMessage(*stream_, WriteRequestHeader(*request_, hostField_), request_->body_);
 }
 
 void
 ClientConnection::ExpectResponse()
 {
-  reader_.emplace(request_->method_ == "HEAD", maxResponseBodyBytes_);
+  reader_.emplace(request_->method_ == "HEAD", maxResponseBodyBytes_, budget_);
 }
 
 // Whether a response names another request than the one in flight.
@@ -96,6 +103,7 @@
 void
 ClientConnection::Close()
 {
+  memoryTimer_.Clear();
   stream_->Close();
 }
 
@@ -131,9 +139,20 @@
     return;
   }
   input_.Append(aBytes);
-  while (request_ != nullptr) {
+  ReadResponse();
+}
+
+void
+ClientConnection::ReadResponse()
+{
+  while (request_ != nullptr && !stream_->Closed()) {
     switch (reader_->Read(input_)) {
       case ReadStatus::NeedMore:
+        stream_->PauseInput(false);
+        return;
+      case ReadStatus::NeedMemory:
+        stream_->PauseInput(true);
+        memoryTimer_.Set(loop_.Now() + kMemoryPollInterval);
         return;
       case ReadStatus::Complete:
         if (!SkipForeignResponse()) {
@@ -175,6 +194,7 @@
 void
 ClientConnection::OnComplete()
 {
+  stream_->PauseInput(false);
   // After a response that came before the request was fully written, the peer would still expect
   // the rest of that request. Bytes after the response belong to no request.
   const bool reusable =
--- a/boragepier/http/client_connection.h
+++ b/boragepier/http/client_connection.h
@@ -8,6 +8,7 @@
 
 #include "boragepier/http/client.h"
 #include "boragepier/http/response_reader.h"
+#include "boragepier/net/deadline_timer.h"
 #include "boragepier/net/tcp_stream.h"
 
 namespace boragepier::http {
@@ -40,7 +41,8 @@
   ClientConnection(net::EventLoop& aLoop,
                    ConnectionId aId,
                    const Target& aTarget,
-                   ClientConnectionHandler& aHandler);
+                   ClientConnectionHandler& aHandler,
+                   std::shared_ptr<BodyBudget> aBudget);
   ~ClientConnection() override;
 
   /// Sends a request as soon as the connection is established. No other request may be in flight.
@@ -70,6 +72,7 @@
   void OnInput(std::string_view aBytes) override;
   void OnEnd(net::StreamEnd aEnd) override;
 
+  void ReadResponse();
   void WriteCurrentRequest();
   void ExpectResponse();
   bool IsForeign(const Response& aResponse) const;
@@ -84,6 +87,8 @@
   std::shared_ptr<net::TcpStream> stream_;
   std::string hostField_; ///< value of the Host field if a request has none
   InputBuffer input_;
+  const std::shared_ptr<BodyBudget> budget_;
+  net::DeadlineTimer memoryTimer_; ///< runs while the response waits for memory
   std::optional<ResponseReader> reader_;
   std::shared_ptr<const Request> request_; ///< null while idle
   std::string_view requestIdField_;        ///< SendOptions::requestIdField_
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -27,8 +27,8 @@
 class ClientFixture
 {
 public:
-  ClientFixture()
-    : client_(loop_)
+  explicit ClientFixture(std::shared_ptr<BodyBudget> aBudget = nullptr)
+    : client_(loop_, std::move(aBudget))
     , thread_(loop_)
   {
     options_.timeout_ = std::chrono::seconds(20);
@@ -498,7 +498,7 @@
   const std::string foreign = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nold";
   peer.Send(foreign + foreign + "HTTP/1.1 200 OK\r\nX-Id: 2\r\n");
   peer.Send("Content-Length: 3\r\n\r\nnew");
-  STRCMP_EQUAL("new", Await(std::move(result)).response_.body_.c_str());
+  STRCMP_EQUAL("new", Await(std::move(result)).response_.body_.Text().c_str());
   STRCMP_EQUAL("", peer.ReadToEnd().c_str());
   CHECK_EQUAL(0U, client.ConnectionCount());
 }
@@ -572,4 +572,46 @@
   CHECK(Await(std::move(second)).outcome_ == Outcome::Answered);
 }
 
+// Guards against answers that take the process over its memory, and against the loss of the answer
+// to a request that ran because there was no memory for a moment.
+TEST(Client, ResponseThatDoesNotFitIsReadWhenItDoes)
+{
+  const auto budget = std::make_shared<BodyBudget>(1 << 20);
+  BodyCharge other(budget, BodyUse::Request);
+  CHECK(other.TryResize(700'000));
+  ClientFixture client(budget);
+  auto result = client.Send();
+  RawSocket peer = client.listener_.Accept();
+  peer.ReadMessage();
+  const std::string body(500'000, 'x');
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 500000\r\n\r\n" + body);
+  CHECK(result.wait_for(milliseconds(200)) == std::future_status::timeout);
+  LONGS_EQUAL(700'000, budget->Held());
+  other = {};
+  CheckResponse(Await(std::move(result)), 200, body);
+}
+
+// Guards against a second copy of the body in the output of each attempt.
+TEST(Client, BodyOfARequestIsSharedWithTheConnections)
+{
+  ClientFixture client;
+  auto request = std::make_shared<Request>();
+  request->method_ = "POST";
+  request->target_ = "/x";
+  request->body_ = std::string(50'000'000, 'x'); // exceeds the socket buffers of both ends
+  const std::weak_ptr<const void> owner = request->body_.Owner();
+  client.Run([&] {
+    for (int i = 0; i < 2; ++i) {
+      const Request copy = *request;
+      client.client_.Send(
+        client.target_, std::make_shared<const Request>(copy), client.options_, [](SendResult) {});
+    }
+  });
+  const RawSocket first = client.listener_.Accept();
+  const RawSocket second = client.listener_.Accept();
+  client.Run([] {});
+  // The test, two requests and the output of two connections.
+  WaitUntil([&] { return client.Run([&] { return owner.use_count(); }) == 5; });
+}
+
 } // namespace boragepier::http
--- a/boragepier/http/input_buffer.h
+++ b/boragepier/http/input_buffer.h
@@ -27,9 +27,18 @@
   {
     offset_ += aCount;
     if (offset_ == bytes_.size()) {
-      bytes_.clear();
-      offset_ = 0;
+      Clear();
+    }
+  }
+
+  /// Drops all bytes.
+  void Clear()
+  {
+    if (bytes_.capacity() > kMaxIdleCapacity) {
+      std::string().swap(bytes_); // an assignment would keep the capacity
     }
+    bytes_.clear();
+    offset_ = 0;
   }
 
   /// @return the unconsumed bytes; valid until the next Append() or Consume()
@@ -38,6 +47,9 @@
   std::size_t Size() const { return bytes_.size() - offset_; }
 
 private:
+  // An empty buffer with a larger capacity is released, because idle connections keep theirs.
+  static constexpr std::size_t kMaxIdleCapacity = 4 << 10;
+
   std::string bytes_;
   std::size_t offset_ = 0; ///< consumed bytes at the front of bytes_
 };
@@ -46,6 +58,7 @@
 enum class ReadStatus : std::uint8_t
 {
   NeedMore,
+  NeedMemory, ///< the body does not fit now; read again later, without further input
   Complete,
   Failed,
 };
--- a/boragepier/http/message.h
+++ b/boragepier/http/message.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "boragepier/http/body.h"
+
 namespace boragepier::http {
 
 /// Header fields in the order in which they were added. Field names are case-insensitive.
@@ -41,7 +43,7 @@
   std::string method_;
   std::string target_; ///< path and query
   Headers headers_;
-  std::string body_;
+  Body body_;
 };
 
 /// A complete response. It holds no framing fields, as in Request.
@@ -49,7 +51,7 @@
 {
   int status_ = 0;
   Headers headers_;
-  std::string body_;
+  Body body_;
 };
 
 /// Removes hop-by-hop fields (Connection and the fields that it lists, Keep-Alive, Proxy-*, TE,
--- a/boragepier/http/message_parser.h
+++ b/boragepier/http/message_parser.h
@@ -10,7 +10,9 @@
 #include <limits>
 #include <new>
 #include <stdexcept>
+#include <string>
 #include <string_view>
+#include <utility>
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -140,6 +142,27 @@
     return consumed > 0 ? ParseStatus::Progress : ParseStatus::NeedMore;
   }
 
+  // Has the body paid for by aCharge: its length if that is known, and otherwise twice the bytes
+  // received, because the buffer grows by copying. Call before Advance() and after the last one.
+  // Returns false if the body does not fit.
+  bool Charge(BodyCharge& aCharge)
+  {
+    return !headerDone_ || aCharge.TryResize(std::max(RequiredBytes(), aCharge.Bytes()));
+  }
+  // Returns the bytes that Charge() asks for.
+  std::size_t RequiredBytes() const
+  {
+    const auto length = parser_.content_length();
+    return length ? static_cast<std::size_t>(*length) : 2 * parser_.get().body().size();
+  }
+  // Moves the complete body out of the parser.
+  Body TakeBody(BodyCharge aCharge)
+  {
+    std::string body = std::move(parser_.get().body());
+    aCharge.Resize(body.empty() ? 0 : std::max(body.size(), body.capacity()));
+    return { std::move(body), std::move(aCharge) };
+  }
+
   bool IsDone() const { return parser_.is_done(); }
   bool HeaderDone() const { return headerDone_; }
   // Returns true if at least one byte of the header was consumed.
--- a/boragepier/http/request_reader.cc
+++ b/boragepier/http/request_reader.cc
@@ -46,9 +46,12 @@
   using MessageParser::MessageParser;
 };
 
-RequestReader::RequestReader(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes)
+RequestReader::RequestReader(std::size_t aMaxHeaderBytes,
+                             std::size_t aMaxBodyBytes,
+                             std::shared_ptr<BodyBudget> aBudget)
   : maxHeaderBytes_(aMaxHeaderBytes)
   , maxBodyBytes_(aMaxBodyBytes)
+  , budget_(std::move(aBudget))
 {
   Reset();
 }
@@ -59,9 +62,33 @@
 RequestReader::Reset()
 {
   parser_ = std::make_unique<Parser>(maxHeaderBytes_, maxBodyBytes_);
+  charge_ = BodyCharge(budget_, BodyUse::Request);
   expectContinue_ = false;
 }
 
+void
+RequestReader::Discard()
+{
+  Reset();
+  request_ = {};
+}
+
+// Has the body paid for. Otherwise sets the reason of the failure and returns false.
+bool
+RequestReader::Charge()
+{
+  if (parser_->Charge(charge_)) {
+    return true;
+  }
+  if (!budget_->CanEverHold(BodyUse::Request, parser_->RequiredBytes())) {
+    failure_ = RefusalReason::BodyTooLarge;
+    return false;
+  }
+  budget_->CountRefusal();
+  failure_ = RefusalReason::BodyBudgetExceeded;
+  return false;
+}
+
 ReadStatus
 RequestReader::Fail(RefusalReason aReason)
 {
@@ -98,6 +125,9 @@
     return ReadStatus::NeedMore;
   }
   for (;;) {
+    if (!Charge()) {
+      return ReadStatus::Failed;
+    }
     switch (parser_->Advance(aInput)) {
       case ParseStatus::NeedMore:
         return ReadStatus::NeedMore;
@@ -112,7 +142,7 @@
         }
         break;
       case ParseStatus::Complete:
-        return ReadStatus::Complete;
+        return Charge() ? ReadStatus::Complete : ReadStatus::Failed;
       case ParseStatus::HeaderTooLarge:
         return Fail(RefusalReason::HeaderTooLarge);
       case ParseStatus::BodyTooLarge:
@@ -150,7 +180,7 @@
 Request
 RequestReader::Take()
 {
-  request_.body_ = std::move(parser_->BeastParser().get().body());
+  request_.body_ = parser_->TakeBody(std::move(charge_));
   Reset();
   return std::exchange(request_, {});
 }
--- a/boragepier/http/request_reader.h
+++ b/boragepier/http/request_reader.h
@@ -16,7 +16,10 @@
 public:
   /// @param aMaxHeaderBytes limit for the header, and for each chunk header and the trailer
   /// @param aMaxBodyBytes limit for the decoded body
-  RequestReader(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes);
+  /// @param aBudget pays for the bodies; if null, any body fits
+  RequestReader(std::size_t aMaxHeaderBytes,
+                std::size_t aMaxBodyBytes,
+                std::shared_ptr<BodyBudget> aBudget = nullptr);
   ~RequestReader();
   RequestReader(const RequestReader&) = delete;
   RequestReader& operator=(const RequestReader&) = delete;
@@ -34,6 +37,8 @@
   /// Call only after Read() returned Complete; prepares the reader for the next request.
   /// @return the complete request
   Request Take();
+  /// Releases what was read of the current request. Call if no further one is read.
+  void Discard();
   /// @return true if the last parsed request allows the connection to stay open
   bool KeepAlive() const { return keepAlive_; }
   /// @return true if the last parsed request used HTTP/1.0
@@ -43,11 +48,14 @@
   class Parser;
   ReadStatus Fail(RefusalReason aReason);
   bool AcceptHeader();
+  bool Charge();
   void Reset();
 
   const std::size_t maxHeaderBytes_;
   const std::size_t maxBodyBytes_;
+  const std::shared_ptr<BodyBudget> budget_;
   std::unique_ptr<Parser> parser_;
+  BodyCharge charge_;
   Request request_;
   bool expectContinue_ = false;
   bool keepAlive_ = false;
--- a/boragepier/http/response_reader.cc
+++ b/boragepier/http/response_reader.cc
@@ -22,9 +22,12 @@
   using MessageParser::MessageParser;
 };
 
-ResponseReader::ResponseReader(bool aRequestIsHead, std::size_t aMaxBodyBytes)
+ResponseReader::ResponseReader(bool aRequestIsHead,
+                               std::size_t aMaxBodyBytes,
+                               std::shared_ptr<BodyBudget> aBudget)
   : requestIsHead_(aRequestIsHead)
   , maxBodyBytes_(aMaxBodyBytes)
+  , budget_(std::move(aBudget))
 {
   Reset();
 }
@@ -36,6 +39,7 @@
 {
   parser_ = std::make_unique<Parser>(kMaxResponseHeaderBytes, maxBodyBytes_);
   parser_->BeastParser().skip(requestIsHead_);
+  charge_ = BodyCharge(budget_, BodyUse::Response);
 }
 
 ReadStatus
@@ -49,6 +53,12 @@
 ResponseReader::Read(InputBuffer& aInput)
 {
   for (;;) {
+    if (!parser_->Charge(charge_)) {
+      if (!budget_->CanEverHold(BodyUse::Response, parser_->RequiredBytes())) {
+        return Fail(AttemptFailure::ResponseTooLarge);
+      }
+      return ReadStatus::NeedMemory;
+    }
     switch (parser_->Advance(aInput)) {
       case ParseStatus::NeedMore:
         return ReadStatus::NeedMore;
@@ -98,7 +108,7 @@
 ResponseReader::Complete()
 {
   keepAlive_ = parser_->BeastParser().keep_alive();
-  response_.body_ = std::move(parser_->BeastParser().get().body());
+  response_.body_ = parser_->TakeBody(std::move(charge_));
   return ReadStatus::Complete;
 }
 
--- a/boragepier/http/response_reader.h
+++ b/boragepier/http/response_reader.h
@@ -16,7 +16,10 @@
 public:
   /// @param aRequestIsHead true if the request method was HEAD: the response has no body
   /// @param aMaxBodyBytes limit for the decoded body
-  ResponseReader(bool aRequestIsHead, std::size_t aMaxBodyBytes);
+  /// @param aBudget pays for the body; if null, any body fits
+  ResponseReader(bool aRequestIsHead,
+                 std::size_t aMaxBodyBytes,
+                 std::shared_ptr<BodyBudget> aBudget = nullptr);
   ~ResponseReader();
   ResponseReader(const ResponseReader&) = delete;
   ResponseReader& operator=(const ResponseReader&) = delete;
@@ -47,7 +50,9 @@
 
   const bool requestIsHead_;
   const std::size_t maxBodyBytes_;
+  const std::shared_ptr<BodyBudget> budget_;
   std::unique_ptr<Parser> parser_;
+  BodyCharge charge_;
   Response response_;
   int interimResponseCount_ = 0; // status 1xx
   bool keepAlive_ = false;
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -16,11 +16,13 @@
   Impl(net::EventLoop& aLoop,
        ServerLimits aLimits,
        Handler aHandler,
-       RefusalFormatter aRefusalFormatter)
+       RefusalFormatter aRefusalFormatter,
+       std::shared_ptr<BodyBudget> aBudget)
     : loop_(aLoop)
     , limits_(aLimits)
     , handler_(std::move(aHandler))
     , refusalFormatter_(std::move(aRefusalFormatter))
+    , budget_(std::move(aBudget))
   {
   }
 
@@ -68,6 +70,7 @@
 
   net::EventLoop& Loop() override { return loop_; }
   const ServerLimits& Limits() const override { return limits_; }
+  const std::shared_ptr<BodyBudget>& Budget() const override { return budget_; }
   bool Draining() const override { return draining_; }
   bool AcceptingStopped() const override { return acceptingStopped_; }
   void Handle(std::shared_ptr<Exchange> aExchange) override
@@ -165,6 +168,7 @@
   ServerLimits limits_;
   const Handler handler_;
   const RefusalFormatter refusalFormatter_;
+  const std::shared_ptr<BodyBudget> budget_;
   std::function<void(UnansweredCause)> unansweredCallback_;
   std::unique_ptr<net::TcpListener> listener_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
@@ -178,8 +182,13 @@
 Server::Server(net::EventLoop& aLoop,
                ServerLimits aLimits,
                Handler aHandler,
-               RefusalFormatter aRefusalFormatter)
-  : impl_(std::make_shared<Impl>(aLoop, aLimits, std::move(aHandler), std::move(aRefusalFormatter)))
+               RefusalFormatter aRefusalFormatter,
+               std::shared_ptr<BodyBudget> aBudget)
+  : impl_(std::make_shared<Impl>(aLoop,
+                                 aLimits,
+                                 std::move(aHandler),
+                                 std::move(aRefusalFormatter),
+                                 std::move(aBudget)))
 {
 }
 
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -73,10 +73,13 @@
   /// Creates the response to a request or connection that the server itself refuses.
   using RefusalFormatter = std::function<Response(RefusalReason)>;
 
+  /// @param aBudget pays for the bodies of requests; what does not fit is refused before it is read
+  ///   (BodyBudgetExceeded); if null, any body fits
   Server(net::EventLoop& aLoop,
          ServerLimits aLimits,
          Handler aHandler,
-         RefusalFormatter aRefusalFormatter);
+         RefusalFormatter aRefusalFormatter,
+         std::shared_ptr<BodyBudget> aBudget = nullptr);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -13,6 +13,9 @@
 // Limit for pipelined input that is buffered while a request is handled.
 constexpr std::size_t kMaxReadAheadBytes = 64 << 10;
 
+// Input that is not charged to the memory for bodies.
+constexpr std::size_t kUnchargedInputBytes = 4 << 10;
+
 // Time for the caller to read the last response and close. Closing a socket that still has or gets
 // unread input resets the connection, and the caller would lose the response.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
@@ -97,7 +100,8 @@
 ServerConnection::ServerConnection(ServerContext& aContext, std::shared_ptr<net::TcpStream> aStream)
   : context_(aContext)
   , stream_(std::move(aStream))
-  , reader_(aContext.Limits().maxHeader_, aContext.Limits().maxBody_)
+  , reader_(aContext.Limits().maxHeader_, aContext.Limits().maxBody_, aContext.Budget())
+  , inputCharge_(aContext.Budget(), BodyUse::Request)
   , timeout_(aContext.Loop(), [this] { OnTimeout(); })
 {
 }
@@ -230,6 +234,7 @@
     throw;
   }
   processingInput_ = false;
+  inputCharge_.Resize(input_.Size() > kUnchargedInputBytes ? input_.Size() : 0);
 }
 
 // Returns false if more input is needed.
@@ -253,6 +258,7 @@
     case ReadStatus::Complete:
       HandleRequest();
       return true;
+    case ReadStatus::NeedMemory:
     case ReadStatus::Failed:
       break;
   }
@@ -308,6 +314,8 @@
 {
   closeAfterResponse_ = true;
   requestIsHead_ = false;
+  reader_.Discard();
+  input_.Clear();
   SendResponse(context_.MakeRefusal(aReason));
 }
 
@@ -326,7 +334,9 @@
     connectionUse = ConnectionUse::Close;
   }
   state_ = State::Writing;
-  stream_->Write(WriteResponse(aResponse, requestIsHead_, connectionUse));
+  WriteMessage(*stream_,
+               WriteResponseHeader(aResponse, requestIsHead_, connectionUse),
+               WrittenBody(aResponse, requestIsHead_));
   if (stream_->OutputFlushed()) {
     OnResponseSent();
     ProcessInput();
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -25,6 +25,8 @@
 
   virtual net::EventLoop& Loop() = 0;
   virtual const ServerLimits& Limits() const = 0;
+  /// @return what pays for the bodies of requests; null if any fits
+  virtual const std::shared_ptr<BodyBudget>& Budget() const = 0;
   virtual bool Draining() const = 0;
   /// @return whether Server::StopAccepting() was called, so that idle connections are to be closed
   virtual bool AcceptingStopped() const = 0;
@@ -91,6 +93,7 @@
   std::shared_ptr<net::TcpStream> stream_;
   RequestReader reader_;
   InputBuffer input_;
+  BodyCharge inputCharge_; ///< for the bytes of input_ that await the end of a request
   net::DeadlineTimer timeout_;
   std::weak_ptr<ServerExchange> exchange_;
   State state_ = State::Reading;
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -43,14 +43,15 @@
 class ServerFixture
 {
 public:
-  explicit ServerFixture(ServerLimits aLimits = {})
+  explicit ServerFixture(ServerLimits aLimits = {}, std::shared_ptr<BodyBudget> aBudget = nullptr)
     : server_(
         loop_,
         aLimits,
         [this](std::shared_ptr<Exchange> aExchange) { Handle(std::move(aExchange)); },
         [](RefusalReason aReason) {
           return MakeResponse(boragepier::HttpStatusOf(aReason), std::string(ToString(aReason)));
-        })
+        },
+        std::move(aBudget))
     , port_(server_.Listen("127.0.0.1", 0))
     , thread_(loop_)
   {
@@ -108,7 +109,7 @@
       aExchange->Respond(MakeResponse(5000, "")); // the writer rejects this status
       return;
     }
-    std::string body = request.method_ + " " + request.target_ + " " + request.body_;
+    std::string body = request.method_ + " " + request.target_ + " " + request.body_.Text();
     if (const auto trailer = request.headers_.Get("X-Trailer")) {
       body += " trailer";
     }
@@ -845,4 +846,104 @@
   CHECK(causes.at(0) == UnansweredCause::Aborted && causes.at(1) == UnansweredCause::Aborted);
 }
 
+TEST_GROUP(BodyMemory)
+{
+  static constexpr std::size_t kTotal = 16 << 20;
+
+  std::shared_ptr<BodyBudget> budget_ = std::make_shared<BodyBudget>(kTotal);
+  ServerFixture server_{ { .maxBody_ = 64 << 20 }, budget_ };
+
+  // Starts an upload of which only the header and a part of the body arrive.
+  RawSocket StartUpload(std::size_t aLength)
+  {
+    RawSocket socket = server_.Connect();
+    socket.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(aLength) +
+                "\r\n\r\nx");
+    WaitUntil([&] { return budget_->Held() >= aLength; });
+    return socket;
+  }
+};
+
+// Guards against uploads within the limits that take the process over the memory of its machine.
+TEST(BodyMemory, BodyThatDoesNotFitIsRefusedBeforeItIsRead)
+{
+  const RawSocket upload = StartUpload(10 << 20);
+  RawSocket socket = server_.Connect();
+  socket.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n"
+              "Expect: 100-continue\r\n\r\n");
+  const std::string response = socket.ReadToEnd();
+  STRCMP_EQUAL("HTTP/1.1 503", StatusLineStart(response).c_str());
+  STRCMP_CONTAINS("Connection: close\r\n", response.c_str());
+  CHECK(response.ends_with("body-budget-exceeded"));
+  LONGS_EQUAL(1, budget_->Refusals());
+}
+
+// Guards against losing the refusal to a reset, and against bytes of a refused body that are taken
+// for the next request.
+TEST(BodyMemory, RestOfARefusedBodyIsNotParsed)
+{
+  const RawSocket upload = StartUpload(10 << 20);
+  std::string body;
+  while (body.size() < 5'000'000) {
+    body += kGet;
+  }
+  const std::string response = server_.SendAndReadToEnd(
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+    body);
+  STRCMP_EQUAL("HTTP/1.1 503", StatusLineStart(response).c_str());
+  CHECK(response.ends_with("body-budget-exceeded"));
+}
+
+// Guards against chunked uploads, whose length is not known, that exceed the memory.
+TEST(BodyMemory, ChunkedBodyIsRefusedWhenItNoLongerFits)
+{
+  const RawSocket upload = StartUpload(10 << 20);
+  std::string body;
+  for (int i = 0; i < 60; ++i) {
+    body += "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+  }
+  const std::string response = server_.SendAndReadToEnd(
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
+  STRCMP_EQUAL("HTTP/1.1 503", StatusLineStart(response).c_str());
+  CHECK(response.ends_with("body-budget-exceeded"));
+  // Nothing of the refused body is held.
+  LONGS_EQUAL(10 << 20, budget_->Held());
+}
+
+// Guards against small requests that are refused while uploads use up the memory.
+TEST(BodyMemory, SmallRequestsAreServedWhileUploadsUseUpTheirPart)
+{
+  const RawSocket upload = StartUpload(12 << 20);
+  RawSocket socket = server_.Connect();
+  const std::string body(60'000, 'x');
+  for (int i = 0; i < 10; ++i) {
+    socket.Send("POST /s HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n" + body);
+    CHECK(socket.ReadMessage().ends_with("POST /s " + body));
+  }
+}
+
+// Guards against memory that is never released, after an answer or when the caller leaves.
+TEST(BodyMemory, BodiesAreReleased)
+{
+  {
+    const RawSocket upload = StartUpload(10 << 20);
+    RawSocket socket = server_.Connect();
+    const std::string body(1'000'000, 'x');
+    socket.Send("POST /s HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" + body);
+    CHECK(socket.ReadMessage().ends_with(body));
+    WaitUntil([&] { return budget_->Held() == 10 << 20; });
+  }
+  WaitUntil([&] { return budget_->Held() == 0; });
+}
+
+// Guards against a refusal that promises room which a larger body never gets.
+TEST(BodyMemory, BodyThatNeverFitsIsRefusedAsTooLarge)
+{
+  STRCMP_EQUAL("HTTP/1.1 413",
+               StatusLineStart(server_.SendAndReadToEnd(
+                                 "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 13000000\r\n\r\n"))
+                 .c_str());
+  LONGS_EQUAL(0, budget_->Refusals());
+}
+
 } // namespace boragepier::http
--- a/boragepier/http/writer.cc
+++ b/boragepier/http/writer.cc
@@ -1,5 +1,7 @@
 #include "boragepier/http/writer.h"
 
+#include <utility>
+
 #include <boost/beast/core/buffer_traits.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -12,6 +14,9 @@
 
 namespace {
 
+// A copy of a small body costs less than a second system call.
+constexpr std::size_t kMaxCopiedBodyBytes = 16 << 10;
+
 // Prevents header injection: a line break in a name or value would start a new field.
 std::string
 ReplaceLineBreaks(std::string_view aText)
@@ -53,8 +58,7 @@
 
 template<bool isRequest>
 std::string
-SerializeHeader(beast::http::message<isRequest, beast::http::empty_body>& aMessage,
-                std::size_t aBodySize)
+SerializeHeader(beast::http::message<isRequest, beast::http::empty_body>& aMessage)
 {
   std::string bytes;
   beast::http::serializer<isRequest, beast::http::empty_body> serializer(aMessage);
@@ -63,7 +67,7 @@
   while (!error && !serializer.is_header_done()) {
     serializer.next(error, [&](beast::error_code& /*aError*/, const auto& aBuffers) {
       const std::size_t size = beast::buffer_bytes(aBuffers);
-      bytes.reserve(bytes.size() + size + aBodySize);
+      bytes.reserve(bytes.size() + size);
       for (const auto buffer : beast::buffers_range_ref(aBuffers)) {
         bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
       }
@@ -73,10 +77,16 @@
   return bytes;
 }
 
+bool
+StatusAllowsBody(int aStatus)
+{
+  return aStatus != 204 && aStatus != 304;
+}
+
 } // namespace
 
 std::string
-WriteRequest(const Request& aRequest, std::string_view aHost)
+WriteRequestHeader(const Request& aRequest, std::string_view aHost)
 {
   using beast::http::field;
   beast::http::request<beast::http::empty_body> message;
@@ -91,33 +101,56 @@
   if (!aRequest.body_.empty() || method == "POST" || method == "PUT" || method == "PATCH") {
     message.set(field::content_length, std::to_string(aRequest.body_.size()));
   }
-  std::string bytes = SerializeHeader(message, aRequest.body_.size());
-  bytes += aRequest.body_;
-  return bytes;
+  return SerializeHeader(message);
 }
 
 std::string
-WriteResponse(const Response& aResponse, bool aRequestIsHead, ConnectionUse aConnectionUse)
+WriteRequest(const Request& aRequest, std::string_view aHost)
+{
+  return WriteRequestHeader(aRequest, aHost).append(aRequest.body_.View());
+}
+
+std::string
+WriteResponseHeader(const Response& aResponse, bool aRequestIsHead, ConnectionUse aConnectionUse)
 {
   using beast::http::field;
   beast::http::response<beast::http::empty_body> message;
   message.result(static_cast<unsigned>(aResponse.status_));
   message.version(11);
   SetFields(message, aResponse.headers_);
-  const bool statusAllowsBody = aResponse.status_ != 204 && aResponse.status_ != 304;
   // A response to HEAD has the Content-Length of the omitted body, which is unknown if the handler
   // provided none.
-  if (statusAllowsBody && !(aRequestIsHead && aResponse.body_.empty())) {
+  if (StatusAllowsBody(aResponse.status_) && !(aRequestIsHead && aResponse.body_.empty())) {
     message.set(field::content_length, std::to_string(aResponse.body_.size()));
   }
   if (aConnectionUse != ConnectionUse::KeepOpen) {
     message.set(field::connection, aConnectionUse == ConnectionUse::Close ? "close" : "keep-alive");
   }
-  std::string bytes = SerializeHeader(message, aResponse.body_.size());
-  if (statusAllowsBody && !aRequestIsHead) {
-    bytes += aResponse.body_;
+  return SerializeHeader(message);
+}
+
+Body
+WrittenBody(const Response& aResponse, bool aRequestIsHead)
+{
+  return StatusAllowsBody(aResponse.status_) && !aRequestIsHead ? aResponse.body_ : Body();
+}
+
+std::string
+WriteResponse(const Response& aResponse, bool aRequestIsHead, ConnectionUse aConnectionUse)
+{
+  return WriteResponseHeader(aResponse, aRequestIsHead, aConnectionUse)
+    .append(WrittenBody(aResponse, aRequestIsHead).View());
+}
+
+void
+WriteMessage(net::TcpStream& aStream, std::string aHeader, const Body& aBody)
+{
+  if (aBody.size() <= kMaxCopiedBodyBytes) {
+    aStream.Write(std::move(aHeader.append(aBody.View())));
+    return;
   }
-  return bytes;
+  aStream.Write(std::move(aHeader));
+  aStream.WriteShared(aBody.View(), aBody.Owner());
 }
 
 } // namespace boragepier::http
--- a/boragepier/net/socket_stream.h
+++ b/boragepier/net/socket_stream.h
@@ -5,7 +5,7 @@
 #include <deque>
 #include <memory>
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -30,6 +30,7 @@
   void Connect(const std::string& aAddress, std::uint16_t aPort, StreamHandler& aHandler);
   void Start(StreamHandler& aHandler) override;
   void Write(std::string aBytes) override;
+  void WriteShared(std::string_view aBytes, std::shared_ptr<const void> aOwner) override;
   void ShutdownOutput() override;
   void PauseInput(bool aPause) override;
   void Close() override;
@@ -40,12 +41,22 @@
   bool HasUndeliveredInput() const override;
 
 private:
+  struct Output
+  {
+    std::string bytes_;                 ///< used without owner_
+    std::string_view sharedBytes_ = {}; ///< kept valid by owner_
+    std::shared_ptr<const void> owner_ = nullptr;
+
+    std::string_view View() const { return owner_ ? sharedBytes_ : bytes_; }
+  };
+
   using ErrorCode = boost::system::error_code;
 
   void ConfigureSocket();
   void WaitForInput();
   void EndInput();
   void OnSocketError(const ErrorCode& aError);
+  void Enqueue(Output aOutput);
   void TryWrite();
   void OnWritten(std::size_t aCount);
   template<typename Function>
@@ -59,15 +70,14 @@
   EventLoop& loop_;
   StreamHandler* handler_ = nullptr;
   Socket socket_;
-  std::vector<char> readBuffer_;
-  std::deque<std::string> outputQueue_;
+  std::deque<Output> outputQueue_;
   std::size_t outputOffset_ = 0; ///< written bytes of the first element of outputQueue_
   std::uint64_t bytesWritten_ = 0;
   bool connecting_ = false;
   bool inputPaused_ = false;
   bool waitingForInput_ = false;  ///< a wait for input is pending
   bool waitingForOutput_ = false; ///< a wait for writability is pending
-  bool deliveringInput_ = false;  ///< OnInput() is running and uses readBuffer_
+  bool deliveringInput_ = false;  ///< OnInput() is running
   bool inputEnded_ = false;       ///< the peer has ended its sending side
   bool ended_ = false;            ///< OnEnd() was or will be called
 };
--- a/boragepier/net/tcp_stream.cc
+++ b/boragepier/net/tcp_stream.cc
@@ -1,8 +1,9 @@
 #include "boragepier/net/socket_stream.h"
 
-#include <algorithm>
 #include <cerrno>
+#include <span>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -22,9 +23,16 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-// Each open connection has its own read buffer, so it starts small and grows for large bodies.
-constexpr std::size_t kInitialReadBufferBytes = 4 << 10;
-constexpr std::size_t kMaxReadBufferBytes = 64 << 10;
+// Input is delivered before the next read, so all streams of a thread share one read buffer, and an
+// idle connection holds none.
+constexpr std::size_t kReadBufferBytes = 64 << 10;
+
+std::span<char>
+ReadBuffer()
+{
+  thread_local std::vector<char> buffer(kReadBufferBytes);
+  return buffer;
+}
 
 // A connection is treated as broken if the peer acknowledges nothing for this time. A middlebox may
 // drop the state of a connection without a reset, and without probes an idle connection would never
@@ -75,7 +83,6 @@
 SocketStream::SocketStream(EventLoop& aLoop, Socket aSocket)
   : loop_(aLoop)
   , socket_(std::move(aSocket))
-  , readBuffer_(kInitialReadBufferBytes)
 {
 }
 
@@ -126,10 +133,26 @@
 void
 SocketStream::Write(std::string aBytes)
 {
-  if (Closed() || ended_ || aBytes.empty()) {
+  if (!aBytes.empty()) {
+    Enqueue({ .bytes_ = std::move(aBytes) });
+  }
+}
+
+void
+SocketStream::WriteShared(std::string_view aBytes, std::shared_ptr<const void> aOwner)
+{
+  if (!aBytes.empty()) {
+    Enqueue({ .bytes_ = {}, .sharedBytes_ = aBytes, .owner_ = std::move(aOwner) });
+  }
+}
+
+void
+SocketStream::Enqueue(Output aOutput)
+{
+  if (Closed() || ended_) {
     return;
   }
-  outputQueue_.push_back(std::move(aBytes));
+  outputQueue_.push_back(std::move(aOutput));
   if (!connecting_) {
     TryWrite();
   }
@@ -139,7 +162,7 @@
 SocketStream::TryWrite()
 {
   while (!outputQueue_.empty() && !waitingForOutput_) {
-    const std::string& first = outputQueue_.front();
+    const std::string_view first = outputQueue_.front().View();
     error_code error;
     const std::size_t count = socket_.write_some(
       boost::asio::buffer(first.data() + outputOffset_, first.size() - outputOffset_), error);
@@ -162,7 +185,7 @@
 {
   bytesWritten_ += aCount;
   outputOffset_ += aCount;
-  if (outputOffset_ == outputQueue_.front().size()) {
+  if (outputOffset_ == outputQueue_.front().View().size()) {
     outputQueue_.pop_front();
     outputOffset_ = 0;
   }
@@ -193,6 +216,7 @@
     return;
   }
   handler_ = nullptr;
+  outputQueue_.clear();
   error_code ignored;
   socket_.close(ignored);
 }
@@ -305,8 +329,9 @@
   }
   error_code error = aError;
   std::size_t count = 0;
+  const std::span<char> buffer = ReadBuffer();
   if (!error) {
-    count = socket_.read_some(boost::asio::buffer(readBuffer_), error);
+    count = socket_.read_some(boost::asio::buffer(buffer.data(), buffer.size()), error);
   }
   if (WouldBlock(error)) {
     WaitForInput();
@@ -321,14 +346,11 @@
     return;
   }
   deliveringInput_ = true;
-  Deliver([&] { handler_->OnInput({ readBuffer_.data(), count }); });
+  Deliver([&] { handler_->OnInput({ buffer.data(), count }); });
   deliveringInput_ = false;
   if (Closed()) {
     return;
   }
-  if (count == readBuffer_.size() && count < kMaxReadBufferBytes) {
-    readBuffer_.resize(std::min(2 * count, kMaxReadBufferBytes));
-  }
   WaitForInput();
 }
 
--- a/boragepier/net/tcp_stream.h
+++ b/boragepier/net/tcp_stream.h
@@ -65,6 +65,9 @@
   virtual void Start(StreamHandler& aHandler) = 0;
   /// Writes what the kernel accepts now and queues the rest. Ignored after Close().
   virtual void Write(std::string aBytes) = 0;
+  /// As Write(), without a copy of the bytes.
+  /// @param aOwner keeps the bytes valid; released when they are written or the stream is closed
+  virtual void WriteShared(std::string_view aBytes, std::shared_ptr<const void> aOwner) = 0;
   /// Closes the sending side: the peer reads end-of-stream after the bytes written so far. Call
   /// only when OutputFlushed().
   virtual void ShutdownOutput() = 0;
--- a/boragepier/platform/http_platform.cc
+++ b/boragepier/platform/http_platform.cc
@@ -160,15 +160,14 @@
     platform_.Loop().Post([done = std::move(aDone)] { done(ObjectStatus::NotFound, {}); });
     return;
   }
-  platform_.Send(MakeRequest("GET", "/objects/" + std::string(aName)),
-                 false,
-                 aDeadline,
-                 [done = std::move(aDone)](http::SendResult aResult) {
-                   const ObjectStatus status = ToObjectStatus(aResult);
-                   done(status,
-                        status == ObjectStatus::Done ? std::move(aResult.response_.body_)
-                                                     : std::string());
-                 });
+  platform_.Send(
+    MakeRequest("GET", "/objects/" + std::string(aName)),
+    false,
+    aDeadline,
+    [done = std::move(aDone)](http::SendResult aResult) {
+      const ObjectStatus status = ToObjectStatus(aResult);
+      done(status, status == ObjectStatus::Done ? aResult.response_.body_.Text() : std::string());
+    });
 }
 
 void
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -332,6 +332,12 @@
     "callers that left early are only counted",
     "with cause process-exit, set traffic.drain-limit-ms above the longest deadline; "
     "otherwise report the fault" },
+  EventInfo{ EventId::BodyBudgetExceeded,
+             LogLevel::Warn,
+             "body-budget-exceeded",
+             "requests were refused because their bodies did not fit in the memory for bodies; "
+             "the fields give their number, the bytes held now and the bytes that may be held",
+             "add instances, or memory and instance.memory-mb" },
 };
 
 } // namespace
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -76,6 +76,7 @@
   AttemptEnded = 6006,
   RequestEnded = 6007,
   RequestUnanswered = 6008,
+  BodyBudgetExceeded = 6009,
 };
 
 /// Entry of the event catalogue.
--- a/boragepier/telemetry/metrics.cc
+++ b/boragepier/telemetry/metrics.cc
@@ -113,6 +113,14 @@
   }
 }
 
+void
+Metrics::SetBodyMemory(const BodyMemory& aMemory)
+{
+  bodyBytesHeld_ = aMemory.heldBytes_;
+  bodyBudgetBytes_ = aMemory.budgetBytes_;
+  bodyRefusals_ = aMemory.refusals_;
+}
+
 void
 Metrics::SetControlThreadUsage(Duration aCpuTime, std::uint64_t aBytesSent)
 {
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -136,6 +136,14 @@
   std::uint64_t probesInLastWindow_ = 0;
 };
 
+/// Memory for the bodies of requests and answers.
+struct BodyMemory
+{
+  std::uint64_t heldBytes_ = 0;
+  std::uint64_t budgetBytes_ = 0; ///< greatest number of bytes held at the same time
+  std::uint64_t refusals_ = 0;    ///< requests refused because their body did not fit
+};
+
 /// Metrics of one instance. Thread-safe.
 ///
 ///   ServiceMetrics& service = metrics.Service(name);
@@ -174,6 +182,7 @@
     refusedConnectionCount_ = aAtLimit;
     descriptorShortageCount_ = aWithoutDescriptor;
   }
+  void SetBodyMemory(const BodyMemory& aMemory);
   /// @param aCpuTime CPU time of the control thread since the start of the process
   /// @param aBytesSent bytes that the control thread has sent to peers and the platform since then
   void SetControlThreadUsage(Duration aCpuTime, std::uint64_t aBytesSent);
@@ -200,6 +209,9 @@
   std::atomic<std::uint64_t> refusedConnectionCount_ = 0;
   std::atomic<std::uint64_t> descriptorShortageCount_ = 0;
   std::atomic<std::uint64_t> descriptorLimit_ = 0;
+  std::atomic<std::uint64_t> bodyBytesHeld_ = 0;
+  std::atomic<std::uint64_t> bodyBudgetBytes_ = 0;
+  std::atomic<std::uint64_t> bodyRefusals_ = 0;
   std::atomic<std::int64_t> controlThreadCpuNs_ = 0;
   std::atomic<std::uint64_t> controlThreadBytesSent_ = 0;
 };
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -30,6 +30,15 @@
               "counter",
               "connections that were not opened, or were closed at once, because a descriptor, "
               "port or memory for a socket was missing" },
+  MetricInfo{ "boragepier_body_bytes",
+              "gauge",
+              "bytes of bodies of requests and answers that are held" },
+  MetricInfo{ "boragepier_body_budget_bytes",
+              "gauge",
+              "greatest number of bytes of bodies that may be held" },
+  MetricInfo{ "boragepier_body_refusals_total",
+              "counter",
+              "requests refused as body-budget-exceeded" },
   MetricInfo{ "boragepier_control_processor_seconds_total",
               "counter",
               "CPU time of the control thread" },
@@ -241,6 +250,9 @@
   WriteGauge("boragepier_descriptor_limit", LoadAsDouble(metrics_.descriptorLimit_));
   WriteGauge("boragepier_descriptor_shortages_total",
              LoadAsDouble(metrics_.descriptorShortageCount_));
+  WriteGauge("boragepier_body_bytes", LoadAsDouble(metrics_.bodyBytesHeld_));
+  WriteGauge("boragepier_body_budget_bytes", LoadAsDouble(metrics_.bodyBudgetBytes_));
+  WriteGauge("boragepier_body_refusals_total", LoadAsDouble(metrics_.bodyRefusals_));
   WriteGauge("boragepier_control_processor_seconds_total",
              static_cast<double>(metrics_.controlThreadCpuNs_.load()) / 1e9);
   WriteGauge("boragepier_control_bytes_total", LoadAsDouble(metrics_.controlThreadBytesSent_));
--- a/testing/platform/platform_server.cc
+++ b/testing/platform/platform_server.cc
@@ -173,7 +173,8 @@
     list = time <= visibleTime ? &version : list;
   }
   http::Response response = MakeJsonResponse(200, platform::EncodeProcessList(*list));
-  const std::string etag = '"' + std::to_string(std::hash<std::string>()(response.body_)) + '"';
+  const std::string etag =
+    '"' + std::to_string(std::hash<std::string_view>()(response.body_)) + '"';
   if (aRequest.headers_.Get("If-None-Match") == etag) {
     ++listUnchanged_;
     response = MakeJsonResponse(304, "");
