Keep a refused upload's connection open while the caller sends

Cause: the connection was closed 2 s after the refusal whatever still arrived; closing with unread input resets it, and the caller loses the refusal.

Evidence: RefusalReachesACallerThatGoesOnSending failed before, "expected <2> but was <1>" connections after 2.6 s of sending.

--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -16,8 +16,8 @@
 // Input that is not charged to the memory for bodies.
 constexpr std::size_t kUnchargedInputBytes = 4 << 10;
 
-// Time for the caller to read the last response and close. Closing a socket that still has or gets
-// unread input resets the connection, and the caller would lose the response.
+// Time without input for the caller to read the last response and close. Closing a socket that
+// still has or gets unread input resets the connection, and the caller would lose the response.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
 
 } // namespace
@@ -165,6 +165,7 @@
 ServerConnection::OnInput(std::string_view aBytes)
 {
   if (state_ == State::Lingering) {
+    timeout_.Set(std::min(lingerEnd_, context_.Loop().Now() + kLingerTimeout));
     return;
   }
   input_.Append(aBytes);
@@ -355,7 +356,9 @@
   }
   if (closeAfterResponse_) {
     state_ = State::Lingering;
-    timeout_.Set(context_.Loop().Now() + kLingerTimeout);
+    const MonotonicTime now = context_.Loop().Now();
+    lingerEnd_ = now + std::max(kLingerTimeout, context_.Limits().requestTimeout_);
+    timeout_.Set(now + kLingerTimeout);
     stream_->ShutdownOutput();
   } else {
     state_ = State::Reading;
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -97,6 +97,7 @@
   net::DeadlineTimer timeout_;
   std::weak_ptr<ServerExchange> exchange_;
   State state_ = State::Reading;
+  MonotonicTime lingerEnd_{}; ///< valid while lingering
   bool processingInput_ = false;
   bool requestStarted_ = false;
   MonotonicTime idleSince_{};      ///< valid while no part of a request was received
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <mutex>
 #include <stdexcept>
+#include <thread>
 #include <vector>
 
 #include "testing/wire/loop_thread.h"
@@ -894,6 +895,21 @@
   CHECK(response.ends_with("body-budget-exceeded"));
 }
 
+// Guards against losing the refusal to a reset while the caller goes on sending over a slow link.
+TEST(BodyMemory, RefusalReachesACallerThatGoesOnSending)
+{
+  const RawSocket upload = StartUpload(10 << 20);
+  RawSocket socket = server_.Connect();
+  socket.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\n");
+  const std::string piece(10'000, 'x');
+  for (int i = 0; i < 26; ++i) {
+    std::this_thread::sleep_for(milliseconds(100));
+    socket.Send(piece);
+  }
+  LONGS_EQUAL(2, server_.Run([&] { return server_.GetServer().ConnectionCount(); }));
+  STRCMP_EQUAL("HTTP/1.1 503", StatusLineStart(socket.ReadToEnd()).c_str());
+}
+
 // Guards against chunked uploads, whose length is not known, that exceed the memory.
 TEST(BodyMemory, ChunkedBodyIsRefusedWhenItNoLongerFits)
 {
