--- a/apps/boragepierctl/blocking_calls.cc
+++ b/apps/boragepierctl/blocking_calls.cc
@@ -85,7 +85,7 @@
                     const bool answered = aResult.outcome_ == Outcome::Answered;
                     response.status_ = answered ? aResult.response_.status_ : 0;
                     response.bodyOrError_ =
-                      answered ? std::move(aResult.response_.body_) : ErrorText(aResult);
+                      answered ? aResult.response_.body_.Text() : ErrorText(aResult);
                     if (--pendingResponses == 0) {
                       loop.Stop();
                     }
--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -50,7 +50,7 @@
 ThrowUnlessApplied(const http::SendResult& aResult, const std::string& aDescription)
 {
   if (aResult.outcome_ != Outcome::Answered || aResult.response_.status_ >= 300) {
-    throw ChildProcessError(aDescription + " failed: " + aResult.response_.body_);
+    throw ChildProcessError(aDescription + " failed: " + aResult.response_.body_.Text());
   }
 }
 
--- a/testing/e2e/sync_client.cc
+++ b/testing/e2e/sync_client.cc
@@ -36,7 +36,7 @@
 std::string
 SyncClient::Get(std::uint16_t aPort, const std::string& aTarget)
 {
-  return Send(aPort, { "GET", aTarget, {}, "" }).response_.body_;
+  return Send(aPort, { "GET", aTarget, {}, "" }).response_.body_.Text();
 }
 
 http::SendResult
