Take over what other instances have observed of the store's outages

Cause: whether the store was down, so that entries may have expired, was concluded from a gap between the observations that one instance knew of. An instance that was cut off, or that started with old rows, has such a gap without an outage.

With the change disabled, DirectoryWatch.UpstreamThatLeftDuringACutIsNotKeptForTheGracePeriod has 1 upstream instead of 0, and two tests of DirectoryState fail.

Fix: instances tell for how long they have observed the store without an outage (protocol version 6). A period that covers the own gap ends the grace period. During one the preferred source is asked at each renewal, and an instance without a source asks three others. A period counts as shorter, never longer, than it is, and nobody's period covers an outage that nobody observed.

--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -131,12 +131,19 @@
     std::exchange(upstreamsObservedAt_,
                   std::max(upstreamsObservedAt_.value_or(aObservedAt), aObservedAt))
       .value_or(aObservedAt);
+  if (!observedSince_) {
+    observedSince_ = aObservedAt;
+  }
   const Duration gap = aObservedAt - previousObservedAt;
   // A shorter outage within the grace period keeps upstreams from registering again, so the grace
   // period restarts.
   const bool outageDuringGrace =
     previousObservedAt < graceUntil_ && gap >= settings_.heartbeatInterval_;
-  if (gap >= kMinOutageHeartbeats * settings_.heartbeatInterval_ || outageDuringGrace) {
+  if (gap >= MinOutage() || outageDuringGrace) {
+    if (!InGracePeriod(aNow)) {
+      lastSeenBeforeOutage_ = previousObservedAt;
+    }
+    observedSince_ = aObservedAt;
     graceUntil_ = std::max(graceUntil_, aNow + kReregistrationGrace);
     events_.push_back({ DirectoryEventType::GracePeriodStarted,
                         std::to_string(std::llround(ToMilliseconds(gap))),
@@ -144,6 +151,25 @@
   }
 }
 
+void
+DirectoryState::OnObservedElsewhere(MonotonicTime aSince, MonotonicTime aUntil, MonotonicTime aNow)
+{
+  if (!upstreamsObservedAt_ || aUntil < aSince) {
+    return;
+  }
+  const bool continuesOwn = aSince < *upstreamsObservedAt_ + MinOutage();
+  if (InGracePeriod(aNow)) {
+    if (aSince < lastSeenBeforeOutage_ + MinOutage() && *observedSince_ < aUntil + MinOutage()) {
+      graceUntil_ = aNow;
+      observedSince_ = aSince;
+      RemoveMissingUpstreams(aNow);
+    }
+  } else if (continuesOwn && aUntil > *upstreamsObservedAt_) {
+    upstreamsObservedAt_ = aUntil;
+    observedSince_ = std::min(*observedSince_, aSince);
+  }
+}
+
 void
 DirectoryState::RemoveMissingUpstreams(MonotonicTime aNow)
 {
--- a/boragepier/directory/directory_state.h
+++ b/boragepier/directory/directory_state.h
@@ -58,7 +58,9 @@
 /// expire; the upstreams register again soon after the outage. An entry that disappears within
 /// kReregistrationGrace of the end of an outage is therefore kept until that period is over. An
 /// outage is detected from the time between two observations of the store by any instance: if only
-/// some instances cannot reach the store, no entry expires.
+/// some instances cannot reach the store, no entry expires. An instance that could reach neither
+/// the store nor the others takes its own gap for an outage, until another instance reports that it
+/// has observed the store in that time.
 class DirectoryState
 {
 public:
@@ -78,6 +80,17 @@
   /// called before the changes that were read are applied.
   /// @param aObservedAt time at which the store held these entries, not after aNow
   void OnUpstreamsObserved(MonotonicTime aObservedAt, MonotonicTime aNow);
+  /// Records that another instance observed the entries of the upstreams in a period without an
+  /// outage of the store. To be called before OnUpstreamsObserved(). Ends the grace period if that
+  /// period covers the time that counted as an outage, and removes the missing upstreams.
+  /// @param aSince start of the period
+  /// @param aUntil end of the period: the time of the last observation
+  void OnObservedElsewhere(MonotonicTime aSince, MonotonicTime aUntil, MonotonicTime aNow);
+  /// @return start of the period in which this or another instance has observed the entries of the
+  /// upstreams without an outage of the store, or nothing without an observation
+  std::optional<MonotonicTime> ObservedSince() const { return observedSince_; }
+  /// @return whether upstreams whose entries are missing are kept
+  bool InGracePeriod(MonotonicTime aNow) const { return aNow < graceUntil_; }
   /// Removes the upstreams whose entries are still missing at the end of the grace period.
   void RemoveMissingUpstreams(MonotonicTime aNow);
   /// @return when to call RemoveMissingUpstreams(), or nothing if no entry is missing
@@ -118,6 +131,8 @@
   void ApplyValue(const std::string& aKey, const InstanceEntry& aEntry, MonotonicTime aNow);
   void ApplyValue(const std::string& aKey, const UnreadableEntry& aEntry, MonotonicTime aNow);
   void ApplyValue(const std::string& aKey, const RemovedEntry& aEntry, MonotonicTime aNow);
+  /// @return the shortest time without an observation in which entries may expire
+  Duration MinOutage() const { return kMinOutageHeartbeats * settings_.heartbeatInterval_; }
   void RemoveUpstream(const std::string& aKey, MonotonicTime aNow);
   void SetMissing(Upstream& aUpstream, bool aMissing);
 
@@ -129,6 +144,8 @@
   int missingCount_ = 0; ///< number of them that are missing
   std::map<std::string, InstanceEntry> instances_;
   std::optional<MonotonicTime> upstreamsObservedAt_; ///< latest OnUpstreamsObserved()
+  std::optional<MonotonicTime> observedSince_;       ///< see ObservedSince()
+  MonotonicTime lastSeenBeforeOutage_{}; ///< last observation before the outage of the grace period
   MonotonicTime graceUntil_{};
   bool routingChanged_ = false;
   bool instancesChanged_ = false;
--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -115,6 +115,45 @@
   CHECK_EQUAL(0, UpstreamCount());
 }
 
+// Guards against requests to an upstream that left while this instance was cut off: it takes its
+// own gap for an outage until it learns that another instance has observed the store in that time.
+TEST(DirectoryState, GracePeriodEndsIfAnotherInstanceSawNoOutage)
+{
+  ApplyItem(UpstreamItem("u-1"), kStart);
+  state_.OnUpstreamsObserved(kStart, kStart);
+  const MonotonicTime gapEnd = kStart + std::chrono::seconds(8);
+  state_.OnUpstreamsObserved(gapEnd, gapEnd);
+  ApplyItem({ "u-1", RemovedEntry{} }, gapEnd);
+  CHECK_EQUAL(1, UpstreamCount());
+  state_.OnObservedElsewhere(kStart - std::chrono::seconds(9), gapEnd, gapEnd);
+  CHECK_EQUAL(0, UpstreamCount());
+  CHECK(!state_.InGracePeriod(gapEnd));
+}
+
+TEST(DirectoryState, GracePeriodStaysIfTheOtherInstanceMissedAPartOfTheGap)
+{
+  ApplyItem(UpstreamItem("u-1"), kStart);
+  state_.OnUpstreamsObserved(kStart, kStart);
+  const MonotonicTime gapEnd = kStart + std::chrono::seconds(8);
+  state_.OnUpstreamsObserved(gapEnd, gapEnd);
+  ApplyItem({ "u-1", RemovedEntry{} }, gapEnd);
+  // Began to observe too late, and stopped too early.
+  state_.OnObservedElsewhere(kStart + std::chrono::seconds(3), gapEnd, gapEnd);
+  state_.OnObservedElsewhere(kStart, gapEnd - std::chrono::seconds(3), gapEnd);
+  CHECK_EQUAL(1, UpstreamCount());
+  CHECK(state_.InGracePeriod(gapEnd));
+}
+
+TEST(DirectoryState, ObservationsOfAnotherInstanceContinueThoseOfThisOne)
+{
+  state_.OnUpstreamsObserved(kStart, kStart);
+  const MonotonicTime later = kStart + std::chrono::seconds(8);
+  state_.OnObservedElsewhere(kStart - std::chrono::seconds(9), later, later);
+  state_.OnUpstreamsObserved(later, later);
+  CHECK(!state_.InGracePeriod(later));
+  CHECK(state_.ObservedSince() == kStart - std::chrono::seconds(9));
+}
+
 TEST(DirectoryState, UnreadableEntryRemovesOnlyItsOwnUpstream)
 {
   ApplyItem(UpstreamItem("u-1"), kStart);
@@ -277,6 +316,54 @@
   CHECK(follower.watch_.State().MakeRoutingTable()->instances_.size() == 4);
 }
 
+// Guards against requests to an upstream that left while an instance was cut off from the store and
+// from the other instances, kContactTime after the cut, whatever reaches it first.
+TEST(DirectoryWatch, UpstreamThatLeftDuringACutIsNotKeptForTheGracePeriod)
+{
+  constexpr Duration kContactTime = std::chrono::milliseconds(3000);
+  StartAll(16);
+  for (int round = 0; round < 40; ++round) {
+    const std::size_t index = round % 2 == 0 ? 7 : 0; // a leaf and the root of the relay tree
+    const InstanceId cutOff("i-" + std::to_string(index));
+    const std::string upstream = "u-" + std::to_string(round);
+    store_.Put(FeedTopic::Upstreams, upstream, {});
+    RunFor(std::chrono::seconds(2));
+    network_.isolated_ = { cutOff };
+    store_.unansweredInstances_ = { cutOff };
+    RunFor(std::chrono::milliseconds(3500 + 85 * round));
+    store_.Remove(FeedTopic::Upstreams, upstream);
+    RunFor(std::chrono::seconds(1));
+    network_.isolated_ = {};
+    store_.unansweredInstances_ = {};
+    RunFor(kContactTime);
+    CHECK_EQUAL(
+      0, instances_[index]->watch_.State().MakeRoutingTable()->services_.at(0).upstreams_.size());
+    RunFor(std::chrono::seconds(8));
+  }
+}
+
+// Guards against an outage of the store that is overlooked because an instance was cut off as well:
+// the upstreams whose entries expired in the outage must be kept.
+TEST(DirectoryWatch, UpstreamsThatExpireInAnOutageDuringACutAreKept)
+{
+  store_.Put(FeedTopic::Upstreams, "u-1", {});
+  StartAll(16);
+  network_.isolated_ = { InstanceId("i-7") };
+  store_.unansweredInstances_ = { InstanceId("i-7") };
+  RunFor(std::chrono::seconds(4));
+  for (int i = 0; i < 16; ++i) {
+    store_.unansweredInstances_.insert(InstanceId("i-" + std::to_string(i)));
+  }
+  RunFor(std::chrono::seconds(6));
+  store_.Remove(FeedTopic::Upstreams, "u-1");
+  store_.unansweredInstances_.clear();
+  network_.isolated_ = {};
+  RunFor(std::chrono::milliseconds(2400));
+  for (const auto& instance : instances_) {
+    CHECK_EQUAL(1, instance->watch_.State().MakeRoutingTable()->services_.at(0).upstreams_.size());
+  }
+}
+
 // Guards against instances that drop upstreams whose entries expired in an outage of the store,
 // whether they learn of it from the store or from another instance.
 TEST(DirectoryWatch, AllInstancesKeepExpiredUpstreamsAfterAnOutage)
--- a/boragepier/directory/directory_timing.h
+++ b/boragepier/directory/directory_timing.h
@@ -88,6 +88,12 @@
     return aDuration * (85 + static_cast<int>(random_(30))) / 100;
   }
 
+  /// @return a random number below aCount
+  std::size_t Below(std::size_t aCount)
+  {
+    return static_cast<std::size_t>(random_(static_cast<std::uint64_t>(aCount)));
+  }
+
   /// @return a random duration from 0 to aMaximum
   Duration UpTo(Duration aMaximum)
   {
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -73,7 +73,7 @@
     , jitter_(aSeed)
     , state_(self_.id_, aSettings)
     , follower_(timing_)
-    , subscribers_(aPeers, view_, timing_)
+    , subscribers_(aPeers, view_, state_, timing_)
     , reader_(aScheduler, aFeed, view_, timing_, jitter_, ReaderCallbacks())
     , registrar_(
         aScheduler,
@@ -135,6 +135,8 @@
 private:
   /// Number of sources that are tried before the store is read instead.
   static constexpr std::size_t kMaxSources = 5;
+  /// Number of instances that one without a source asks at a time for their observations.
+  static constexpr std::size_t kMaxInstancesAsked = 3;
   /// While the store does not answer, instances other than the root ask for this topic only.
   static constexpr FeedTopic kProbeTopic = FeedTopic::Configuration;
 
@@ -276,9 +278,28 @@
         registrations.push_back(self_);
       }
     }
-    for (const InstanceEntry& source : follower_.Renewals(now)) {
+    // During a grace period another instance may know that the store was not down.
+    const bool inGracePeriod = state_.InGracePeriod(now);
+    for (const InstanceEntry& source : follower_.Renewals(now, inGracePeriod)) {
       SendSubscribe(source, registrations);
     }
+    if (inGracePeriod && ActsAsRoot()) {
+      AskOthersForObservations();
+    }
+  }
+
+  // Subscribes for a short time to some instances that are no sources, for the period in which they
+  // have observed the store. Their rows are ignored.
+  void AskOthersForObservations()
+  {
+    std::vector<InstanceEntry> others = state_.Instances();
+    std::erase_if(others, [this](const InstanceEntry& aOther) { return aOther.id_ == self_.id_; });
+    for (std::size_t asked = 0; asked < kMaxInstancesAsked && !others.empty(); ++asked) {
+      const auto chosen =
+        others.begin() + static_cast<std::ptrdiff_t>(jitter_.Below(others.size()));
+      SendSubscribe(*chosen, {});
+      others.erase(chosen);
+    }
   }
 
   bool IsRegistrationDue(MonotonicTime aNow) const
@@ -371,8 +392,7 @@
 
   void OnStoreUpdate(const PeerEndpoint& aSender, const PeerStoreUpdate& aStoreUpdate)
   {
-    if ((!follower_.IsCurrent(aSender.id_) && !follower_.IsPreferred(aSender.id_)) ||
-        aStoreUpdate.topics_.size() != kFeedTopicCount) {
+    if (aStoreUpdate.topics_.size() != kFeedTopicCount) {
       return;
     }
     const MonotonicTime now = scheduler_.Now();
@@ -384,6 +404,11 @@
     if (composedAtMs > ToClockMs(now)) {
       return;
     }
+    ApplyObservations(aStoreUpdate, composedAtMs, now);
+    if (!follower_.IsCurrent(aSender.id_) && !follower_.IsPreferred(aSender.id_)) {
+      Publish();
+      return;
+    }
     bool moreRowsPending = false;
     for (const FeedTopic topic : kFeedTopics) {
       const PeerStoreUpdate::Topic& update = aStoreUpdate.topics_[static_cast<std::size_t>(topic)];
@@ -419,11 +444,34 @@
 
   // --- directory state ---
 
+  // Takes over what the sender of a message knows of outages of the store.
+  // @param aComposedAtMs earliest time at which the message can have been created
+  void ApplyObservations(const PeerStoreUpdate& aStoreUpdate,
+                         std::uint64_t aComposedAtMs,
+                         MonotonicTime aNow)
+  {
+    const auto& upstreams = aStoreUpdate.topics_[static_cast<std::size_t>(FeedTopic::Upstreams)];
+    if (upstreams.position_ == 0) {
+      return;
+    }
+    // The message can have been created as late as now, so the period counts as shorter, not
+    // longer.
+    const std::uint64_t nowMs = ToClockMs(aNow);
+    state_.OnObservedElsewhere(
+      FromClockMs(nowMs - std::min(aStoreUpdate.observedForMs_, nowMs)),
+      FromClockMs(aComposedAtMs - std::min(upstreams.ageMs_, aComposedAtMs)),
+      aNow);
+  }
+
   void ApplyRows(FeedTopic aTopic, std::span<const FeedRow> aRows, MonotonicTime aObservedAt)
   {
     const MonotonicTime now = scheduler_.Now();
     if (aTopic == FeedTopic::Upstreams) {
+      const bool wasInGracePeriod = state_.InGracePeriod(now);
       state_.OnUpstreamsObserved(aObservedAt, now);
+      if (state_.InGracePeriod(now) && !wasInGracePeriod) {
+        SendSubscribes();
+      }
     }
     std::vector<DecodedFeedRow> items;
     items.reserve(aRows.size());
--- a/boragepier/directory/relay_parts_test.cc
+++ b/boragepier/directory/relay_parts_test.cc
@@ -164,7 +164,9 @@
   follower_.SetRole(MakeRole({ "a", "b" }), kNow);
   follower_.SetRole(MakeRole({ "c", "d" }), kNow);
   CHECK(follower_.IsCurrent(InstanceId("a")));
-  CHECK_EQUAL(2, follower_.Renewals(kNow).size());
+  CHECK_EQUAL(2, follower_.Renewals(kNow, false).size());
+  CHECK_EQUAL(1, follower_.Renewals(kNow, false).size());
+  CHECK_EQUAL(2, follower_.Renewals(kNow, true).size());
   follower_.OnReply(InstanceId("c"), false, kNow);
   CHECK(follower_.IsCurrent(InstanceId("a")));
   follower_.OnReply(InstanceId("c"), true, kNow);
@@ -190,7 +192,7 @@
   root.level_ = RelayLevel::Root;
   follower_.SetRole(root, kNow);
   CHECK(!follower_.Source());
-  CHECK(follower_.Renewals(kNow).empty());
+  CHECK(follower_.Renewals(kNow, true).empty());
 }
 
 namespace {
@@ -217,7 +219,8 @@
   DirectoryTiming timing_;
   StoreView view_;
   RecordingTransport transport_;
-  SubscriberSet<RecordingTransport> subscribers_{ transport_, view_, timing_ };
+  DirectoryState state_{ InstanceId("self"), FleetSettings{} };
+  SubscriberSet<RecordingTransport> subscribers_{ transport_, view_, state_, timing_ };
   MonotonicTime now_ = kNow;
 
   void setup() override
--- a/boragepier/directory/source_follower.h
+++ b/boragepier/directory/source_follower.h
@@ -96,7 +96,8 @@
 
   /// @return the instances to send PeerSubscribe to now: the current source and, at intervals, the
   /// preferred one if it is another
-  std::vector<InstanceEntry> Renewals(MonotonicTime aNow)
+  /// @param aAskPreferred includes the preferred one now
+  std::vector<InstanceEntry> Renewals(MonotonicTime aNow, bool aAskPreferred)
   {
     std::vector<InstanceEntry> receivers;
     if (source_) {
@@ -105,7 +106,8 @@
     if (role_.sources_.empty() || IsCurrent(role_.sources_.front().id_)) {
       return receivers;
     }
-    if (!preferredTriedAt_ || aNow - *preferredTriedAt_ > timing_.preferredSourceRetryInterval_) {
+    if (aAskPreferred || !preferredTriedAt_ ||
+        aNow - *preferredTriedAt_ > timing_.preferredSourceRetryInterval_) {
       preferredTriedAt_ = aNow;
       receivers.push_back(role_.sources_.front());
     }
--- a/boragepier/directory/subscriber_set.h
+++ b/boragepier/directory/subscriber_set.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 
+#include "boragepier/directory/directory_state.h"
 #include "boragepier/directory/directory_timing.h"
 #include "boragepier/directory/store_view.h"
 #include "boragepier/ports/peer_transport.h"
@@ -26,10 +27,14 @@
 class SubscriberSet
 {
 public:
-  /// @param aPeers must outlive this object, like aView
-  SubscriberSet(P& aPeers, const StoreView& aView, const DirectoryTiming& aTiming)
+  /// @param aPeers must outlive this object, like aView and aState
+  SubscriberSet(P& aPeers,
+                const StoreView& aView,
+                const DirectoryState& aState,
+                const DirectoryTiming& aTiming)
     : peers_(aPeers)
     , view_(aView)
+    , state_(aState)
     , timing_(aTiming)
   {
   }
@@ -127,6 +132,8 @@
     update.subscribeSentAtMs_ = aSubscriber.sentAtMs_;
     update.subscribeHeldMs_ =
       static_cast<std::uint64_t>(ToMilliseconds(aNow - aSubscriber.heardAt_));
+    update.observedForMs_ =
+      static_cast<std::uint64_t>(ToMilliseconds(aNow - state_.ObservedSince().value_or(aNow)));
     for (const FeedTopic topic : kFeedTopics) {
       Progress& progress = aSubscriber.progress_[static_cast<std::size_t>(topic)];
       PeerStoreUpdate::Topic& part = update.topics_.emplace_back();
@@ -149,6 +156,7 @@
 
   P& peers_;
   const StoreView& view_;
+  const DirectoryState& state_;
   const DirectoryTiming& timing_;
   std::map<InstanceId, Subscriber> subscribers_;
 };
--- a/boragepier/peer/peer_codec.cc
+++ b/boragepier/peer/peer_codec.cc
@@ -165,6 +165,7 @@
          aValue.pending_,
          aValue.subscribeSentAtMs_,
          aValue.subscribeHeldMs_,
+         aValue.observedForMs_,
          aValue.topics_);
 }
 
--- a/boragepier/peer/peer_codec_test.cc
+++ b/boragepier/peer/peer_codec_test.cc
@@ -31,6 +31,7 @@
                                   false,
                                   7,
                                   8,
+                                  9000,
                                   { { 1,
                                       9,
                                       30,
@@ -59,6 +60,7 @@
                                   false,
                                   0,
                                   0,
+                                  0,
                                   { { 0, 9, 0, true, { configuration }, {} },
                                     { 0, 9, 0, true, { upstream }, {} },
                                     { 0, 9, 0, true, { upstream }, {} } } });
@@ -118,7 +120,7 @@
   const FeedRow row{ "k", 1, false, std::string(kMaxPeerRowBytes + 1, 'x') };
   CHECK_THROWS(
     PeerMessageError,
-    EncodePeerMessage(PeerStoreUpdate{ true, false, 0, 0, { { 0, 1, 0, true, { row }, {} } } }));
+    EncodePeerMessage(PeerStoreUpdate{ true, false, 0, 0, 0, { { 0, 1, 0, true, { row }, {} } } }));
 }
 
 } // namespace boragepier::peer
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -15,7 +15,7 @@
 namespace boragepier {
 
 /// Version of the messages below. A peer with a different version is disconnected.
-inline constexpr unsigned kPeerProtocolVersion = 5;
+inline constexpr unsigned kPeerProtocolVersion = 6;
 /// Largest encoded message in bytes. Large enough for one configuration of kMaxConfigBodyBytes, or
 /// for store rows of kMaxStoreUpdateBytes.
 inline constexpr std::size_t kMaxPeerMessageBytes = std::size_t{ 1280 } * 1024;
@@ -186,7 +186,11 @@
   // however long the delivery took.
   std::uint64_t subscribeSentAtMs_ = 0; ///< sentAtMs_ of the last PeerSubscribe of the receiver
   std::uint64_t subscribeHeldMs_ = 0;   ///< time from its arrival to the creation of this message
-  std::vector<Topic> topics_;           ///< in the order of FeedTopic
+  /// Time from the start of the period in which the sender has observed the entries of the
+  /// upstreams without an outage of the store to the creation of this message. The period ends
+  /// ageMs_ of that topic before the message.
+  std::uint64_t observedForMs_ = 0;
+  std::vector<Topic> topics_; ///< in the order of FeedTopic
   friend bool operator==(const PeerStoreUpdate&, const PeerStoreUpdate&) = default;
 };
 
