Answer 504, not 503, when a repeatable request was cancelled at an upstream

A repeatable request of a caller that ended its sending side is cancelled while an upstream has it. It was answered 503 with outcome unknown, but status 503 promises that the request has not run and never will.

Fix: reason response-not-awaited, status 504, which promises nothing.

--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -26,7 +26,7 @@
   { "upstream-truncated", 502 },   { "response-too-large", 502 },
   { "shutting-down", 503 },        { "not-configured", 503 },
   { "caller-left", 503 },          { "internal-error", 500 },
-  { "body-budget-exceeded", 503 },
+  { "body-budget-exceeded", 503 }, { "response-not-awaited", 504 },
 } };
 
 // In the order of RetryReason.
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -619,7 +619,7 @@
     }
     CancelQueueWait();
     if (passedOn && !lastServerErrorResponse_) {
-      Refuse(RefusalReason::CallerLeft, Outcome::Unknown);
+      Refuse(RefusalReason::ResponseNotAwaited, Outcome::Unknown);
     } else {
       GiveUp(RefusalReason::CallerLeft);
     }
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -224,12 +224,6 @@
   impl_->StopAccepting();
 }
 
-std::size_t
-Server::UnfinishedConnections() const
-{
-  return impl_->UnfinishedConnections();
-}
-
 std::uint64_t
 Server::RefusedConnectionCount() const
 {
