Keep running when the output of the log reaches a limit

With a full disk behind log.file the call that logged threw: exit 1 at the start, and later an exception in a callback.

Cause: SIGXFSZ had its default action, and log4cxx reports a failed write of a file by an exception. Class: logging can end what it only observes.

SIGXFSZ is ignored like SIGPIPE, and Log() drops an event that cannot be written. A start that fails by an exception of the C++ library, such as a thread that cannot be created, is now logged as start-failed as well.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -93,7 +94,7 @@
         Log(EventId::StartDelayed, { { "error", error.what() }, { "limit-ms", limit } });
       }
       interval = kAddressRetryInterval;
-    } catch (const Error& error) {
+    } catch (const std::exception& error) {
       Log(EventId::StartFailed, { { "error", error.what() } });
       throw;
     }
@@ -164,8 +165,10 @@
 int
 Serve(const std::string& aPath)
 {
-  // Lets a write to a closed connection fail with EPIPE instead of ending the process.
+  // Lets a write fail that would end the process: to a closed connection, or to an output whose
+  // size is limited.
   signal(SIGPIPE, SIG_IGN);
+  signal(SIGXFSZ, SIG_IGN);
   ConfigureLog(LogLevel::Info, "", LogOutput::StandardError);
   SettingsFile file(aPath);
   const auto settings = WaitForSettings(file);
--- a/boragepier/telemetry/log.cc
+++ b/boragepier/telemetry/log.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <chrono>
 #include <ctime>
+#include <exception>
 #include <fstream>
 #include <mutex>
 
@@ -163,8 +164,12 @@
 
   void Write(LogLevel aLevel, const std::string& aLine)
   {
-    logger_->forcedLog(
-      ToLog4cxxLevel(aLevel), aLine, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    try {
+      logger_->forcedLog(
+        ToLog4cxxLevel(aLevel), aLine, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    } catch (const std::exception&) {
+      // A full disk costs the event, not the request or the process that logs it.
+    }
   }
 
 private:
--- a/testing/e2e/start_test.cc
+++ b/testing/e2e/start_test.cc
@@ -1,5 +1,7 @@
 #include <signal.h>
-#include <sys/stat.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cstdint>
@@ -287,4 +289,22 @@
   }
 }
 
+// Guards against a process that ends because the file for its log has reached a limit of size.
+TEST(Start, LogFileThatCannotGrowDoesNotEndTheProcess)
+{
+  std::string text = kSettings;
+  text.append("file = ").append((directory_ / "log").string()).append("\n");
+  WriteSettings(text);
+  rlimit limit{};
+  getrlimit(RLIMIT_FSIZE, &limit);
+  const rlimit small{ 10, limit.rlim_max };
+  setrlimit(RLIMIT_FSIZE, &small);
+  const auto program = StartProgram();
+  setrlimit(RLIMIT_FSIZE, &limit);
+  CHECK(program->ReadPort("listening") != 0);
+  program->Signal(SIGTERM);
+  const int status = program->WaitForExit();
+  CHECK_EQUAL(0, status);
+}
+
 } // namespace boragepier::testing
