Open standard streams that are closed at the start

A process that is started with its standard output closed gave that number to its first socket or event descriptor, and the ports and the log were written to it. On descriptor 0 of such a process was an eventfd; an end of the process was not seen.

Class: output goes to a number, whatever is open under it. Closed descriptors of the standard streams are opened on /dev/null before any other.

Evidence: ClosedStandardStreamsAreNotReusedForSockets failed on, "expected </dev/null> but was <anon_inode:[eventfd]>"; it passes now.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <signal.h>
 #include <unistd.h>
 
@@ -69,6 +70,20 @@
                                              : MakeNativePlatformBinding();
 }
 
+// Opens those of the descriptors 0 to 2 that are closed on /dev/null. Otherwise the first sockets
+// would get their numbers, and output would be written to them.
+void
+OpenStandardStreams()
+{
+  int descriptor = 0;
+  do {
+    descriptor = open("/dev/null", O_RDWR);
+  } while (descriptor >= 0 && descriptor <= STDERR_FILENO);
+  if (descriptor >= 0) {
+    close(descriptor);
+  }
+}
+
 // Starts an instance. While another process uses one of its addresses, such as the previous
 // process on this machine during its drain, waits for at most as long as a drain takes.
 // Returns the instance, with its ports in aPorts, or nothing if SIGTERM arrived before it listened.
@@ -169,6 +184,7 @@
   // size is limited.
   signal(SIGPIPE, SIG_IGN);
   signal(SIGXFSZ, SIG_IGN);
+  OpenStandardStreams();
   ConfigureLog(LogLevel::Info, "", LogOutput::StandardError);
   SettingsFile file(aPath);
   const auto settings = WaitForSettings(file);
--- a/testing/e2e/start_test.cc
+++ b/testing/e2e/start_test.cc
@@ -307,4 +307,29 @@
   CHECK_EQUAL(0, status);
 }
 
+// Guards against sockets that get the number of a closed standard output, to which the log would
+// then be written.
+TEST(Start, ClosedStandardStreamsAreNotReusedForSockets)
+{
+  WriteSettings(kSettings);
+  const pid_t child = fork();
+  if (child == 0) {
+    for (const int descriptor : { STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO }) {
+      close(descriptor);
+    }
+    execl(BORAGEPIER_BINARY, BORAGEPIER_BINARY, "--settings", SettingsFile().c_str(), nullptr);
+    _exit(127);
+  }
+  const fs::path descriptors = "/proc/" + std::to_string(child) + "/fd";
+  std::error_code ignored;
+  WaitUntil([&] { return fs::exists(descriptors / "12", ignored); });
+  for (const char* descriptor : { "0", "1", "2" }) {
+    STRCMP_EQUAL("/dev/null", fs::read_symlink(descriptors / descriptor, ignored).c_str());
+  }
+  kill(child, SIGTERM);
+  int status = 0;
+  waitpid(child, &status, 0);
+  CHECK(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}
+
 } // namespace boragepier::testing
