--- a/testing/e2e/start_test.cc
+++ b/testing/e2e/start_test.cc
@@ -284,7 +284,9 @@
       WriteSettings(text);
       ChildProcess check(BORAGEPIER_BINARY, { "--settings", SettingsFile().string(), "--check" });
       const int status = check.WaitForExit();
-      CHECK_EQUAL_TEXT(0, status, (varied + " = \"" + value + "\"").c_str());
+      std::string label = varied;
+      label.append(" = ").append(value);
+      CHECK_EQUAL_TEXT(0, status, label.c_str());
     }
   }
 }
