--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -598,13 +598,17 @@
   auto request = std::make_shared<Request>();
   request->method_ = "POST";
   request->target_ = "/x";
-  request->body_ = std::string(50'000'000, 'x'); // exceeds the socket buffers of both ends
+  std::string body; // exceeds the socket buffers of both ends
+  body.resize(50'000'000, 'x');
+  request->body_ = std::move(body);
   const std::weak_ptr<const void> owner = request->body_.Owner();
   client.Run([&] {
     for (int i = 0; i < 2; ++i) {
       const Request copy = *request;
-      client.client_.Send(
-        client.target_, std::make_shared<const Request>(copy), client.options_, [](SendResult) {});
+      client.client_.Send(client.target_,
+                          std::make_shared<const Request>(copy),
+                          client.options_,
+                          [](const SendResult&) {});
     }
   });
   const RawSocket first = client.listener_.Accept();
--- a/testing/e2e/memory_test.cc
+++ b/testing/e2e/memory_test.cc
@@ -37,8 +37,8 @@
 {
   RawSocket socket(aPort);
   socket.Send("POST /orders/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k" + std::to_string(aNumber) +
-              "\r\nConnection: close\r\nContent-Length: " + std::to_string(kUploadBytes) +
-              "\r\n\r\n");
+              "\r\nBoragepier-Deadline-Ms: 20000\r\nConnection: close\r\nContent-Length: " +
+              std::to_string(kUploadBytes) + "\r\n\r\n");
   socket.Send(std::string(kUploadBytes, 'x'));
   return socket.ReadMessage();
 }
@@ -64,6 +64,7 @@
   fleet_.WaitForStatus(instance, "/orders/0", 200);
 
   std::vector<std::future<std::string>> uploads;
+  uploads.reserve(kUploads);
   for (int i = 0; i < kUploads; ++i) {
     uploads.push_back(
       std::async(std::launch::async, [port = instance.callerPort_, i] { return Upload(port, i); }));
@@ -74,6 +75,8 @@
       ++refused;
       STRCMP_CONTAINS("Retry-After: ", response.c_str());
       STRCMP_CONTAINS("Boragepier-Outcome: not-run", response.c_str());
+    } else {
+      CHECK_TEXT(response.starts_with("HTTP/1.1 200"), response.c_str());
     }
   }
   CHECK(PeakResidentBytes(instance.process_->Pid()) < kDefaultMemoryMb * 1'000'000);
--- a/testing/upstream/caller_connection.cc
+++ b/testing/upstream/caller_connection.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t kMaxHeaderBytes = 64 << 10;
-constexpr std::size_t kMaxBodyBytes = 16 << 20;
+constexpr std::size_t kMaxBodyBytes = 64 << 20;
 
 } // namespace
 
