Take the spare descriptor back from an accepted connection

Found with the address sanitizer, whose runtime opens pipes: while the spare descriptor of a listener was in use, another thread took its place. The next connection got that place when it was free again, and later ones hung, as before the spare descriptor. net_tcp_listener_test failed in that build: "timed out waiting for a condition".

An accepted connection is now closed if otherwise no descriptor is left for the spare one. Other reasons for which it cannot be opened do not matter here.

--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -463,8 +463,10 @@
 TEST(Client, MissingDescriptorIsNoFailureOfTheTarget)
 {
   ClientFixture client;
-  const DescriptorsTaken descriptorsTaken;
-  CheckFailure(Await(client.Send()), Outcome::NotRun, AttemptFailure::LocalLimit);
+  auto descriptorsTaken = std::make_unique<DescriptorsTaken>();
+  const SendResult result = Await(client.Send());
+  descriptorsTaken.reset();
+  CheckFailure(result, Outcome::NotRun, AttemptFailure::LocalLimit);
   CHECK_EQUAL(0U, client.ConnectionCount());
 }
 
@@ -477,10 +479,10 @@
   client.target_.port_ = otherListener.Port();
   auto descriptorsTaken = std::make_unique<DescriptorsTaken>();
   auto result = client.Send();
-  STRCMP_EQUAL("", idle.ReadToEnd().c_str());
-  // Only the client needs no further descriptor; the test does, to accept.
+  const std::string received = idle.ReadToEnd();
   WaitUntil([&] { return otherListener.HasPending(); });
   descriptorsTaken.reset();
+  STRCMP_EQUAL("", received.c_str());
   RawSocket peer = otherListener.Accept();
   ClientFixture::RespondOk(peer);
   CheckResponse(Await(std::move(result)), 200, "ok");
--- a/boragepier/net/descriptor_shortage.cc
+++ b/boragepier/net/descriptor_shortage.cc
@@ -47,7 +47,7 @@
 
 SpareDescriptor::SpareDescriptor()
 {
-  Open();
+  Restore();
 }
 
 SpareDescriptor::~SpareDescriptor()
@@ -57,10 +57,14 @@
   }
 }
 
-void
-SpareDescriptor::Open()
+bool
+SpareDescriptor::Restore()
 {
+  if (descriptor_ >= 0) {
+    return true;
+  }
   descriptor_ = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+  return descriptor_ >= 0 || (errno != EMFILE && errno != ENFILE);
 }
 
 bool
@@ -68,12 +72,13 @@
 {
   if (descriptor_ >= 0) {
     ::close(descriptor_);
+    descriptor_ = -1;
   }
   const int connection = ::accept4(aListener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
   if (connection >= 0) {
     ::close(connection);
   }
-  Open();
+  Restore();
   return connection >= 0;
 }
 
--- a/boragepier/net/descriptor_shortage.h
+++ b/boragepier/net/descriptor_shortage.h
@@ -34,9 +34,11 @@
   /// @return false if no connection could be accepted
   bool CloseNextConnection(int aListener);
 
-private:
-  void Open();
+  /// Opens the spare descriptor again if another thread took its place meanwhile.
+  /// @return false if no descriptor is left
+  bool Restore();
 
+private:
   int descriptor_ = -1; ///< -1 if none could be opened
 };
 
--- a/boragepier/net/tcp_listener.cc
+++ b/boragepier/net/tcp_listener.cc
@@ -128,6 +128,14 @@
     }
     if (open) {
       Accept();
+      if (!spareDescriptor_.Restore()) {
+        // This connection has the last descriptor, without which later ones would hang.
+        error_code ignored;
+        aSocket.close(ignored);
+        spareDescriptor_.Restore();
+        CountDescriptorShortage();
+        return;
+      }
     }
     // Also after Stop(): this connection was accepted before it.
     Deliver(std::move(aSocket));
--- a/boragepier/net/tcp_listener_test.cc
+++ b/boragepier/net/tcp_listener_test.cc
@@ -28,15 +28,19 @@
   TcpListener listener(loop, "127.0.0.1", 0, [&](std::shared_ptr<TcpStream> aStream) {
     accepted.push_back(std::move(aStream));
   });
+  LoopThread thread(loop);
   constexpr int kCallers = 20;
   std::vector<RawSocket> callers;
   callers.reserve(kCallers);
-  for (int i = 0; i < kCallers; ++i) {
-    callers.emplace_back(listener.Port());
-  }
   const std::uint64_t shortagesBefore = DescriptorShortageCount();
-  auto descriptorsTaken = std::make_unique<DescriptorsTaken>();
-  LoopThread thread(loop);
+  std::unique_ptr<DescriptorsTaken> descriptorsTaken;
+  // The loop accepts none of the connections before this returns.
+  thread.Run([&] {
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back(listener.Port());
+    }
+    descriptorsTaken = std::make_unique<DescriptorsTaken>();
+  });
   for (const RawSocket& caller : callers) {
     WaitUntil([&] { return caller.HasInput(); });
   }
