Accept names of machines as id and availability zone of an instance

An instance whose platform names machines or zones with capitals, dots or underscores, as host names have, did not start: exit 3, "value is not accepted; expected name".

The two keys take 1 to 128 letters, digits, dots, underscores, colons and hyphens. Service names keep their form.

--- a/boragepier/config/config_file_test.cc
+++ b/boragepier/config/config_file_test.cc
@@ -223,6 +223,21 @@
                 "instance.id: the key is required");
 }
 
+// Guards against a start that fails because the platform names machines and availability zones in a
+// form that service names do not have, such as a host name.
+TEST(ConfigFile, InstanceAndZoneAcceptNamesOfMachines)
+{
+  const Settings settings =
+    ParseSettings("[instance]\nid = Front_03.dyfed-a.example:7540\nzone = EU-West_1a\n"
+                  "[platform]\naddress = 127.0.0.1\nport = 9000\n",
+                  "f.ini");
+  STRCMP_EQUAL("Front_03.dyfed-a.example:7540", settings.id_.Text().c_str());
+  STRCMP_EQUAL("EU-West_1a", settings.zone_.Text().c_str());
+  for (const std::string& id : { std::string("a b"), std::string("a\"b"), std::string(129, 'a') }) {
+    CheckContains(ErrorOf(ParseSettings, "[instance]\nid = " + id + "\nzone = a\n"), "instance.id");
+  }
+}
+
 // Guards against a budget for bodies that is larger than the memory allows, or that is none.
 TEST(ConfigFile, BodyBudgetFollowsMemoryAndConnections)
 {
--- a/boragepier/config/key_table.cc
+++ b/boragepier/config/key_table.cc
@@ -17,6 +17,9 @@
 
 constexpr std::array<std::string_view, 2> kFlagValues = { "false", "true" };
 constexpr std::string_view kNameCharacters = "abcdefghijklmnopqrstuvwxyz0123456789-";
+constexpr std::string_view kLabelCharacters =
+  "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._:-";
+constexpr std::size_t kMaxLabelLength = 128;
 constexpr std::size_t kMaxNameLength = 64; // longer unknown keys are truncated in messages
 constexpr std::size_t kMaxFileNameLength = 1024;
 constexpr int kMaxRuleNumber = 64;
@@ -28,6 +31,13 @@
          aText.back() != '-' && aText.find_first_not_of(kNameCharacters) == std::string_view::npos;
 }
 
+bool
+IsLabel(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kMaxLabelLength &&
+         aText.find_first_not_of(kLabelCharacters) == std::string_view::npos;
+}
+
 bool
 IsFileName(std::string_view aText)
 {
@@ -127,6 +137,8 @@
       return ParseEndpointList(aValue.text_).has_value();
     case KeyType::FileName:
       return IsFileName(aValue.text_);
+    case KeyType::Label:
+      return IsLabel(aValue.text_);
   }
   return false;
 }
@@ -151,9 +163,9 @@
 std::string_view
 TypeName(KeyType aType)
 {
-  constexpr std::array<std::string_view, 11> kNames = {
+  constexpr std::array<std::string_view, 12> kNames = {
     "name",   "path",    "rule",     "choice",       "flag",      "integer",
-    "number", "address", "endpoint", "address list", "file name",
+    "number", "address", "endpoint", "address list", "file name", "label",
   };
   return kNames.at(static_cast<std::size_t>(aType));
 }
@@ -164,6 +176,8 @@
   switch (aInfo.type_) {
     case KeyType::Name:
       return "1 to 64 of a-z, 0-9 and -, with - at neither end";
+    case KeyType::Label:
+      return "1 to 128 of A-Z, a-z, 0-9, \".\", \"_\", \":\" and \"-\"";
     case KeyType::PathPrefix:
       return "1 to 256 visible ASCII characters without ? and #, / at both ends";
     case KeyType::Rule:
--- a/boragepier/config/key_table.h
+++ b/boragepier/config/key_table.h
@@ -28,6 +28,7 @@
   Endpoint,    ///< address:port
   AddressList, ///< list of address:port, separated by commas
   FileName,    ///< path of a file
+  Label,       ///< 1 to 128 of letters, digits, ".", "_", ":" and "-", such as a host name
 };
 
 /// Accepted forms of values.
--- a/boragepier/config/settings.cc
+++ b/boragepier/config/settings.cc
@@ -22,14 +22,14 @@
   KeyBinding<Settings>{
     { .section_ = "instance",
       .name_ = "id",
-      .type_ = KeyType::Name,
+      .type_ = KeyType::Label,
       .required_ = true,
       .meaning_ = "name of the instance, unique in the installation" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.id_, aValue); } },
   KeyBinding<Settings>{
     { .section_ = "instance",
       .name_ = "zone",
-      .type_ = KeyType::Name,
+      .type_ = KeyType::Label,
       .required_ = true,
       .meaning_ = "availability zone of the instance" },
     [](Settings& aSettings, const KeyValue& aValue) { Assign(aSettings.zone_, aValue); } },
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -30,7 +30,7 @@
   double linkMbps_ = 1000;    ///< bandwidth of the instance's network link in Mbit/s
   /// Descriptors that the process may open; 0 if only its RLIMIT_NOFILE applies.
   std::size_t fileDescriptors_ = 0;
-  double memoryMb_ = 256;     ///< memory that the process may use, in MB (1,000,000 bytes)
+  double memoryMb_ = 256; ///< memory that the process may use, in MB (1,000,000 bytes)
 
   // Listening addresses; with port 0 the operating system chooses a port.
   Endpoint callerEndpoint_{ "127.0.0.1", 0 }; ///< for callers
