--- a/testing/e2e/foreign_bytes_test.cc
+++ b/testing/e2e/foreign_bytes_test.cc
@@ -8,6 +8,7 @@
 
 #include "boragepier/peer/http2_session.h"
 #include "boragepier/peer/peer_codec.h"
+#include "platform/dialect.h"
 #include "testing/e2e/child_process.h"
 #include "testing/wire/raw_socket.h"
 
@@ -17,6 +18,8 @@
 
 namespace {
 
+const std::string kIdField = metastore::PlatformDialect().requestIdField_ + ": ";
+
 std::filesystem::path
 MakeSettingsFile(std::uint16_t aStorePort)
 {
@@ -66,9 +69,9 @@
                                  std::string("a b"),
                                  std::string(),
                                  std::string(129, 'a'),
-                                 std::string("a\r\nAttempt-Id: b") }) {
+                                 "a\r\n" + kIdField + "b" }) {
     const std::string response =
-      SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\nAttempt-Id: " + id + "\r\n\r\n");
+      SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n" + kIdField + id + "\r\n\r\n");
     CHECK_TEXT(response.starts_with("HTTP/1.1 400"), response.c_str());
     CheckContains(response, "Boragepier-Outcome: not-run\r\n");
     CheckContains(response, "Boragepier-Request-Id: front-1-");
@@ -76,7 +79,7 @@
   }
   const std::string longestId(128, '~');
   CheckContains(
-    SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\nAttempt-Id: " + longestId + "\r\n\r\n"),
+    SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n" + kIdField + longestId + "\r\n\r\n"),
     "Boragepier-Request-Id: " + longestId + "\r\n");
   CheckContains(SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n\r\n"), "HTTP/1.1 503");
 }
