--- a/testing/e2e/start_test.cc
+++ b/testing/e2e/start_test.cc
@@ -264,6 +264,8 @@
     { "first_start", { "true", "", "false", "True", "FALSE" } },
     { "limits.cpu_share", { "0", "0.2", "1", "" } },
     { "limits.link_mbps", numbers },
+    { "limits.file_descriptors", { "4100", "4100.0", "4.1e3", "" } },
+    { "limits.memory_mb", { "260", "260.5", "2.6E+2", "" } },
     { "bounds.retry_budget_ratio", numbers },
     { "bounds.budget_slack", numbers },
     { "bounds.budget_window_s", { "10", "", "10.0", "0.5", "1e1" } },
