Take a lack of ports towards one address for a failure of that address

Callers would have seen 503 for requests to one upstream whose connections got no local port, while idle connections to all other upstreams were closed one after the other: connect() with EADDRNOTAVAIL counted as a limit of all connections. It frees no port to close another connection.

Fix: EADDRNOTAVAIL is a failed connection again, retried at another upstream. The spare descriptor is used for EMFILE and ENFILE only. A request that waits for a connection to its upstream is also tried again when another one leaves the queue for a descriptor; that path has no test of its own. TcpListener.LackOfPortsIsNoLimitOfAllConnections would have failed before.

--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -51,7 +51,7 @@
 {
   None,              ///< a complete response arrived
   ConnectFailed,     ///< the connection could not be established
-  LocalLimit,        ///< this instance had no descriptor, port or memory for a connection
+  LocalLimit,        ///< this instance had no descriptor or memory for a connection
   NothingWritten,    ///< the connection broke before the first byte of the request was written
   Refused,           ///< the upstream stated that it did not execute the request
   ConnectionLost,    ///< the connection broke after the request was written, before any response
--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -94,6 +94,7 @@
       const bool descriptorReleased = CloseLeastRecentlyUsedIdle();
       if (descriptorReleased || connectionCount_ > 0) {
         SendAgain(std::move(node), descriptorReleased);
+        DispatchWaiting(pool); // the place of this connection may be free
         return;
       }
     } else if (aReusable) {
@@ -324,8 +325,9 @@
       std::erase(aPending.pool_->waitingForConnection_, aId);
     } else {
       Remove(*aPending.pool_, *aPending.connection_);
-      DispatchWaiting(*aPending.pool_);
     }
+    // Also without a connection: other requests may wait for the one that this request waited for.
+    DispatchWaiting(*aPending.pool_);
   }
 
   void OnTimeout(SendId aId)
--- a/boragepier/net/descriptor_shortage.cc
+++ b/boragepier/net/descriptor_shortage.cc
@@ -26,13 +26,19 @@
     case ENFILE:
     case ENOBUFS:
     case ENOMEM:
-    case EADDRNOTAVAIL:
       return true;
     default:
       return false;
   }
 }
 
+bool
+IsDescriptorLimit(const boost::system::error_code& aError)
+{
+  return aError.category() == boost::system::system_category() &&
+         (aError.value() == EMFILE || aError.value() == ENFILE);
+}
+
 void
 CountDescriptorShortage()
 {
--- a/boragepier/net/descriptor_shortage.h
+++ b/boragepier/net/descriptor_shortage.h
@@ -8,9 +8,13 @@
 namespace boragepier::net {
 
 /// @return whether a socket could not be opened, accepted or connected because this machine, not
-/// the peer, lacks something: a descriptor, a local port or memory
+/// the peer, lacks a descriptor or memory. A lack of ports is not among them: it concerns the
+/// connections to one address only.
 bool
 IsLocalLimit(const boost::system::error_code& aError);
+/// @return whether the process or the machine has no descriptor left
+bool
+IsDescriptorLimit(const boost::system::error_code& aError);
 
 /// Counts a connection that was not opened, or was closed when it was accepted, because of
 /// IsLocalLimit(). Thread-safe.
--- a/boragepier/net/tcp_listener.cc
+++ b/boragepier/net/tcp_listener.cc
@@ -114,7 +114,7 @@
       return;
     }
     const bool open = acceptor_.is_open();
-    if (open && IsLocalLimit(aError) &&
+    if (open && IsDescriptorLimit(aError) &&
         spareDescriptor_.CloseNextConnection(acceptor_.native_handle())) {
       CountDescriptorShortage();
       Accept();
--- a/boragepier/net/tcp_listener_test.cc
+++ b/boragepier/net/tcp_listener_test.cc
@@ -53,4 +53,15 @@
   WaitUntil([&] { return thread.Run([&] { return accepted.size(); }) == 1; });
 }
 
+// Guards against a lack of ports towards one address that closes the connections to all others.
+TEST(TcpListener, LackOfPortsIsNoLimitOfAllConnections)
+{
+  const auto error = [](int aNumber) {
+    return boost::system::error_code(aNumber, boost::system::system_category());
+  };
+  CHECK(!IsLocalLimit(error(EADDRNOTAVAIL)));
+  CHECK(IsLocalLimit(error(EMFILE)) && IsLocalLimit(error(ENOBUFS)));
+  CHECK(IsDescriptorLimit(error(ENFILE)) && !IsDescriptorLimit(error(ENOBUFS)));
+}
+
 } // namespace boragepier::net
--- a/boragepier/net/tcp_stream.h
+++ b/boragepier/net/tcp_stream.h
@@ -16,7 +16,7 @@
   Closed,     ///< the peer closed its side of the connection without a reset
   Broken,     ///< connecting failed, the peer reset the connection, a socket error occurred, or the
               ///< handler threw an exception
-  LocalLimit, ///< connecting failed because this machine lacks a descriptor, port or memory
+  LocalLimit, ///< connecting failed because this machine lacks a descriptor or memory
 };
 
 /// Receives the events of a TcpStream, in the loop thread. No event is delivered inside a call to
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -100,7 +100,7 @@
              LogLevel::Warn,
              "descriptor-shortage",
              "connections were closed when they were accepted, or not opened, because the machine "
-             "lacked a descriptor, port or memory for a socket",
+             "lacked a descriptor or memory for a socket",
              "raise the limits of the process and the machine; if boragepier_descriptors is near "
              "boragepier_descriptor_limit, report the fault" },
 
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -28,8 +28,8 @@
   MetricInfo{ "boragepier_descriptor_limit", "gauge", "descriptors that the process may open" },
   MetricInfo{ "boragepier_descriptor_shortages_total",
               "counter",
-              "connections that were not opened, or were closed at once, because a descriptor, "
-              "port or memory for a socket was missing" },
+              "connections that were not opened, or were closed at once, because a descriptor or "
+              "memory for a socket was missing" },
   MetricInfo{ "boragepier_body_bytes",
               "gauge",
               "bytes of bodies of requests and answers that are held" },
