Tell a half-closed caller of an undecided key that the outcome is unknown

A caller repeated a request with its idempotency key, ended its sending side, and the claim was not decided within 250 ms: it was told not-run (503), although an earlier request with the key may have run.

Fix: the rule for internal errors applies here too (ClaimUndecided()).

--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -42,7 +42,7 @@
   CallerLeft,         ///< the caller ended its input and may have closed the connection
   InternalError,      ///< an unexpected error ended the request
   BodyBudgetExceeded, ///< the body does not fit in the memory for bodies now
-  ResponseNotAwaited, ///< as CallerLeft, for a repeatable request that an upstream may have run
+  ResponseNotAwaited, ///< as CallerLeft, for a request that may have run
 };
 inline constexpr int kRefusalReasonCount = 24;
 
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -89,16 +89,17 @@
     }
   }
 
+  // Whether an earlier request with the same key may have run: the claim is not granted yet.
+  bool ClaimUndecided() const { return callOptions_.idempotencyKey_ && !claim_; }
+
   // Answers the request after an exception, which may have left any step incomplete.
   void EndAfterError()
   {
     if (finished_) {
       return;
     }
-    // A claim that is not decided yet may belong to a request that has run.
-    const bool claimUndecided = callOptions_.idempotencyKey_ && !claim_;
     const Outcome outcome =
-      attempts_.empty() && !claimUndecided ? Outcome::NotRun : Outcome::Unknown;
+      attempts_.empty() && !ClaimUndecided() ? Outcome::NotRun : Outcome::Unknown;
     if (!RunContained(ErrorScope::Request,
                       [&] { Refuse(RefusalReason::InternalError, outcome); })) {
       finished_ = true;
@@ -618,7 +619,7 @@
       return;
     }
     CancelQueueWait();
-    if (passedOn && !lastServerErrorResponse_) {
+    if ((passedOn || ClaimUndecided()) && !lastServerErrorResponse_) {
       Refuse(RefusalReason::ResponseNotAwaited, Outcome::Unknown);
     } else {
       GiveUp(RefusalReason::CallerLeft);
