Let no refused upload hold a planned stop until the drain limit

A caller that ignores the refusal of its upload and goes on sending renewed the time for which its connection stays open, up to 30 s, and the drain waits for it: exit 4 although nothing was owed.

Fix: the time is not renewed once accepting has stopped. BodyMemory.RefusedUploadDoesNotHoldAPlannedStop ended with "timed out waiting for a condition" before and passes.

--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -165,7 +165,9 @@
 ServerConnection::OnInput(std::string_view aBytes)
 {
   if (state_ == State::Lingering) {
-    timeout_.Set(std::min(lingerEnd_, context_.Loop().Now() + kLingerTimeout));
+    if (!context_.AcceptingStopped()) {
+      timeout_.Set(std::min(lingerEnd_, context_.Loop().Now() + kLingerTimeout));
+    }
     return;
   }
   input_.Append(aBytes);
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -910,6 +910,24 @@
   STRCMP_EQUAL("HTTP/1.1 503", StatusLineStart(socket.ReadToEnd()).c_str());
 }
 
+// Guards against a planned stop that waits for a caller which ignores the refusal of its upload.
+TEST(BodyMemory, RefusedUploadDoesNotHoldAPlannedStop)
+{
+  ServerFixture server({ .maxBody_ = 64 << 20, .requestTimeout_ = std::chrono::minutes(10) },
+                       std::make_shared<BodyBudget>(1 << 20));
+  RawSocket socket = server.Connect();
+  socket.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 800000\r\n\r\n");
+  socket.ReadUntil("\r\n\r\n");
+  server.Run([&] {
+    server.GetServer().BeginDrain();
+    server.GetServer().StopAccepting();
+  });
+  WaitUntil([&] {
+    socket.Send("x");
+    return server.Run([&] { return server.GetServer().ConnectionCount(); }) == 0;
+  });
+}
+
 // Guards against chunked uploads, whose length is not known, that exceed the memory.
 TEST(BodyMemory, ChunkedBodyIsRefusedWhenItNoLongerFits)
 {
