--- a/apps/boragepierctl/blocking_calls.cc
+++ b/apps/boragepierctl/blocking_calls.cc
@@ -81,7 +81,7 @@
       client.Send({ endpoint.address_, endpoint.port_ },
                   request,
                   { .timeout_ = aTimeout, .maxResponseBody_ = kMaxResponseBodyBytes },
-                  [&](http::SendResult aResult) {
+                  [&](const http::SendResult& aResult) {
                     const bool answered = aResult.outcome_ == Outcome::Answered;
                     response.status_ = answered ? aResult.response_.status_ : 0;
                     response.bodyOrError_ =
