Pass results by reference and join texts as the linter asks

clang-tidy: performance-unnecessary-value-param in the client of the platform, performance-inefficient-string-concatenation in the test of foreign bytes. No behavior changes.

--- a/boragepier/platform/http_platform.cc
+++ b/boragepier/platform/http_platform.cc
@@ -164,7 +164,7 @@
     MakeRequest("GET", "/objects/" + std::string(aName)),
     false,
     aDeadline,
-    [done = std::move(aDone)](http::SendResult aResult) {
+    [done = std::move(aDone)](const http::SendResult& aResult) {
       const ObjectStatus status = ToObjectStatus(aResult);
       done(status, status == ObjectStatus::Done ? aResult.response_.body_.Text() : std::string());
     });
--- a/testing/e2e/foreign_bytes_test.cc
+++ b/testing/e2e/foreign_bytes_test.cc
@@ -20,6 +20,13 @@
 
 const std::string kIdField = metastore::PlatformDialect().requestIdField_ + ": ";
 
+std::string
+MakeRequest(const std::string& aId)
+{
+  std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n";
+  return request.append(kIdField).append(aId).append("\r\n\r\n");
+}
+
 std::filesystem::path
 MakeSettingsFile(std::uint16_t aStorePort)
 {
@@ -70,17 +77,15 @@
                                  std::string(),
                                  std::string(129, 'a'),
                                  "a\r\n" + kIdField + "b" }) {
-    const std::string response =
-      SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n" + kIdField + id + "\r\n\r\n");
+    const std::string response = SendAndReceive(MakeRequest(id));
     CHECK_TEXT(response.starts_with("HTTP/1.1 400"), response.c_str());
     CheckContains(response, "Boragepier-Outcome: not-run\r\n");
     CheckContains(response, "Boragepier-Request-Id: front-1-");
     CHECK(id.empty() || response.find(id) == std::string::npos);
   }
   const std::string longestId(128, '~');
-  CheckContains(
-    SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n" + kIdField + longestId + "\r\n\r\n"),
-    "Boragepier-Request-Id: " + longestId + "\r\n");
+  CheckContains(SendAndReceive(MakeRequest(longestId)),
+                "Boragepier-Request-Id: " + longestId + "\r\n");
   CheckContains(SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n\r\n"), "HTTP/1.1 503");
 }
 
