Try a request that waits for a descriptor only when one is released

A request for whose connection the process had no descriptor was tried again in each iteration of the event loop, so the traffic thread spun until the attempt timed out.

Fix: after such a failure only requests that wait for a connection to the same target are dispatched.

--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -94,7 +94,7 @@
       const bool descriptorReleased = CloseLeastRecentlyUsedIdle();
       if (descriptorReleased || connectionCount_ > 0) {
         SendAgain(std::move(node), descriptorReleased);
-        DispatchWaiting(pool); // the place of this connection may be free
+        DispatchWaitingForConnection(pool); // the place of this connection may be free
         return;
       }
     } else if (aReusable) {
@@ -288,8 +288,8 @@
     --connectionCount_;
   }
 
-  // Dispatches waiting requests after a connection of the pool was closed or became idle.
-  void DispatchWaiting(Pool& aPool)
+  // Dispatches the requests that wait because their target had reached its connection limit.
+  void DispatchWaitingForConnection(Pool& aPool)
   {
     while (!aPool.waitingForConnection_.empty()) {
       const SendId id = aPool.waitingForConnection_.front();
@@ -300,6 +300,12 @@
       aPool.waitingForConnection_.pop_front();
       QueueUnlessDispatched(result, id, pendingRequests_.at(id));
     }
+  }
+
+  // Dispatches waiting requests after a connection of the pool was closed or became idle.
+  void DispatchWaiting(Pool& aPool)
+  {
+    DispatchWaitingForConnection(aPool);
     while (!waitingForDescriptor_.empty()) {
       const SendId id = waitingForDescriptor_.front();
       const auto result = TryDispatchContained(id);
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "boragepier/net/descriptor_shortage.h"
 #include "testing/wire/descriptors_taken.h"
 #include "testing/wire/loop_thread.h"
 #include "testing/wire/raw_socket.h"
@@ -488,6 +489,29 @@
   CheckResponse(Await(std::move(result)), 200, "ok");
 }
 
+// Guards against a loop that connects again and again for a request that waits for a descriptor.
+TEST(Client, RequestThatWaitsForADescriptorIsNotTriedUntilOneIsReleased)
+{
+  ClientFixture client;
+  auto busy = client.Send();
+  RawSocket peer = client.listener_.Accept();
+  peer.ReadMessage();
+  const std::uint64_t before = net::DescriptorShortageCount();
+  auto descriptorsTaken = std::make_unique<DescriptorsTaken>();
+  auto waiting = client.Send();
+  WaitUntil([&] { return net::DescriptorShortageCount() > before; });
+  for (int i = 0; i < 100; ++i) {
+    client.Run([] {}); // one iteration of the loop, or more
+  }
+  const std::uint64_t shortages = net::DescriptorShortageCount() - before;
+  descriptorsTaken.reset();
+  CHECK_EQUAL(1U, shortages);
+  peer.Send(kOkResponse);
+  CheckResponse(Await(std::move(busy)), 200, "ok");
+  ClientFixture::RespondOk(peer);
+  CheckResponse(Await(std::move(waiting)), 200, "ok");
+}
+
 // Guards against a request that is answered with a late second answer to an earlier one, and
 // against a connection on which each further request gets the answer to the one before it.
 TEST(Client, ForeignResponsesAreSkippedAndTheConnectionIsNotUsedAgain)
