--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -157,14 +157,13 @@
   if (!upstreamsObservedAt_ || aUntil < aSince) {
     return;
   }
-  const bool continuesOwn = aSince < *upstreamsObservedAt_ + MinOutage();
   if (InGracePeriod(aNow)) {
     if (aSince < lastSeenBeforeOutage_ + MinOutage() && *observedSince_ < aUntil + MinOutage()) {
       graceUntil_ = aNow;
       observedSince_ = aSince;
       RemoveMissingUpstreams(aNow);
     }
-  } else if (continuesOwn && aUntil > *upstreamsObservedAt_) {
+  } else if (aSince < *upstreamsObservedAt_ + MinOutage() && aUntil > *upstreamsObservedAt_) {
     upstreamsObservedAt_ = aUntil;
     observedSince_ = std::min(*observedSince_, aSince);
   }
--- a/boragepier/net/descriptor_shortage.cc
+++ b/boragepier/net/descriptor_shortage.cc
@@ -13,30 +13,25 @@
 
 std::atomic<std::uint64_t> shortageCount = 0;
 
+bool
+IsSystemError(const boost::system::error_code& aError, int aNumber)
+{
+  return aError == boost::system::error_code(aNumber, boost::system::system_category());
+}
+
 } // namespace
 
 bool
 IsLocalLimit(const boost::system::error_code& aError)
 {
-  if (aError.category() != boost::system::system_category()) {
-    return false;
-  }
-  switch (aError.value()) {
-    case EMFILE:
-    case ENFILE:
-    case ENOBUFS:
-    case ENOMEM:
-      return true;
-    default:
-      return false;
-  }
+  return IsDescriptorLimit(aError) || IsSystemError(aError, ENOBUFS) ||
+         IsSystemError(aError, ENOMEM);
 }
 
 bool
 IsDescriptorLimit(const boost::system::error_code& aError)
 {
-  return aError.category() == boost::system::system_category() &&
-         (aError.value() == EMFILE || aError.value() == ENFILE);
+  return IsSystemError(aError, EMFILE) || IsSystemError(aError, ENFILE);
 }
 
 void
