Set up the allocator once, before the instance is started

EntryInstance::Start() did it again with each attempt to listen, although it concerns the process. No behavior changes: it still happens before the threads of the instance start. e2e_memory_test passes unchanged.

--- a/apps/boragepier/main.cc
+++ b/apps/boragepier/main.cc
@@ -196,6 +196,7 @@
                settings->logToStandardOutput_ ? LogOutput::StandardOutput
                                               : LogOutput::StandardError);
   ReportProcessFailureTo(settings->logToStandardOutput_ ? STDOUT_FILENO : STDERR_FILENO);
+  ConfigureAllocator();
   InstancePorts ports;
   const auto instance = StartInstance(FitToDescriptorLimit(*settings), ports);
   if (instance == nullptr) {
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -7,7 +7,6 @@
 #include <thread>
 #include <utility>
 
-#include "boragepier/entry/process_environment.h"
 #include "boragepier/net/descriptor_shortage.h"
 #include "boragepier/net/errors.h"
 #include "boragepier/telemetry/log.h"
@@ -69,7 +68,6 @@
 InstancePorts
 EntryInstance::Start()
 {
-  ConfigureAllocator();
   InstancePorts ports;
   ports.peer_ = control_->Listen();
   try {
