--- a/scripts/regression.sh
+++ b/scripts/regression.sh
@@ -25,8 +25,8 @@
 done
 bench=${bench:-$kit/more/bench-d17393/bin/fleetbench}
 [[ -x $bench ]] || { echo "regression.sh: $bench cannot be run" >&2; exit 2; }
-small=(further/mtce-pier sites/pryce-gateway sites/ringrueck)
-large=(further-grown/mtce-pier-grown large/pryce-gateway-large grown/pryce-gateway-grown grown/ringrueck-grown)
+small=(sites/pryce-gateway sites/ringrueck)
+large=(large/pryce-gateway-large grown/pryce-gateway-grown grown/ringrueck-grown)
 if ((${#steps[@]} == 0)); then
   for site in "${small[@]}" "${large[@]}"; do steps+=("score:$site"); done
   for site in "${small[@]}"; do steps+=("hunt:$site:40"); done
