Show what changes cost the control thread, and when it is late

Neither logs nor metrics could tell the hypotheses on late configurations apart: an instance on a store never reported the CPU time and bytes of its control thread, nothing counted the work behind a routing table, and no line said that the thread was late.

boragepier_control_processor_seconds_total and boragepier_control_bytes_total are now reported with a store as well; boragepier_built_routes_total counts the routes built for routing tables; control-delayed (5009) is logged when a periodic task ran over 250 ms late, with the CPU time and bytes of the second before. boragepier_control_cost measures a version by stage.

--- a/boragepier/entry/control_plane_thread.cc
+++ b/boragepier/entry/control_plane_thread.cc
@@ -1,6 +1,5 @@
 #include "boragepier/entry/control_plane_thread.h"
 
-#include <ctime>
 #include <random>
 #include <utility>
 
@@ -33,14 +32,6 @@
   return limits;
 }
 
-Duration
-ThreadCpuTime()
-{
-  std::timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
-}
-
 } // namespace
 
 ControlPlaneThread::ControlPlaneThread(const Settings& aSettings,
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -14,6 +14,7 @@
 #include "boragepier/config/settings.h"
 #include "boragepier/directory/directory_watch.h"
 #include "boragepier/entry/control_thread_base.h"
+#include "boragepier/entry/process_environment.h"
 #include "boragepier/http/client.h"
 #include "boragepier/net/event_loop.h"
 #include "boragepier/peer/http2_transport.h"
@@ -183,12 +184,33 @@
 
   void RunEverySecond()
   {
-    loop_.After(std::chrono::seconds(1), [this] { RunEverySecond(); });
-    lastTickNs_ = loop_.Now().time_since_epoch().count();
+    const MonotonicTime now = loop_.Now();
+    ReportUsage(now);
+    lastTickNs_ = now.time_since_epoch().count();
+    loop_.After(kTickInterval, [this] { RunEverySecond(); });
     ReportSuppressedEvents();
     periodicTask_();
   }
 
+  void ReportUsage(MonotonicTime aNow)
+  {
+    const Duration cpuTime = ThreadCpuTime();
+    const std::uint64_t bytesSent = peers_.Counters().bytesSent_;
+    metrics_.SetControlThreadUsage(cpuTime, bytesSent);
+    const Duration delay = aNow - MonotonicTime(Duration(lastTickNs_)) - kTickInterval;
+    if (delay > kReportedDelay) {
+      Log(EventId::ControlDelayed,
+          { { "delayMs", delay },
+            { "cpuMs", cpuTime - reportedCpuTime_ },
+            { "bytes", bytesSent - reportedBytesSent_ } });
+    }
+    reportedCpuTime_ = cpuTime;
+    reportedBytesSent_ = bytesSent;
+  }
+
+  static constexpr Duration kTickInterval = std::chrono::seconds(1);
+  static constexpr Duration kReportedDelay = std::chrono::milliseconds(250);
+
   Metrics& metrics_;
   const RoutingCallback onRoutingTable_;
   const std::function<void()> periodicTask_;
@@ -200,6 +222,8 @@
   std::unique_ptr<Watch> watch_;
   std::string source_ = "store"; ///< as last reported by watch_; control thread only
   std::atomic<MonotonicTime::rep> lastTickNs_ = 0; ///< time of the last tick, in the loop's clock
+  Duration reportedCpuTime_{};                     ///< at the last tick; control thread only
+  std::uint64_t reportedBytesSent_ = 0;            ///< at the last tick; control thread only
   std::thread thread_;
 };
 
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -97,8 +97,9 @@
 void
 EntryInstance::OnRoutingTable(const std::shared_ptr<const RoutingTable>& aTable)
 {
+  const std::uint64_t builtBefore = router_.BuiltRouteCount();
   router_.Apply(*aTable, std::chrono::steady_clock::now());
-  metrics_.OnRoutingTable();
+  metrics_.OnRoutingTable(router_.BuiltRouteCount() - builtBefore);
   instanceCount_ = aTable->instances_.size();
   traffic_.SetFleetSize(instanceCount_);
   if (aTable->callerLimits_) {
--- a/boragepier/entry/process_environment.cc
+++ b/boragepier/entry/process_environment.cc
@@ -3,6 +3,7 @@
 #include <malloc.h>
 
 #include <algorithm>
+#include <ctime>
 
 #include "boragepier/base/descriptor_budget.h"
 #include "boragepier/telemetry/log.h"
@@ -20,6 +21,14 @@
 
 } // namespace
 
+Duration
+ThreadCpuTime()
+{
+  std::timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 platform::PlatformOptions
 PlatformOptionsFrom(const Settings& aSettings)
 {
--- a/boragepier/entry/process_environment.h
+++ b/boragepier/entry/process_environment.h
@@ -24,6 +24,10 @@
 WallTime
 WallClockNow();
 
+/// @return CPU time of the calling thread since its start
+Duration
+ThreadCpuTime();
+
 /// Sets up the allocator so that the memory of large bodies goes back to the system when they are
 /// released. Call before other threads start.
 void
--- a/boragepier/entry/service_router.cc
+++ b/boragepier/entry/service_router.cc
@@ -152,6 +152,7 @@
   auto rotation = previous != aPrevious.routesByHostAndPrefix_.end()
                     ? previous->second->Rotation()
                     : std::make_shared<WeightedRotation>(Random(nextSeed_++)());
+  ++builtRouteCount_;
   return std::make_shared<ActiveRoute>(aConfig, targets, std::move(rotation));
 }
 
--- a/boragepier/entry/service_router.h
+++ b/boragepier/entry/service_router.h
@@ -145,6 +145,9 @@
 
   /// @return the current services; not affected by later routing tables
   std::shared_ptr<const ServiceList> Services() const;
+  /// @return the number of routes that were built since the start, by all routing tables. Called by
+  /// the thread that calls Apply().
+  std::uint64_t BuiltRouteCount() const { return builtRouteCount_; }
 
 private:
   struct StringHash
@@ -176,8 +179,9 @@
 
   const InstanceId self_;
   const ZoneName zone_;
-  std::uint64_t nextSeed_;   ///< used only by the thread that calls Apply()
-  mutable std::mutex mutex_; ///< guards snapshot_
+  std::uint64_t nextSeed_;            ///< used only by the thread that calls Apply()
+  std::uint64_t builtRouteCount_ = 0; ///< likewise
+  mutable std::mutex mutex_;          ///< guards snapshot_
   std::shared_ptr<const Snapshot> snapshot_;
 };
 
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -67,6 +67,7 @@
   InstanceAdded = 5006,
   DirectorySource = 5007,
   RegistrationFailed = 5008,
+  ControlDelayed = 5009,
 
   RequestRefused = 6001,
   RequestOutcomeUnknown = 6002,
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -166,7 +166,12 @@
   /// Counts a request that was read completely and got no complete response.
   void OnUnanswered(UnansweredCause aCause) { unanswered_.Add(aCause); }
   /// Counts a routing table that was applied.
-  void OnRoutingTable() { routingTableCount_.fetch_add(1, std::memory_order_relaxed); }
+  /// @param aBuiltRoutes routes that were built for it; the others were kept
+  void OnRoutingTable(std::uint64_t aBuiltRoutes)
+  {
+    routingTableCount_.fetch_add(1, std::memory_order_relaxed);
+    builtRouteCount_.fetch_add(aBuiltRoutes, std::memory_order_relaxed);
+  }
 
   void SetReady(bool aReady) { ready_ = aReady; }
   void SetDraining(bool aDraining) { draining_ = aDraining; }
@@ -201,6 +206,7 @@
   std::map<std::pair<std::string, std::string>, std::uint64_t> splitRequests_;
   EnumCounters<UnansweredCause, kUnansweredCauseCount> unanswered_;
   std::atomic<std::uint64_t> routingTableCount_ = 0;
+  std::atomic<std::uint64_t> builtRouteCount_ = 0;
   std::atomic<bool> ready_ = false;
   std::atomic<bool> draining_ = false;
   std::atomic<std::uint64_t> peerCount_ = 0;
--- a/boragepier/telemetry/metrics_test.cc
+++ b/boragepier/telemetry/metrics_test.cc
@@ -107,12 +107,13 @@
   metrics.OnSplitRequest("r1", ServiceName("a"));
   metrics.OnSplitRequest("r1", ServiceName("b"));
   metrics.OnSplitRequest("r2", ServiceName("a"));
-  metrics.OnRoutingTable();
+  metrics.OnRoutingTable(2);
   const std::string text = metrics.WritePrometheus(MonotonicTime());
   CheckContains(text, "boragepier_split_requests_total{route=\"r1\",service=\"a\"} 2\n");
   CheckContains(text, "boragepier_split_requests_total{route=\"r1\",service=\"b\"} 1\n");
   CheckContains(text, "boragepier_split_requests_total{route=\"r2\",service=\"a\"} 1\n");
   CheckContains(text, "boragepier_routing_tables_total 1\n");
+  CheckContains(text, "boragepier_built_routes_total 2\n");
 }
 
 // Guards against memory that grows with every route that a configuration ever had.
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -46,6 +46,9 @@
   MetricInfo{ "boragepier_routing_tables_total",
               "counter",
               "changes of the routes, services, upstreams or instances that were applied" },
+  MetricInfo{ "boragepier_built_routes_total",
+              "counter",
+              "routes that were built for these changes; the others were kept" },
   MetricInfo{ "boragepier_unanswered_requests_total",
               "counter",
               "requests that were read completely and whose connection ended before the complete "
@@ -257,6 +260,7 @@
              static_cast<double>(metrics_.controlThreadCpuNs_.load()) / 1e9);
   WriteGauge("boragepier_control_bytes_total", LoadAsDouble(metrics_.controlThreadBytesSent_));
   WriteGauge("boragepier_routing_tables_total", LoadAsDouble(metrics_.routingTableCount_));
+  WriteGauge("boragepier_built_routes_total", LoadAsDouble(metrics_.builtRouteCount_));
 }
 
 void
--- /dev/null
+++ b/testing/bench/control_cost.cc
@@ -0,0 +1,181 @@
+// Measures what one version of the configuration costs an instance, by stage, for configurations of
+// different sizes: CPU time, and bytes between instances. Prints a table and has no pass criterion.
+//
+//   build/testing/bench/boragepier_control_cost
+
+#include <array>
+#include <cstdio>
+#include <ctime>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "boragepier/directory/directory_state.h"
+#include "boragepier/entry/service_router.h"
+#include "boragepier/peer/peer_codec.h"
+#include "platform/config_codec.h"
+#include "platform/row_codec.h"
+
+namespace boragepier {
+
+namespace {
+
+constexpr int kRepeats = 20;
+constexpr int kUpstreams = 170;
+constexpr MonotonicTime kNow{ std::chrono::hours(1) };
+
+double
+CpuMicroseconds()
+{
+  std::timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e6 + static_cast<double>(time.tv_nsec) / 1e3;
+}
+
+template<typename Function>
+double
+MeasureMicroseconds(Function aFunction)
+{
+  aFunction(0);
+  const double start = CpuMicroseconds();
+  for (int i = 1; i <= kRepeats; ++i) {
+    aFunction(i);
+  }
+  return (CpuMicroseconds() - start) / kRepeats;
+}
+
+// Returns a configuration in the format of the store; the versions differ in one route.
+std::string
+MakeConfigJson(int aRoutes, int aVersion)
+{
+  nlohmann::json routes = nlohmann::json::array();
+  for (int i = 0; i < aRoutes; ++i) {
+    routes.push_back({ { "name", "route-" + std::to_string(i) },
+                       { "host", "host" + std::to_string(i % 40) + ".example" },
+                       { "prefix", "/path" + std::to_string(i) + "/" },
+                       { "kind", "safe" },
+                       { "timeout_ms", i == 0 ? 2000 + aVersion : 2000 },
+                       { "target_latency_ms", 600 },
+                       { "priority", 2 },
+                       { "service", "stockroom" },
+                       { "max_attempts", 3 } });
+  }
+  std::array<char, 16> version{};
+  std::snprintf(version.data(), version.size(), "%08x", aVersion);
+  return nlohmann::json{
+    { "version", version.data() },
+    { "routes", routes },
+    { "services", { { { "name", "stockroom" }, { "health_path", "/health" } } } }
+  }.dump();
+}
+
+std::string
+MakeRowsBody(const std::string& aConfig, int aPosition)
+{
+  return nlohmann::json{
+    { "rows",
+      { { { "key", "config" },
+          { "row_version", aPosition },
+          { "value", metastore::EncodeBase64(aConfig) } } } },
+    { "row_version", aPosition }
+  }.dump();
+}
+
+UpstreamEntry
+MakeUpstream(int aNumber, std::uint64_t aStart)
+{
+  UpstreamEntry entry;
+  entry.service_ = ServiceName("stockroom");
+  entry.endpoint_ = { UpstreamId("u-" + std::to_string(aNumber)),
+                      "127.0.0.1",
+                      static_cast<std::uint16_t>(1000 + aNumber),
+                      ZoneName("z"),
+                      aStart,
+                      false };
+  return entry;
+}
+
+PeerMessage
+MakeUpdate(FeedRow aRow)
+{
+  PeerStoreUpdate update;
+  update.topics_.resize(kFeedTopicCount);
+  update.topics_[0].position_ = aRow.version_;
+  update.topics_[0].rows_.push_back(std::move(aRow));
+  return update;
+}
+
+void
+MeasureConfig(int aRoutes)
+{
+  std::vector<std::string> bodies;
+  std::vector<FeedRow> rows;
+  for (int i = 0; i <= kRepeats; ++i) {
+    const std::string json = MakeConfigJson(aRoutes, i + 1);
+    bodies.push_back(MakeRowsBody(json, i + 1));
+    rows.push_back({ "config", static_cast<std::uint64_t>(i + 1), false, json });
+  }
+  const auto at = [](auto& aItems, int aIndex) -> auto&
+  {
+    return aItems[static_cast<std::size_t>(aIndex)];
+  };
+  const double receiveUs = MeasureMicroseconds(
+    [&](int i) { metastore::DecodeRowsPage(FeedTopic::Configuration, at(bodies, i)); });
+  const double sendUs =
+    MeasureMicroseconds([&](int i) { peer::EncodePeerMessage(MakeUpdate(at(rows, i))); });
+  const std::string message = peer::EncodePeerMessage(MakeUpdate(rows.front()));
+  const double relayedUs = MeasureMicroseconds([&](int) { peer::DecodePeerMessage(message); });
+
+  DirectoryState state(InstanceId("i"), FleetSettings{});
+  std::vector<DecodedFeedRow> upstreams;
+  for (int i = 0; i < kUpstreams; ++i) {
+    upstreams.push_back({ "u-" + std::to_string(i), MakeUpstream(i, 1) });
+  }
+  state.ApplyChanges(upstreams, kNow);
+  const double decodeUs = MeasureMicroseconds([&](int i) {
+    const DecodedFeedRow item = metastore::DecodeRow(FeedTopic::Configuration, at(rows, i), kNow);
+    state.ApplyChanges(std::span(&item, 1), kNow);
+  });
+  ServiceRouter router(InstanceId("i"), ZoneName("z"), 1);
+  std::shared_ptr<const RoutingTable> table;
+  const double tableUs = MeasureMicroseconds([&](int) { table = state.MakeRoutingTable(); });
+  const double applyUs = MeasureMicroseconds([&](int) { router.Apply(*table, kNow); });
+  const double upstreamUs = MeasureMicroseconds([&](int i) {
+    const DecodedFeedRow item{ "u-0", MakeUpstream(0, static_cast<std::uint64_t>(i) + 2) };
+    state.ApplyChanges(std::span(&item, 1), kNow);
+    router.Apply(*state.MakeRoutingTable(), kNow);
+  });
+  std::printf("%6d %10.0f %10.0f %10.0f %10.0f %10.0f %10.0f %10.0f %10zu\n",
+              aRoutes,
+              receiveUs,
+              relayedUs,
+              decodeUs,
+              tableUs,
+              applyUs,
+              sendUs,
+              upstreamUs,
+              message.size());
+}
+
+} // namespace
+
+} // namespace boragepier
+
+int
+main()
+{
+  std::printf("CPU time in us of a version that changes one route, and of a change of an upstream\n"
+              "%6s %10s %10s %10s %10s %10s %10s %10s %10s\n",
+              "routes",
+              "from store",
+              "from peer",
+              "decode",
+              "table",
+              "apply",
+              "send to 1",
+              "upstream",
+              "bytes");
+  for (const int routes : { 40, 1400, 4000 }) {
+    boragepier::MeasureConfig(routes);
+  }
+}
