Add failing tests of the cost of a change of the configuration

On a large configuration each version is sent whole to each follower and decoded and applied whole, and a change of an upstream builds all routes anew.

--- a/boragepier/entry/service_router_test.cc
+++ b/boragepier/entry/service_router_test.cc
@@ -28,18 +28,25 @@
   return service;
 }
 
-// Makes a routing table with one route, of which the service "a" has the share aShare and the
-// service "b" the rest.
-RoutingTable
-MakeSplitTable(double aShare)
+// Makes a route of which the service "a" has the share aShare and the service "b" the rest.
+RouteConfig
+SplitRoute(double aShare)
 {
-  RoutingTable table;
-  table.services_ = { MakeService("a"), MakeService("b") };
   RouteConfig route;
   route.name_ = "split";
   route.host_ = "shop.example";
   route.pathPrefix_ = "/prices/";
   route.services_ = { { ServiceName("a"), aShare }, { ServiceName("b"), 1 - aShare } };
+  return route;
+}
+
+// Makes a routing table with this route only.
+RoutingTable
+MakeSplitTable(double aShare)
+{
+  RoutingTable table;
+  table.services_ = { MakeService("a"), MakeService("b") };
+  const RouteConfig route = SplitRoute(aShare);
   table.routes_ = { route };
   return table;
 }
@@ -175,4 +182,63 @@
   CheckShareOfA(0.1);
 }
 
+/// A router with a table of many routes.
+TEST_GROUP(RouteUpdates)
+{
+  static constexpr std::size_t kRoutes = 4000;
+
+  ServiceRouter router_{ InstanceId("i"), ZoneName("a"), 1 };
+  std::vector<RouteConfig> routes_;
+  RoutingTable table_;
+  MonotonicTime now_ = MonotonicTime(std::chrono::hours(1));
+
+  void setup() override
+  {
+    table_.services_ = { MakeService("a"), MakeService("b") };
+    for (std::size_t i = 0; i < kRoutes; ++i) {
+      RouteConfig route = SplitRoute(0.5);
+      route.name_ = "r-" + std::to_string(i);
+      route.pathPrefix_ = "/prices-" + std::to_string(i) + '/';
+      routes_.push_back(route);
+    }
+    SetRoutes();
+    router_.Apply(table_, now_);
+    LONGS_EQUAL(kRoutes, router_.BuiltRouteCount());
+  }
+
+  void SetRoutes()
+  {
+    table_.routes_ = routes_;
+  }
+
+  std::shared_ptr<ActiveRoute> Find(std::size_t aIndex)
+  {
+    return router_.Match("shop.example", routes_[aIndex].pathPrefix_ + "today").route_;
+  }
+};
+
+// Guards against changes of upstreams whose cost grows with the number of routes.
+TEST(RouteUpdates, ChangeOfAnUpstreamBuildsNoRoute)
+{
+  const auto route = Find(7);
+  for (int i = 0; i < 10; ++i) {
+    AddUpstream(table_, i);
+    router_.Apply(table_, now_);
+  }
+  LONGS_EQUAL(kRoutes, router_.BuiltRouteCount());
+  CHECK(route == Find(7));
+}
+
+// Guards against changes of a route whose cost grows with the number of routes.
+TEST(RouteUpdates, ChangeOfOneRouteBuildsOneRoute)
+{
+  const auto other = Find(8);
+  routes_[7].timeLimit_ = std::chrono::seconds(7);
+  SetRoutes();
+  router_.Apply(table_, now_);
+  LONGS_EQUAL(kRoutes + 1, router_.BuiltRouteCount());
+  CHECK(Find(7)->Config().timeLimit_ == std::chrono::seconds(7));
+  CHECK(other == Find(8));
+}
+
 } // namespace boragepier
