Keep and relay the configuration in parts

Cause: the configuration was one row. Each version, however small the change, was sent whole to each follower, decoded and applied whole by each instance, and each change of an upstream copied and built all routes anew. On links of 10 Mbit/s and a tenth of a core, changes in quick succession queued behind each other, followers found their data too old, changed sources in the middle of transfers and began the same bytes again.

Whoever reads the store now divides the configuration into one row for each route and service, and a summary with the version and a digest of the others (config_parts.h). The mirrors and the relay, which send only what changed after a position, apply to these rows as they are. A version takes effect together, when all its parts are there and agree with the digest; if they do not, all parts are collected anew. A transfer in several messages continues with its sender only, as other readers may have dated the same change differently. RoutingTable refers to a RouteSet, which shares the shards without a change with its predecessor, and ServiceRouter keeps the routes of shared shards.

--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -36,18 +36,34 @@
 }
 
 void
-DirectoryState::ApplyValue(const std::string&, const FleetConfig& aConfig, MonotonicTime)
+DirectoryState::ApplyConfigParts(std::span<const FeedRow> aParts)
 {
-  const std::string version = std::to_string(aConfig.version_);
-  if (aConfig.version_ <= ConfigVersion()) {
-    if (aConfig.version_ < ConfigVersion()) {
-      events_.push_back({ DirectoryEventType::ConfigOutdated, version, {} });
+  for (const FeedRow& part : aParts) {
+    try {
+      assembly_.Apply(part);
+    } catch (const ConfigPartError& error) {
+      OnUnreadable(part.key_, error.what());
     }
-    return;
   }
-  config_ = std::make_shared<const FleetConfig>(aConfig);
-  routingChanged_ = true;
-  events_.push_back({ DirectoryEventType::ConfigAccepted, version, {} });
+}
+
+void
+DirectoryState::ActivateConfig()
+{
+  const ConfigAssembly::Result result = assembly_.Activate();
+  if (result == ConfigAssembly::Result::Activated) {
+    routingChanged_ = true;
+    events_.push_back({ DirectoryEventType::ConfigAccepted, std::to_string(ConfigVersion()), {} });
+  } else if (result == ConfigAssembly::Result::Outdated) {
+    events_.push_back(
+      { DirectoryEventType::ConfigOutdated, std::to_string(assembly_.AppliedVersion()), {} });
+  }
+}
+
+void
+DirectoryState::OnUnreadable(const std::string& aKey, const std::string& aError)
+{
+  events_.push_back({ DirectoryEventType::EntryUnreadable, aKey, aError });
 }
 
 void
@@ -92,7 +108,7 @@
                            const UnreadableEntry& aEntry,
                            MonotonicTime aNow)
 {
-  events_.push_back({ DirectoryEventType::EntryUnreadable, aKey, aEntry.error_ });
+  OnUnreadable(aKey, aEntry.error_);
   RemoveUpstream(aKey, aNow);
 }
 
@@ -245,24 +261,25 @@
       table->instances_.push_back(instance.id_);
     }
   }
-  if (!config_) {
+  const auto& config = assembly_.Active();
+  if (!config) {
     return table;
   }
-  table->routesVersion_ = config_->version_;
-  table->routes_ = config_->routes_;
-  table->callerLimits_ = config_->limits_;
+  table->routesVersion_ = config->version_;
+  table->routes_ = config->routes_;
+  table->callerLimits_ = config->limits_;
   std::unordered_map<ServiceName, std::vector<UpstreamEndpoint>> upstreamsByService;
   for (const auto& [key, upstream] : upstreams_) {
     upstreamsByService[upstream.entry_.service_].push_back(upstream.entry_.endpoint_);
   }
-  for (ServiceConfig service : config_->services_) {
+  for (ServiceConfig service : *config->services_) {
     service.retryRatio_ = settings_.retryRatio_;
     service.retrySlack_ = settings_.retrySlack_;
     service.retryWindow_ = settings_.retryWindow_;
     service.probesPerUpstreamSecond_ = settings_.probesPerUpstreamSecond_;
     auto& upstreams = upstreamsByService[service.name_];
     table->services_.push_back(
-      { std::move(service), config_->version_, std::move(upstreams), settingsVersion_ });
+      { std::move(service), config->version_, std::move(upstreams), settingsVersion_ });
   }
   return table;
 }
--- a/boragepier/directory/directory_state.h
+++ b/boragepier/directory/directory_state.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "boragepier/directory/config_assembly.h"
 #include "boragepier/ports/directory_feed.h"
 #include "boragepier/state/routing_table.h"
 
@@ -74,7 +75,14 @@
   /// Replaces the settings, for example after a reload.
   void SetFleetSettings(const FleetSettings& aSettings);
 
-  /// Applies changed entries.
+  /// Applies changed parts of the configuration. They take effect with ActivateConfig().
+  void ApplyConfigParts(std::span<const FeedRow> aParts);
+  /// Puts the parts that were applied into force, unless their version is lower than the active
+  /// one. To be called when they are those of one version.
+  void ActivateConfig();
+  /// Records an entry that was ignored.
+  void OnUnreadable(const std::string& aKey, const std::string& aError);
+  /// Applies changed entries of upstreams and instances.
   void ApplyChanges(std::span<const DecodedFeedRow> aItems, MonotonicTime aNow);
   /// Records that this or another instance read the entries of the upstreams from the store. To be
   /// called before the changes that were read are applied.
@@ -112,7 +120,10 @@
   /// @return the number of upstreams of all services
   std::size_t UpstreamCount() const { return upstreams_.size(); }
   /// @return version of the active configuration, or 0 if none is known yet
-  std::uint64_t ConfigVersion() const { return config_ ? config_->version_ : 0; }
+  std::uint64_t ConfigVersion() const
+  {
+    return assembly_.Active() ? assembly_.Active()->version_ : 0;
+  }
 
 private:
   /// Shortest outage, in heartbeat intervals, in which entries may expire. An entry expires three
@@ -126,7 +137,6 @@
   };
 
   void ApplyItem(const DecodedFeedRow& aItem, MonotonicTime aNow);
-  void ApplyValue(const std::string& aKey, const FleetConfig& aConfig, MonotonicTime aNow);
   void ApplyValue(const std::string& aKey, const UpstreamEntry& aEntry, MonotonicTime aNow);
   void ApplyValue(const std::string& aKey, const InstanceEntry& aEntry, MonotonicTime aNow);
   void ApplyValue(const std::string& aKey, const UnreadableEntry& aEntry, MonotonicTime aNow);
@@ -139,7 +149,7 @@
   const InstanceId self_;
   FleetSettings settings_;
   std::uint64_t settingsVersion_ = 0; ///< increases with each change of settings_
-  std::shared_ptr<const FleetConfig> config_;
+  ConfigAssembly assembly_;
   std::map<std::string, Upstream> upstreams_;
   int missingCount_ = 0; ///< number of them that are missing
   std::map<std::string, InstanceEntry> instances_;
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -148,6 +148,8 @@
                [this](FeedTopic aTopic, const auto& aRows, MonotonicTime aObservedAt) {
                  ApplyRows(aTopic, aRows, aObservedAt);
                },
+             .onUnreadable_ = [this](const auto& aKey,
+                                     const auto& aError) { state_.OnUnreadable(aKey, aError); },
              .onCallEnded_ =
                [this] {
                  Publish();
@@ -256,7 +258,7 @@
   {
     PeerSubscribe subscribe;
     subscribe.sentAtMs_ = ToClockMs(scheduler_.Now());
-    const FeedPositions positions = view_.SubscribePositions();
+    const FeedPositions positions = view_.SubscribePositions(aSource.id_);
     subscribe.positions_.assign(positions.begin(), positions.end());
     subscribe.registrations_ = std::move(aRegistrations);
     peers_.Send({ aSource.id_, aSource.address_, aSource.port_ }, subscribe);
@@ -415,9 +417,9 @@
       const MonotonicTime observedAt =
         FromClockMs(composedAtMs - std::min(update.ageMs_, composedAtMs));
       const bool wasRelisting = view_.IsRelisting(topic);
-      if (const auto changed = view_.ApplyUpdate(topic, update, observedAt)) {
+      if (const auto changed = view_.ApplyUpdate(topic, aSender.id_, update, observedAt)) {
         const bool relistingStarts = view_.IsRelisting(topic) && !wasRelisting;
-        if (!view_.IsRelisting(topic)) {
+        if (!view_.IsRelisting(topic) || !changed->empty()) {
           ApplyRows(topic, *changed, observedAt);
         }
         moreRowsPending =
@@ -466,6 +468,13 @@
   void ApplyRows(FeedTopic aTopic, std::span<const FeedRow> aRows, MonotonicTime aObservedAt)
   {
     const MonotonicTime now = scheduler_.Now();
+    if (aTopic == FeedTopic::Configuration) {
+      state_.ApplyConfigParts(aRows);
+      if (view_.IsComplete(aTopic)) {
+        state_.ActivateConfig();
+      }
+      return;
+    }
     if (aTopic == FeedTopic::Upstreams) {
       const bool wasInGracePeriod = state_.InGracePeriod(now);
       state_.OnUpstreamsObserved(aObservedAt, now);
@@ -519,12 +528,17 @@
     }
   }
 
+  // To be called after each change of the source or of the reads of the store.
   void ReportSource()
   {
     std::optional<InstanceId> source;
-    if (follower_.Source() && !reader_.IsReading()) {
+    if (follower_.Source()) {
       source = follower_.Source()->id_;
     }
+    view_.AbandonOtherTransfers(source);
+    if (reader_.IsReading()) {
+      source.reset();
+    }
     if (!sourceReported_ || source != reportedSource_) {
       sourceReported_ = true;
       reportedSource_ = source;
--- a/boragepier/directory/feed_mirror.cc
+++ b/boragepier/directory/feed_mirror.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "boragepier/directory/config_parts.h"
+
 namespace boragepier {
 
 void
@@ -13,8 +15,10 @@
   const auto [it, isNew] = rows_.try_emplace(aRow.key_, aRow);
   if (!isNew) {
     rowsByVersion_.erase({ it->second.version_, it->first });
+    digest_ -= DigestOfPart(it->second);
     it->second = aRow;
   }
+  digest_ += DigestOfPart(aRow);
   rowsByVersion_.emplace(std::pair(aRow.version_, std::string_view(it->first)), &it->second);
 }
 
@@ -63,6 +67,40 @@
   return changed;
 }
 
+std::vector<FeedRow>
+FeedMirror::ReplaceContent(std::span<const FeedRow> aRows, std::uint64_t aPosition)
+{
+  std::vector<FeedRow> changed;
+  if (aPosition < position_) {
+    return changed;
+  }
+  std::set<std::string_view> listedKeys;
+  for (const FeedRow& row : aRows) {
+    listedKeys.insert(row.key_);
+    const FeedRow* const known = Find(row.key_);
+    if (known == nullptr || known->removed_ || known->value_ != row.value_) {
+      changed.push_back(row);
+    }
+  }
+  for (const auto& [key, row] : rows_) {
+    if (!row.removed_ && !listedKeys.contains(key)) {
+      changed.push_back({ key, aPosition, true, {} });
+    }
+  }
+  for (const FeedRow& row : changed) {
+    SetRow(row);
+  }
+  position_ = aPosition;
+  return changed;
+}
+
+const FeedRow*
+FeedMirror::Find(const std::string& aKey) const
+{
+  const auto found = rows_.find(aKey);
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
 void
 FeedMirror::AddGaps(std::span<const RemovalGap> aGaps)
 {
--- a/boragepier/directory/feed_mirror.h
+++ b/boragepier/directory/feed_mirror.h
@@ -32,6 +32,13 @@
   /// Applies the rows that changed up to a position.
   /// @return the rows that changed the mirror; none if aPosition is below Position()
   std::vector<FeedRow> ApplyChanges(std::span<const FeedRow> aRows, std::uint64_t aPosition);
+  /// Applies all rows of the topic as of a position, by their values: a row whose value is
+  /// unchanged keeps its version, so that it is not sent to those who have it. Records no gap; a
+  /// copy that missed a removal is found by Digest().
+  /// @return the rows that changed the mirror; none if aPosition is below Position()
+  std::vector<FeedRow> ReplaceContent(std::span<const FeedRow> aRows, std::uint64_t aPosition);
+  /// Returns to a lower position, after which the rows are to be applied again. The rows stay.
+  void Rewind(std::uint64_t aPosition) { position_ = std::min(position_, aPosition); }
 
   /// Records the gaps of a copy whose changes are applied next. Gaps of which this mirror knows the
   /// removals are left out.
@@ -55,6 +62,11 @@
   /// @param aMaxBytes limit on the size of keys and values; the rows of one version may exceed it
   Changes ChangesSince(std::uint64_t aPosition, std::size_t aMaxBytes) const;
 
+  /// @return the row with this key, also if it is removed, or null
+  const FeedRow* Find(const std::string& aKey) const;
+  /// @return sum of DigestOfPart() over the rows
+  std::uint64_t Digest() const { return digest_; }
+
   /// @return the position up to which rows were applied, or 0 if none were
   std::uint64_t Position() const { return position_; }
 
@@ -67,6 +79,7 @@
   std::uint64_t RemovalsKnownUntil() const { return std::max(position_, listedUntil_); }
 
   std::uint64_t position_ = 0;
+  std::uint64_t digest_ = 0;
   std::map<std::string, FeedRow> rows_;
   /// The same rows, ordered by version and key. Refers to the elements of rows_.
   std::map<std::pair<std::uint64_t, std::string_view>, const FeedRow*> rowsByVersion_;
--- a/boragepier/directory/store_reader.h
+++ b/boragepier/directory/store_reader.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "boragepier/base/internal_error.h"
+#include "boragepier/directory/config_parts.h"
 #include "boragepier/directory/directory_timing.h"
 #include "boragepier/directory/store_view.h"
 #include "boragepier/ports/directory_feed.h"
@@ -31,6 +32,8 @@
     std::function<bool()> isRoot_;
     /// Receives the rows that changed and the time at which the store held nothing newer.
     std::function<void(FeedTopic, const std::vector<FeedRow>&, MonotonicTime)> onRows_;
+    /// Receives the key of a row of the configuration that was ignored, and the reason.
+    std::function<void(const std::string&, const std::string&)> onUnreadable_;
     /// Runs after each response or failure of a call.
     std::function<void()> onCallEnded_;
     /// Receives whether the store answers this instance, and the error of the failed call if not.
@@ -149,7 +152,11 @@
     const PendingCall call{ aTopic, view_.IsSynced(aTopic), scheduler_.Now(), wait };
     const auto done = [this, call](const FeedResponse& aResponse) { OnReply(call, aResponse); };
     if (call.changesOnly_) {
-      feed_.Wait(aTopic, view_.Position(aTopic), wait, done);
+      const std::uint64_t position = view_.CompletePosition(aTopic);
+      feed_.Wait(aTopic,
+                 aTopic == FeedTopic::Configuration ? ToStorePosition(position) : position,
+                 wait,
+                 done);
     } else {
       feed_.Read(aTopic, done);
     }
@@ -166,7 +173,9 @@
     const MonotonicTime observedAt =
       waitTimedOut ? std::min(now, aCall.startedAt_ + aCall.wait_) : now;
     const auto changed =
-      view_.ApplyResponse(aCall.topic_, aResponse, aCall.changesOnly_, observedAt);
+      aCall.topic_ == FeedTopic::Configuration
+        ? view_.ApplyResponse(aCall.topic_, Divide(aResponse), aCall.changesOnly_, observedAt)
+        : view_.ApplyResponse(aCall.topic_, aResponse, aCall.changesOnly_, observedAt);
     if (!changed) {
       return std::nullopt;
     }
@@ -174,6 +183,25 @@
     return changed->size();
   }
 
+  // Replaces the row of the configuration by its parts. One that cannot be read counts as
+  // unchanged.
+  FeedResponse Divide(const FeedResponse& aResponse)
+  {
+    FeedResponse divided;
+    divided.status_ = aResponse.status_;
+    divided.position_ = ToPartPosition(aResponse.position_);
+    for (const FeedRow& row : aResponse.rows_) {
+      DecodedConfig decoded = UnreadableEntry{ "an internal error" };
+      RunContained(ErrorScope::StoreEntry, [&] { decoded = feed_.DecodeConfig(row); });
+      if (const auto* const config = std::get_if<FleetConfig>(&decoded)) {
+        divided.rows_ = DivideConfig(*config, aResponse.position_);
+      } else if (const auto* const unreadable = std::get_if<UnreadableEntry>(&decoded)) {
+        callbacks_.onUnreadable_(row.key_, unreadable->error_);
+      }
+    }
+    return divided;
+  }
+
   void OnReply(const PendingCall& aCall, const FeedResponse& aResponse)
   {
     TopicState& state = StateOf(aCall.topic_);
--- a/boragepier/directory/store_view.cc
+++ b/boragepier/directory/store_view.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
+
+#include "boragepier/directory/config_parts.h"
 
 namespace boragepier {
 
@@ -27,42 +30,119 @@
                          MonotonicTime aObservedAt)
 {
   TopicState& topic = StateOf(aTopic);
+  AbandonTransfer(topic);
   if (aResponse.position_ < topic.mirror_.Position()) {
     return std::nullopt;
   }
   topic.synced_ = true;
   topic.confirmedAt_ = aObservedAt;
   topic.relisted_.reset();
+  topic.completePosition_ = aResponse.position_;
+  if (aTopic == FeedTopic::Configuration) {
+    // The store has one row, which is read as a whole or not at all. Its removal changes nothing.
+    return aResponse.rows_.empty()
+             ? topic.mirror_.ApplyChanges(aResponse.rows_, aResponse.position_)
+             : topic.mirror_.ReplaceContent(aResponse.rows_, aResponse.position_);
+  }
   return aChangesOnly ? topic.mirror_.ApplyChanges(aResponse.rows_, aResponse.position_)
                       : topic.mirror_.ApplySnapshot(aResponse.rows_, aResponse.position_);
 }
 
+bool
+StoreView::IsConsistent(FeedTopic aTopic, const FeedMirror& aMirror)
+{
+  if (aTopic != FeedTopic::Configuration) {
+    return true;
+  }
+  const FeedRow* const summary = aMirror.Find(std::string(kConfigSummaryKey));
+  if (summary == nullptr) {
+    return aMirror.Digest() == 0;
+  }
+  try {
+    const ConfigPart part = DecodeConfigPart(*summary);
+    return std::get<ConfigSummary>(part).digest_ == aMirror.Digest();
+  } catch (const ConfigPartError&) {
+    return false;
+  }
+}
+
+void
+StoreView::AbandonTransfer(TopicState& aTopic)
+{
+  if (!aTopic.transferFrom_) {
+    return;
+  }
+  aTopic.transferFrom_.reset();
+  aTopic.mirror_.Rewind(aTopic.completePosition_);
+  if (aTopic.relisted_) {
+    aTopic.relisted_ = std::make_unique<FeedMirror>();
+  }
+}
+
+void
+StoreView::StartRelisting(TopicState& aTopic)
+{
+  aTopic.transferFrom_.reset();
+  aTopic.mirror_.Rewind(aTopic.completePosition_);
+  aTopic.relisted_ = std::make_unique<FeedMirror>();
+  aTopic.synced_ = false;
+}
+
+void
+StoreView::AbandonOtherTransfers(const std::optional<InstanceId>& aSource)
+{
+  for (TopicState& topic : topics_) {
+    if (topic.transferFrom_ != aSource) {
+      AbandonTransfer(topic);
+    }
+  }
+}
+
 std::optional<std::vector<FeedRow>>
 StoreView::ApplyUpdate(FeedTopic aTopic,
+                       const InstanceId& aSender,
                        const PeerStoreUpdate::Topic& aUpdate,
                        MonotonicTime aObservedAt)
 {
   TopicState& topic = StateOf(aTopic);
-  FeedMirror& target = topic.relisted_ ? *topic.relisted_ : topic.mirror_;
-  if (aUpdate.position_ == 0 || aUpdate.from_ > target.Position()) {
+  if (aUpdate.position_ == 0 || aUpdate.from_ > SubscribePosition(aTopic, aSender)) {
     return std::nullopt;
   }
+  if (topic.transferFrom_ && *topic.transferFrom_ != aSender) {
+    if (!aUpdate.complete_) {
+      return std::nullopt;
+    }
+    AbandonTransfer(topic);
+  }
+  const bool wasRelisting = topic.relisted_ != nullptr;
+  FeedMirror& target = wasRelisting ? *topic.relisted_ : topic.mirror_;
   if (target.MayMissRemovals(aUpdate.gaps_)) {
-    topic.relisted_ = std::make_unique<FeedMirror>();
-    topic.synced_ = false;
+    StartRelisting(topic);
     return std::vector<FeedRow>();
   }
   target.AddGaps(aUpdate.gaps_);
   std::vector<FeedRow> changed = target.ApplyChanges(aUpdate.rows_, aUpdate.position_);
+  if (!aUpdate.complete_) {
+    topic.transferFrom_ = aSender;
+    return wasRelisting ? std::vector<FeedRow>() : changed;
+  }
+  if (!IsConsistent(aTopic, target)) {
+    StartRelisting(topic);
+    return wasRelisting ? std::vector<FeedRow>() : changed;
+  }
+  topic.transferFrom_.reset();
   if (topic.relisted_) {
-    if (!aUpdate.complete_ || target.Position() < topic.mirror_.Position()) {
+    if (target.Position() < topic.mirror_.Position()) {
       return std::vector<FeedRow>();
     }
     const auto relisted = std::exchange(topic.relisted_, nullptr);
-    changed = topic.mirror_.ApplySnapshot(relisted->LiveRows(), relisted->Position());
+    changed = aTopic == FeedTopic::Configuration
+                ? topic.mirror_.ReplaceContent(relisted->LiveRows(), relisted->Position())
+                : topic.mirror_.ApplySnapshot(relisted->LiveRows(), relisted->Position());
   }
   topic.synced_ = true;
-  if (aUpdate.complete_ && aUpdate.position_ >= topic.mirror_.Position()) {
+  topic.completePosition_ = topic.mirror_.Position();
+  if (aUpdate.position_ >= topic.mirror_.Position()) {
     topic.confirmedAt_ = std::max(topic.confirmedAt_.value_or(aObservedAt), aObservedAt);
   }
   return changed;
@@ -75,16 +155,19 @@
 }
 
 std::uint64_t
-StoreView::SubscribePosition(FeedTopic aTopic) const
+StoreView::SubscribePosition(FeedTopic aTopic, const InstanceId& aSource) const
 {
   const TopicState& topic = StateOf(aTopic);
+  if (topic.transferFrom_ && *topic.transferFrom_ != aSource) {
+    return topic.relisted_ ? 0 : topic.completePosition_;
+  }
   return topic.relisted_ ? topic.relisted_->Position() : topic.mirror_.Position();
 }
 
 FeedPositions
-StoreView::SubscribePositions() const
+StoreView::SubscribePositions(const InstanceId& aSource) const
 {
-  return PositionsBy([&](FeedTopic aTopic) { return SubscribePosition(aTopic); });
+  return PositionsBy([&](FeedTopic aTopic) { return SubscribePosition(aTopic, aSource); });
 }
 
 bool
@@ -133,6 +216,7 @@
     update.position_ = changes.position_;
     update.gaps_ = topic.mirror_.GapsAfter(aFrom);
   }
+  update.complete_ = update.complete_ && !topic.transferFrom_;
   return update;
 }
 
--- a/boragepier/directory/store_view.h
+++ b/boragepier/directory/store_view.h
@@ -28,10 +28,15 @@
 
 /// What an instance knows of the store: the rows of each topic, and until when they are known to be
 /// complete. Reads no clock and does no I/O.
+///
+/// Rows from another instance may come in several messages. Until the last one, they continue only
+/// with messages of the same sender: another one may have passed the positions in between with
+/// other rows. The configuration is complete only if it agrees with its digest (see
+/// config_parts.h).
 class StoreView
 {
 public:
-  /// Applies a response of the store.
+  /// Applies a response of the store. Ends a transfer from another instance.
   /// @param aChangesOnly whether it holds the changes since Position(), not all rows
   /// @param aObservedAt time at which the store held nothing newer
   /// @return the rows that changed, or nothing if the response is older than Position()
@@ -42,24 +47,41 @@
   /// Applies one topic of a message of another instance. If the sender misses removals of rows that
   /// this instance may have (RemovalGap), all rows are collected anew, over several messages, and
   /// replace those known so far once they are complete.
+  /// @param aSender instance that sent the message
   /// @param aObservedAt time at which the store held nothing newer than the sender's rows
-  /// @return the rows that changed, or nothing if the message does not continue SubscribePosition()
+  /// @return the rows that changed, or nothing if the message does not continue
+  /// SubscribePosition(),
+  ///   or is a part of a transfer while another one is in progress
   std::optional<std::vector<FeedRow>> ApplyUpdate(FeedTopic aTopic,
+                                                  const InstanceId& aSender,
                                                   const PeerStoreUpdate::Topic& aUpdate,
                                                   MonotonicTime aObservedAt);
   /// Records that the store no longer has the changes since Position(), so that all rows must be
   /// read. The rows known so far stay in use.
   void OnHistoryLost(FeedTopic aTopic) { StateOf(aTopic).synced_ = false; }
+  /// Gives up the transfers from all instances but one.
+  /// @param aSource instance that is followed from now on, if there is one
+  void AbandonOtherTransfers(const std::optional<InstanceId>& aSource);
 
   /// @return position up to which rows of the topic are known; 0 if none are
   std::uint64_t Position(FeedTopic aTopic) const { return StateOf(aTopic).mirror_.Position(); }
+  /// @return position after which changes are to be requested from the store
+  std::uint64_t CompletePosition(FeedTopic aTopic) const
+  {
+    return StateOf(aTopic).completePosition_;
+  }
+  /// @return whether the rows are those of one moment, because no transfer is in progress
+  bool IsComplete(FeedTopic aTopic) const
+  {
+    return !StateOf(aTopic).transferFrom_ && !IsRelisting(aTopic);
+  }
   /// @return the positions in all topics
   FeedPositions Positions() const;
   /// @return position after which rows are to be requested from another instance: Position(), or a
-  /// lower one while all rows are collected anew
-  std::uint64_t SubscribePosition(FeedTopic aTopic) const;
+  /// lower one during a transfer from a third instance and while all rows are collected anew
+  std::uint64_t SubscribePosition(FeedTopic aTopic, const InstanceId& aSource) const;
   /// @return the positions for a subscription in all topics
-  FeedPositions SubscribePositions() const;
+  FeedPositions SubscribePositions(const InstanceId& aSource) const;
   /// @return whether all rows are being collected anew from other instances
   bool IsRelisting(FeedTopic aTopic) const { return StateOf(aTopic).relisted_ != nullptr; }
   /// @return whether the changes since Position() can be requested, rather than all rows
@@ -85,8 +107,15 @@
     std::optional<MonotonicTime> confirmedAt_; ///< when the store last held nothing newer
     /// The rows collected anew so far; null unless IsRelisting().
     std::unique_ptr<FeedMirror> relisted_;
+    std::uint64_t completePosition_ = 0;     ///< of the mirror before the transfer in progress
+    std::optional<InstanceId> transferFrom_; ///< sender of the transfer in progress
   };
 
+  /// @return whether all rows of a topic are those of one moment, as far as a digest tells
+  static bool IsConsistent(FeedTopic aTopic, const FeedMirror& aMirror);
+  static void AbandonTransfer(TopicState& aTopic);
+  /// Begins to collect all rows anew. Those known so far stay in use.
+  static void StartRelisting(TopicState& aTopic);
   TopicState& StateOf(FeedTopic aTopic) { return topics_[static_cast<std::size_t>(aTopic)]; }
   const TopicState& StateOf(FeedTopic aTopic) const
   {
--- a/boragepier/entry/service_router.cc
+++ b/boragepier/entry/service_router.cc
@@ -104,11 +104,11 @@
 {
 }
 
-ActiveRoute::ActiveRoute(RouteConfig aConfig,
+ActiveRoute::ActiveRoute(std::shared_ptr<const RouteConfig> aConfig,
                          std::span<const WeightedTarget> aTargets,
                          std::shared_ptr<WeightedRotation> aRotation)
   : config_(std::move(aConfig))
-  , workClass_(std::hash<std::string>()(config_.name_))
+  , workClass_(std::hash<std::string>()(config_->name_))
   , rotation_(std::move(aRotation))
 {
   for (const WeightedTarget& target : aTargets) {
@@ -124,63 +124,92 @@
   return selected ? services_[*selected] : nullptr;
 }
 
-namespace {
-
-// Returns the key of a route in Snapshot::routesByHostAndPrefix_.
-std::string
-RouteKey(std::string_view aHost, std::string_view aPathPrefix)
+std::shared_ptr<ActiveRoute>
+ServiceRouter::Snapshot::FindRoute(std::string_view aKey) const
 {
-  return std::string(aHost).append(aPathPrefix);
+  const auto& shard = routes_[RouteSet::ShardOf(aKey)];
+  if (!shard) {
+    return nullptr;
+  }
+  const auto found = shard->find(aKey);
+  return found == shard->end() ? nullptr : found->second;
 }
 
-} // namespace
-
 std::shared_ptr<ActiveRoute>
-ServiceRouter::MakeRoute(
-  const RouteConfig& aConfig,
-  const std::unordered_map<ServiceName, std::shared_ptr<ActiveService>>& aServices,
-  const Snapshot& aPrevious)
+ServiceRouter::MakeRoute(const RouteSet::RoutePointer& aConfig,
+                         const Snapshot& aSnapshot,
+                         const ActiveRoute* aPrevious)
 {
   std::vector<ActiveRoute::WeightedTarget> targets;
-  for (const WeightedService& target : aConfig.services_) {
-    if (const auto found = aServices.find(target.service_); found != aServices.end()) {
+  for (const WeightedService& target : aConfig->services_) {
+    if (const auto found = aSnapshot.servicesByName_.find(target.service_);
+        found != aSnapshot.servicesByName_.end()) {
       targets.push_back({ found->second, target.weight_ });
     }
   }
-  const auto previous =
-    aPrevious.routesByHostAndPrefix_.find(RouteKey(aConfig.host_, aConfig.pathPrefix_));
-  auto rotation = previous != aPrevious.routesByHostAndPrefix_.end()
-                    ? previous->second->Rotation()
-                    : std::make_shared<WeightedRotation>(Random(nextSeed_++)());
+  auto rotation = aPrevious != nullptr ? aPrevious->Rotation()
+                                       : std::make_shared<WeightedRotation>(Random(nextSeed_++)());
   ++builtRouteCount_;
   return std::make_shared<ActiveRoute>(aConfig, targets, std::move(rotation));
 }
 
 void
-ServiceRouter::Apply(const RoutingTable& aTable, MonotonicTime aNow)
+ServiceRouter::ApplyServices(const RoutingTable& aTable,
+                             const Snapshot& aPrevious,
+                             Snapshot& aSnapshot,
+                             MonotonicTime aNow)
 {
-  const auto previous = CurrentSnapshot();
-  std::unordered_map<ServiceName, std::shared_ptr<ActiveService>> previousServices;
-  for (const auto& service : previous->services_) {
-    previousServices.emplace(service->Config()->name_, service);
-  }
-  auto snapshot = std::make_shared<Snapshot>();
-  std::unordered_map<ServiceName, std::shared_ptr<ActiveService>> servicesByName;
   for (const ServiceRoute& route : aTable.services_) {
-    const auto found = previousServices.find(route.config_.name_);
-    const auto service = found != previousServices.end()
+    const auto found = aPrevious.servicesByName_.find(route.config_.name_);
+    const auto service = found != aPrevious.servicesByName_.end()
                            ? found->second
                            : std::make_shared<ActiveService>(route, zone_, nextSeed_++);
-    servicesByName.emplace(route.config_.name_, service);
+    aSnapshot.servicesByName_.emplace(route.config_.name_, service);
     service->Update(route, self_, aTable.instances_, aNow);
-    snapshot->services_.push_back(service);
-    snapshot->servicesByPrefix_.emplace(route.config_.pathPrefix_, service);
+    aSnapshot.services_.push_back(service);
+    aSnapshot.servicesByPrefix_.emplace(route.config_.pathPrefix_, service);
+  }
+}
+
+void
+ServiceRouter::ApplyRoutes(const RoutingTable& aTable,
+                           const Snapshot& aPrevious,
+                           Snapshot& aSnapshot)
+{
+  if (!aTable.routes_ || aTable.routes_->Empty()) {
+    return;
   }
-  snapshot->hasRoutes_ = !aTable.routes_.empty();
-  for (const RouteConfig& route : aTable.routes_) {
-    snapshot->routesByHostAndPrefix_.emplace(RouteKey(route.host_, route.pathPrefix_),
-                                             MakeRoute(route, servicesByName, *previous));
+  aSnapshot.routeSet_ = aTable.routes_;
+  // A route refers to its services, so it is built again if there are others.
+  const bool sameServices = aSnapshot.servicesByName_ == aPrevious.servicesByName_;
+  for (std::size_t i = 0; i < RouteSet::kShardCount; ++i) {
+    const auto& configs = aTable.routes_->ShardAt(i);
+    if (sameServices && aPrevious.routeSet_ && configs == aPrevious.routeSet_->ShardAt(i)) {
+      aSnapshot.routes_[i] = aPrevious.routes_[i];
+      continue;
+    }
+    if (!configs || configs->empty()) {
+      continue;
+    }
+    auto shard = std::make_shared<RouteShard>();
+    for (const RouteSet::RoutePointer& config : *configs) {
+      std::string key = MakeRouteKey(config->host_, config->pathPrefix_);
+      const auto previous = aPrevious.FindRoute(key);
+      const bool unchanged = sameServices && previous && previous->ConfigPointer() == config;
+      shard->emplace(std::move(key),
+                     unchanged ? previous : MakeRoute(config, aSnapshot, previous.get()));
+    }
+    aSnapshot.routes_[i] = std::move(shard);
   }
+}
+
+void
+ServiceRouter::Apply(const RoutingTable& aTable, MonotonicTime aNow)
+{
+  const auto previous = CurrentSnapshot();
+  auto snapshot = std::make_shared<Snapshot>();
+  ApplyServices(aTable, *previous, *snapshot, aNow);
+  ApplyRoutes(aTable, *previous, *snapshot);
   const std::lock_guard lock(mutex_);
   snapshot_ = std::move(snapshot);
 }
@@ -225,7 +254,7 @@
 ServiceRouter::Match(std::string_view aHost, std::string_view aPath) const
 {
   const auto snapshot = CurrentSnapshot();
-  if (!snapshot->hasRoutes_) {
+  if (!snapshot->routeSet_) {
     return { nullptr, FindLongestPrefix(aPath, [&](std::string_view aPrefix) {
                const auto found = snapshot->servicesByPrefix_.find(aPrefix);
                return found == snapshot->servicesByPrefix_.end() ? nullptr : found->second;
@@ -233,8 +262,7 @@
   }
   const std::string host = NormalizeHost(aHost);
   const auto route = FindLongestPrefix(aPath, [&](std::string_view aPrefix) {
-    const auto found = snapshot->routesByHostAndPrefix_.find(RouteKey(host, aPrefix));
-    return found == snapshot->routesByHostAndPrefix_.end() ? nullptr : found->second;
+    return snapshot->FindRoute(MakeRouteKey(host, aPrefix));
   });
   if (!route) {
     return {};
@@ -246,7 +274,7 @@
 ServiceRouter::HasConfiguration() const
 {
   const auto snapshot = CurrentSnapshot();
-  return snapshot->hasRoutes_ || !snapshot->services_.empty();
+  return snapshot->routeSet_ || !snapshot->services_.empty();
 }
 
 std::shared_ptr<const ServiceRouter::ServiceList>
--- a/boragepier/entry/service_router.h
+++ b/boragepier/entry/service_router.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEPIER_ENTRY_SERVICE_ROUTER_H
 #define BORAGEPIER_ENTRY_SERVICE_ROUTER_H
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -87,15 +88,16 @@
     double weight_ = 0; ///< relative to the other targets
   };
 
-  /// @param aConfig configuration of the route
+  /// @param aConfig configuration of the route; not null
   /// @param aTargets services of the route, in the order of the configuration
   /// @param aRotation selects the service of each request; not null. Belongs to the route and
   ///   continues when a routing table replaces this object
-  ActiveRoute(RouteConfig aConfig,
+  ActiveRoute(std::shared_ptr<const RouteConfig> aConfig,
               std::span<const WeightedTarget> aTargets,
               std::shared_ptr<WeightedRotation> aRotation);
 
-  const RouteConfig& Config() const { return config_; }
+  const RouteConfig& Config() const { return *config_; }
+  const std::shared_ptr<const RouteConfig>& ConfigPointer() const { return config_; }
   /// @return a hash of the route's name; requests of one route need similar work
   std::uint64_t WorkClass() const { return workClass_; }
   /// Selects the service for the next request. Over many requests each service gets its share.
@@ -104,7 +106,7 @@
   const std::shared_ptr<WeightedRotation>& Rotation() const { return rotation_; }
 
 private:
-  const RouteConfig config_;
+  const std::shared_ptr<const RouteConfig> config_;
   const std::uint64_t workClass_;
   std::vector<std::shared_ptr<ActiveService>> services_;
   std::vector<double> weights_; ///< of services_, in the same order
@@ -131,8 +133,8 @@
   ///   instances, so that they do not all select the same service first
   ServiceRouter(InstanceId aSelf, ZoneName aZone, std::uint64_t aSeed);
 
-  /// Applies a routing table. Services and routes that remain keep their state. Called by one
-  /// thread only.
+  /// Applies a routing table. Services and routes that remain keep their state, and what is the
+  /// same in the previous table is not built again. Called by one thread only.
   void Apply(const RoutingTable& aTable, MonotonicTime aNow);
 
   /// Finds the route or service with the longest matching path prefix. A prefix matches whole
@@ -158,24 +160,37 @@
       return std::hash<std::string_view>()(aKey);
     }
   };
-  /// An applied routing table. Immutable once published.
+  template<typename Value>
+  using StringMap =
+    std::unordered_map<std::string, std::shared_ptr<Value>, StringHash, std::equal_to<>>;
+
+  /// The routes of one shard of a RouteSet, by MakeRouteKey().
+  using RouteShard = StringMap<ActiveRoute>;
+
+  /// An applied routing table. Immutable once published. Shares with its predecessor the services
+  /// and shards of routes that are the same.
   struct Snapshot
   {
     ServiceList services_;
-    std::unordered_map<std::string, std::shared_ptr<ActiveService>, StringHash, std::equal_to<>>
-      servicesByPrefix_;
-    bool hasRoutes_ = false;
-    /// The key is the host followed by the path prefix.
-    std::unordered_map<std::string, std::shared_ptr<ActiveRoute>, StringHash, std::equal_to<>>
-      routesByHostAndPrefix_;
+    std::unordered_map<ServiceName, std::shared_ptr<ActiveService>> servicesByName_;
+    StringMap<ActiveService> servicesByPrefix_;
+    std::shared_ptr<const RouteSet> routeSet_; ///< from which routes_ was built; null if empty
+    std::array<std::shared_ptr<const RouteShard>, RouteSet::kShardCount> routes_;
+
+    /// @return the route with this key, or null
+    std::shared_ptr<ActiveRoute> FindRoute(std::string_view aKey) const;
   };
 
   std::shared_ptr<const Snapshot> CurrentSnapshot() const;
 
-  std::shared_ptr<ActiveRoute> MakeRoute(
-    const RouteConfig& aConfig,
-    const std::unordered_map<ServiceName, std::shared_ptr<ActiveService>>& aServices,
-    const Snapshot& aPrevious);
+  void ApplyServices(const RoutingTable& aTable,
+                     const Snapshot& aPrevious,
+                     Snapshot& aSnapshot,
+                     MonotonicTime aNow);
+  void ApplyRoutes(const RoutingTable& aTable, const Snapshot& aPrevious, Snapshot& aSnapshot);
+  std::shared_ptr<ActiveRoute> MakeRoute(const RouteSet::RoutePointer& aConfig,
+                                         const Snapshot& aSnapshot,
+                                         const ActiveRoute* aPrevious);
 
   const InstanceId self_;
   const ZoneName zone_;
--- a/boragepier/ports/directory_feed.h
+++ b/boragepier/ports/directory_feed.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,7 +22,7 @@
 /// The sets of entries that the directory store keeps for the fleet.
 enum class FeedTopic : std::uint8_t
 {
-  Configuration, ///< one FleetConfig
+  Configuration, ///< one row with a FleetConfig
   Upstreams,     ///< an UpstreamEntry for each upstream
   Instances,     ///< an InstanceEntry for each entry instance that was ever started
 };
@@ -77,13 +78,16 @@
   friend bool operator==(const RemovalGap&, const RemovalGap&) = default;
 };
 
-/// A FeedRow after decoding.
+/// A FeedRow of upstreams or instances after decoding.
 struct DecodedFeedRow
 {
   std::string key_;
-  std::variant<UnreadableEntry, RemovedEntry, FleetConfig, UpstreamEntry, InstanceEntry> value_;
+  std::variant<UnreadableEntry, RemovedEntry, UpstreamEntry, InstanceEntry> value_;
 };
 
+/// The row of the configuration after decoding.
+using DecodedConfig = std::variant<UnreadableEntry, RemovedEntry, FleetConfig>;
+
 /// Result of a call to the store.
 enum class FeedStatus : std::uint8_t
 {
@@ -100,6 +104,8 @@
   std::vector<FeedRow> rows_;
   std::uint64_t position_ = 0; ///< position in the change log up to which the rows are complete
   std::string error_;          ///< reason, if the status is not Ok
+  /// Steady clock of the store when it created the response, if it says so.
+  std::optional<Duration> storeTime_;
 };
 
 using FeedCallback = std::function<void(FeedResponse)>;
@@ -126,10 +132,15 @@
   aFeed.Wait(aTopic, aPosition, aWait, aDone);
   /// Registers up to kMaxRegistrations instances; replaces existing entries with the same ids.
   aFeed.Register(aInstances, aDone);
-  /// Decodes a row read at aNow. Does not throw: a malformed row becomes an UnreadableEntry.
+  /// Decodes a row of upstreams or instances read at aNow. Does not throw: a malformed row becomes
+  /// an UnreadableEntry.
   {
     aFeed.Decode(aTopic, aRow, aNow)
     } -> std::same_as<DecodedFeedRow>;
+  /// Decodes a row of the configuration in the same way.
+  {
+    aFeed.DecodeConfig(aRow)
+    } -> std::same_as<DecodedConfig>;
 };
 
 } // namespace boragepier
--- a/boragepier/state/routing_table.h
+++ b/boragepier/state/routing_table.h
@@ -2,11 +2,13 @@
 #define BORAGEPIER_STATE_ROUTING_TABLE_H
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <vector>
 
 #include "boragepier/base/ids.h"
 #include "boragepier/config/route_config.h"
+#include "boragepier/config/route_set.h"
 #include "boragepier/config/service_config.h"
 #include "boragepier/config/upstream_endpoint.h"
 
@@ -27,8 +29,9 @@
 struct RoutingTable
 {
   std::vector<ServiceRoute> services_;
-  /// Routing rules by host and path. If empty, each service is selected by its own path prefix.
-  std::vector<RouteConfig> routes_;
+  /// Routing rules by host and path. If null or empty, each service is selected by its own path
+  /// prefix.
+  std::shared_ptr<const RouteSet> routes_;
   std::uint64_t routesVersion_ = 0; ///< of routes_; 0 if there are none
   /// If empty, the limits in the settings of the instance apply.
   std::optional<CallerLimits> callerLimits_;
