Date a response of the store by the store's clock

A response with rows, and a read of all rows, counted as an observation at the time of its arrival. It shows the store when it was created.

The store tells its steady clock in each response. StoreClock limits the offset between the clocks by the shortest calls, and so finds the earliest time at which a response can have been created; without a time it is the start of the call. A clock that jumps, as that of a suspended machine, starts it anew.

--- a/boragepier/directory/directory_fakes.h
+++ b/boragepier/directory/directory_fakes.h
@@ -304,6 +304,7 @@
   std::map<std::int64_t, std::size_t> readsBySecond_;
   std::map<std::int64_t, std::size_t> writesBySecond_;
   std::set<InstanceId> unansweredInstances_; ///< whose calls are never answered
+  Duration answerDelay_{};                   ///< of each answer, after it was composed
   MonotonicTime writingUntil_{};             ///< end of the last transaction
 };
 
@@ -411,12 +412,15 @@
     for (const FeedRow& row : response.rows_) {
       size += row.key_.size() + row.value_.size() * 4 / 3 + 60;
     }
-    network_.Receive(
-      self_, size, [this, aDone, response = std::make_shared<FeedResponse>(std::move(response))] {
+    response.storeTime_ = now.time_since_epoch();
+    const auto sent = std::make_shared<FeedResponse>(std::move(response));
+    store_.scheduler_.After(store_.answerDelay_, [=, this] {
+      network_.Receive(self_, size, [this, aDone, sent] {
         if (!stopped_) {
-          aDone(std::move(*response));
+          aDone(std::move(*sent));
         }
       });
+    });
   }
 
   FakeStore& store_;
--- a/boragepier/directory/relay_parts_test.cc
+++ b/boragepier/directory/relay_parts_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "boragepier/directory/directory_fakes.h"
+#include "boragepier/directory/store_clock.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -412,4 +413,60 @@
   CHECK(reachable_.back());
 }
 
+// Guards against a change that is in force late because old rows count as new: a response that was
+// long on its way shows the store as it was when it was created, not when it arrived.
+TEST(StoreReader, LateResponseDoesNotCountAsNew)
+{
+  constexpr Duration kDelay = std::chrono::milliseconds(800);
+  store_.answerDelay_ = kDelay;
+  store_.Put(FeedTopic::Configuration, "config", "2");
+  store_.Put(FeedTopic::Upstreams, "u-1", {});
+  const MonotonicTime changedAt = scheduler_.Now();
+  while (view_.Position(FeedTopic::Upstreams) < store_.position_ ||
+         view_.CompletePosition(FeedTopic::Configuration) < ToPartPosition(store_.position_ - 1)) {
+    scheduler_.Advance(std::chrono::milliseconds(10));
+  }
+  CHECK(scheduler_.Now() >= changedAt + kDelay);
+  CHECK(*view_.ConfirmedAt() <= changedAt + std::chrono::milliseconds(50));
+}
+
+TEST_GROUP(StoreClock)
+{
+  StoreClock clock_;
+
+  // Returns how long before its arrival a response counts as created. The store's clock is 100 s
+  // ahead.
+  double AgeMs(int aSentMs, int aCreatedMs, int aReceivedMs)
+  {
+    const auto received = MonotonicTime(std::chrono::milliseconds(aReceivedMs));
+    return ToMilliseconds(received -
+                          clock_.CreatedAt(MonotonicTime(std::chrono::milliseconds(aSentMs)),
+                                           received,
+                                           std::chrono::milliseconds(aCreatedMs + 100'000)));
+  }
+};
+
+TEST(StoreClock, ShortCallsTellWhenTheResponseOfALongOneWasCreated)
+{
+  DOUBLES_EQUAL(1000, AgeMs(0, 500, 1000), 0.001); // nothing is known yet
+  DOUBLES_EQUAL(4, AgeMs(2000, 2002, 2004), 0.001);
+  DOUBLES_EQUAL(702, AgeMs(3000, 3300, 4000), 0.001);
+}
+
+// Guards against responses that count as too new for good after a machine was suspended, for which
+// its steady clock stood still.
+TEST(StoreClock, JumpOfAClockIsNoticed)
+{
+  AgeMs(2000, 2002, 2004);
+  DOUBLES_EQUAL(1000, AgeMs(3000, 8500, 4000), 0.001);
+  DOUBLES_EQUAL(4, AgeMs(5000, 10002, 5004), 0.001);
+}
+
+// Guards against a store that does not tell its time.
+TEST(StoreClock, WithoutATimeAResponseIsAsOldAsItsCall)
+{
+  const MonotonicTime sent(std::chrono::seconds(1));
+  CHECK(sent == clock_.CreatedAt(sent, sent + std::chrono::seconds(2), std::nullopt));
+}
+
 } // namespace boragepier
--- a/boragepier/directory/store_reader.h
+++ b/boragepier/directory/store_reader.h
@@ -12,6 +12,7 @@
 #include "boragepier/base/internal_error.h"
 #include "boragepier/directory/config_parts.h"
 #include "boragepier/directory/directory_timing.h"
+#include "boragepier/directory/store_clock.h"
 #include "boragepier/directory/store_view.h"
 #include "boragepier/ports/directory_feed.h"
 #include "boragepier/ports/scheduler.h"
@@ -167,11 +168,11 @@
   std::optional<std::size_t> Apply(const PendingCall& aCall, const FeedResponse& aResponse)
   {
     const MonotonicTime now = scheduler_.Now();
-    // A response without changes describes the store at the end of the wait, however late it
-    // arrives.
-    const bool waitTimedOut = aCall.changesOnly_ && aResponse.rows_.empty();
-    const MonotonicTime observedAt =
-      waitTimedOut ? std::min(now, aCall.startedAt_ + aCall.wait_) : now;
+    MonotonicTime observedAt = clock_.CreatedAt(aCall.startedAt_, now, aResponse.storeTime_);
+    if (aCall.changesOnly_ && aResponse.rows_.empty()) {
+      // The store responds without changes only at the end of the wait.
+      observedAt = std::max(observedAt, std::min(now, aCall.startedAt_ + aCall.wait_));
+    }
     const auto changed =
       aCall.topic_ == FeedTopic::Configuration
         ? view_.ApplyResponse(aCall.topic_, Divide(aResponse), aCall.changesOnly_, observedAt)
@@ -256,6 +257,7 @@
   const DirectoryTiming& timing_;
   Jitter& jitter_;
   const Callbacks callbacks_;
+  StoreClock clock_;
   std::array<TopicState, kFeedTopicCount> topics_{};
   bool failing_ = false; ///< as last reported by the callback
 };
