--- a/boragepier/directory/config_relay_test.cc
+++ b/boragepier/directory/config_relay_test.cc
@@ -207,4 +207,22 @@
   }
 }
 
+// Guards against instances that give up a transfer in progress and read the store, which takes them
+// longer: many routes are added at once.
+TEST(ConfigRelay, ManyNewRoutesReachEverybodyThroughTheTree)
+{
+  StartFleet(kFewRoutes);
+  const auto callsBefore = store_.callCounts_;
+  Publish(kManyRoutes);
+  const Duration spread = TimeFromFirstToLast(version_);
+  int readers = 0;
+  for (const auto& [id, calls] : store_.callCounts_) {
+    const auto before = callsBefore.find(id);
+    readers += before == callsBefore.end() || before->second < calls ? 1 : 0;
+  }
+  UT_PRINT(StringFromFormat("%.0f ms, %d readers", ToMilliseconds(spread), readers).asCharString());
+  // The root and the heads of the other zones.
+  CHECK_COMPARE(readers, <=, kZoneCount);
+}
+
 } // namespace boragepier
