Leave upstreams alone that ask for a pause

Cause: no part read the field. A refusal only lowered the rank of an upstream until its next report, so when all upstreams of a service refused, requests went on to them, by choice, retry, probe and from the queues of connections. Class: what an upstream says of itself in an answer that no state keeps.

UpstreamPause keeps the pause for one start of an upstream at one address. All ways to an upstream pass AcceptsRequests(), which it closes: choice, spill- over, retry, hedge, probe. Requests that were chosen for it but are not sent yet, because they wait for a connection, are withdrawn and submitted again; that is no attempt and takes nothing from the budgets. After the pause one request tries the upstream, and the others follow when it has ended. While all upstreams of a service pause, requests are refused at once as upstreams-paused with a Retry-After that is not before the first end, spread over the callers. The share of a service on a split route is refused, not moved. A value that is no number of seconds up to an hour is ignored, logged and counted.

--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -27,6 +27,7 @@
   { "shutting-down", 503 },        { "not-configured", 503 },
   { "caller-left", 503 },          { "internal-error", 500 },
   { "body-budget-exceeded", 503 }, { "response-not-awaited", 504 },
+  { "upstreams-paused", 503 },
 } };
 
 // In the order of RetryReason.
@@ -48,6 +49,7 @@
   "malformed-response",
   "response-too-large",
   "cancelled",
+  "withdrawn",
 };
 
 // In the order of UnansweredCause.
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -43,8 +43,9 @@
   InternalError,      ///< an unexpected error ended the request
   BodyBudgetExceeded, ///< the body does not fit in the memory for bodies now
   ResponseNotAwaited, ///< as CallerLeft, for a request that may have run
+  UpstreamsPaused,    ///< all upstreams of the service have asked for a pause
 };
-inline constexpr int kRefusalReasonCount = 24;
+inline constexpr int kRefusalReasonCount = 25;
 
 /// Why an attempt did not yield a complete response.
 enum class AttemptFailure : std::uint8_t
@@ -60,8 +61,9 @@
   MalformedResponse, ///< the response violates HTTP framing
   ResponseTooLarge,  ///< the response exceeds the limit of the service
   Cancelled,         ///< by boragepier: the caller disconnected, or another attempt succeeded
+  Withdrawn,         ///< not sent yet when the upstream asked for a pause
 };
-inline constexpr int kAttemptFailureCount = 11;
+inline constexpr int kAttemptFailureCount = 12;
 
 /// Why a further attempt was sent. Each reason has a counter.
 enum class RetryReason : std::uint8_t
--- a/boragepier/decision/attempt_rules.cc
+++ b/boragepier/decision/attempt_rules.cc
@@ -25,6 +25,7 @@
     case AttemptFailure::LocalLimit:
     case AttemptFailure::ResponseTooLarge:
     case AttemptFailure::Cancelled:
+    case AttemptFailure::Withdrawn:
       return std::nullopt;
   }
   if (aReport.status_ >= 500) {
@@ -33,6 +34,12 @@
   return std::nullopt;
 }
 
+bool
+ReachedUpstream(const AttemptReport& aReport)
+{
+  return aReport.outcome_ != Outcome::NotRun || aReport.failure_ == AttemptFailure::Refused;
+}
+
 bool
 WasTried(const CallInfo& aCall, std::uint32_t aIndex)
 {
--- a/boragepier/decision/attempt_rules.h
+++ b/boragepier/decision/attempt_rules.h
@@ -16,6 +16,10 @@
 std::optional<RetryReason>
 RetryReasonOf(const AttemptReport& aReport);
 
+/// @return whether the request reached the upstream, or may have
+bool
+ReachedUpstream(const AttemptReport& aReport);
+
 /// @return whether an earlier attempt of the request was sent to the upstream with this index
 bool
 WasTried(const CallInfo& aCall, std::uint32_t aIndex);
--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -50,6 +50,7 @@
     case AttemptFailure::Cancelled:
     case AttemptFailure::LocalLimit:
     case AttemptFailure::ResponseTooLarge:
+    case AttemptFailure::Withdrawn:
       return false;
     default:
       return true;
@@ -95,6 +96,7 @@
     }
     if (!isNew && !IsSameStart(*upstream.endpoint_, endpoint)) {
       upstream.markedLeaving_ = false;
+      upstream.pause_ = {};
     }
     if (isNew || *upstream.endpoint_ != endpoint) {
       upstream.endpoint_ = std::make_shared<const UpstreamEndpoint>(endpoint);
@@ -157,8 +159,39 @@
   upstreams_.at(static_cast<std::size_t>(aUpstream)).markedLeaving_ = true;
 }
 
+Duration
+FreshProbeBalancer::BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow)
+{
+  return upstreams_.at(static_cast<std::size_t>(aUpstream)).pause_.Begin(aDuration, aNow);
+}
+
+PauseSummary
+FreshProbeBalancer::SummarizePauses(MonotonicTime aNow) const
+{
+  PauseSummary summary;
+  for (const std::uint32_t index : listed_) {
+    if (IsInUse(upstreams_[index])) {
+      summary.Add(upstreams_[index].pause_, aNow);
+    }
+  }
+  return summary;
+}
+
+Duration
+FreshProbeBalancer::RetryAfterAllPause(MonotonicTime aNow)
+{
+  const auto end = SummarizePauses(aNow).EndIfAllPause();
+  return end ? RetryAfterPause(*end, aNow, random_) : Duration(0);
+}
+
 bool
-FreshProbeBalancer::AcceptsRequests(const Upstream& aUpstream)
+FreshProbeBalancer::AcceptsRequests(const Upstream& aUpstream, MonotonicTime aNow)
+{
+  return IsInUse(aUpstream) && aUpstream.pause_.StateAt(aNow) == UpstreamPause::State::None;
+}
+
+bool
+FreshProbeBalancer::IsInUse(const Upstream& aUpstream)
 {
   return aUpstream.listed_ && !aUpstream.endpoint_->leaving_ && !aUpstream.markedLeaving_;
 }
@@ -234,6 +267,7 @@
 {
   Upstream& upstream = upstreams_.at(static_cast<std::size_t>(aReport.upstream_));
   upstream.estimate_.OnAttemptEnded(aReport.latency_, aNow);
+  upstream.pause_.OnAttemptEnded(aNow - aReport.latency_, ReachedUpstream(aReport));
   UpdateModels(aReport, aNow);
   if (aReport.draining_) {
     MarkLeaving(aReport.upstream_);
@@ -328,7 +362,10 @@
     info.ownOutstanding_ = estimate.OwnOutstanding();
     info.othersEstimate_ = estimate.InFlight() - estimate.OwnOutstanding();
     info.healthWeight_ = 1 - estimate.FailureProbability(aNow);
-    info.leaving_ = !AcceptsRequests(upstream);
+    info.leaving_ = !IsInUse(upstream);
+    if (upstream.pause_.StateAt(aNow) == UpstreamPause::State::Paused) {
+      info.pausedFor_ = upstream.pause_.End() - aNow;
+    }
     info.expectedWaitMs_ = ExpectedWaitMs(upstream, aNow);
     if (const auto reportAge = estimate.ReportAge(aNow)) {
       info.slowness_ = estimate.Report()->slowness_;
--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -14,6 +14,7 @@
 #include "boragepier/decision/service_balancer.h"
 #include "boragepier/decision/slowness_model.h"
 #include "boragepier/decision/upstream_estimate.h"
+#include "boragepier/decision/upstream_pause.h"
 #include "boragepier/decision/window_budget.h"
 #include "boragepier/decision/work_estimator.h"
 
@@ -47,6 +48,8 @@
   RoutingDecision Submit(const CallInfo& aCall, MonotonicTime aNow);
   void OnAttemptEnded(const AttemptReport& aReport, MonotonicTime aNow);
   void MarkLeaving(UpstreamHandle aUpstream);
+  Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
+  Duration RetryAfterAllPause(MonotonicTime aNow);
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
   std::optional<MonotonicTime> NextRelease() const;
   bool CancelQueued(std::uint64_t aCallId, MonotonicTime aNow);
@@ -81,6 +84,7 @@
     /// Position in this instance's order of the upstreams by hash, from 0 (first) to below 1.
     double affinityRank_ = 0;
     bool markedLeaving_ = false; ///< by MarkLeaving(), for this start at this address
+    UpstreamPause pause_;        ///< of this start at this address
   };
 
   /// Upstreams that have been probed for a queued request.
@@ -129,7 +133,13 @@
   };
 
   /// @return whether an upstream is listed and not leaving
-  static bool AcceptsRequests(const Upstream& aUpstream);
+  static bool IsInUse(const Upstream& aUpstream);
+  /// @return whether an upstream is in use and may receive a request or a probe now
+  static bool AcceptsRequests(const Upstream& aUpstream, MonotonicTime aNow);
+  /// @return the pauses of the upstreams in use
+  PauseSummary SummarizePauses(MonotonicTime aNow) const;
+  /// @return the refusal of a request because all upstreams pause, or nothing if they do not
+  std::optional<RoutingDecision> RefuseIfAllPause(MonotonicTime aNow);
   void StopAwaitingProbe(std::uint32_t aIndex, MonotonicTime aNow);
   /// @return the latest attempt of a request, or null if it is not in flight
   const OutstandingAttempt* FindOutstanding(const CallInfo& aCall) const;
--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -154,7 +154,7 @@
   std::vector<ScoredUpstream> ranked;
   const auto addUpstreams = [&](std::span<const std::uint32_t> aIndices, bool aIncludeTried) {
     for (const std::uint32_t index : aIndices) {
-      if (AcceptsRequests(upstreams_[index]) && (aIncludeTried || !WasTried(aCall, index))) {
+      if (AcceptsRequests(upstreams_[index], aNow) && (aIncludeTried || !WasTried(aCall, index))) {
         ranked.push_back(ScoreUpstream(index, aCall, aNow));
       }
     }
@@ -317,6 +317,17 @@
   return { RoutingDecision::Kind::Refuse, {}, aReason, FromMilliseconds(retryAfterMs) };
 }
 
+std::optional<RoutingDecision>
+FreshProbeBalancer::RefuseIfAllPause(MonotonicTime aNow)
+{
+  if (const Duration retryAfter = RetryAfterAllPause(aNow); retryAfter > Duration(0)) {
+    return RoutingDecision{
+      RoutingDecision::Kind::Refuse, {}, RefusalReason::UpstreamsPaused, retryAfter
+    };
+  }
+  return std::nullopt;
+}
+
 RoutingDecision
 FreshProbeBalancer::Dispatch(const ScoredUpstream& aScored,
                              const CallInfo& aCall,
@@ -334,6 +345,7 @@
                            0,
                            aNow });
   estimate.OnDispatch(aNow);
+  upstreams_[aScored.index_].pause_.OnDispatch();
   return { RoutingDecision::Kind::Dispatch, UpstreamHandle{ aScored.index_ }, {}, {} };
 }
 
@@ -351,18 +363,21 @@
 FreshProbeBalancer::Submit(const CallInfo& aCall, MonotonicTime aNow)
 {
   const bool firstAttempt = aCall.triedUpstreams_.empty();
-  if (firstAttempt) {
+  if (firstAttempt && !aCall.moved_) {
     retryBudget_.OnRequest(aNow);
   }
   if (aCall.deadline_ <= aNow) {
     return Refuse(RefusalReason::DeadlineExpired, {});
   }
-  const bool anyAccepts = std::any_of(listed_.begin(), listed_.end(), [&](std::uint32_t aIndex) {
-    return AcceptsRequests(upstreams_[aIndex]);
+  const bool anyInUse = std::any_of(listed_.begin(), listed_.end(), [&](std::uint32_t aIndex) {
+    return IsInUse(upstreams_[aIndex]);
   });
-  if (!anyAccepts) {
+  if (!anyInUse) {
     return Refuse(RefusalReason::NoUpstream, std::chrono::milliseconds(500));
   }
+  if (const auto refusal = RefuseIfAllPause(aNow)) {
+    return *refusal;
+  }
   if (const auto wait = ExpectedQueueWait(aCall); firstAttempt && wait && *wait > Duration(0)) {
     const double normalServiceMs = slownessModel_.ServiceTimeMs(ExpectedWorkMs(aCall), 1);
     if (aNow + *wait + FromMilliseconds(normalServiceMs) > aCall.targetTime_) {
@@ -385,6 +400,13 @@
   }
   const auto ranked = RankUpstreams(aQueued.call_, aNow);
   if (ranked.empty()) {
+    if (const auto refusal = RefuseIfAllPause(aNow)) {
+      return refusal;
+    }
+    if (SummarizePauses(aNow).AnyOnTrial()) {
+      aQueued.stageDeadline_ = aNow + kQueueReprobeInterval;
+      return std::nullopt;
+    }
     return Refuse(RefusalReason::NoUpstream, std::chrono::milliseconds(500));
   }
   if (const ScoredUpstream* const picked = Pick(aQueued, ranked, aNow)) {
@@ -564,12 +586,12 @@
 }
 
 std::optional<UpstreamHandle>
-FreshProbeBalancer::NextProbe(MonotonicTime)
+FreshProbeBalancer::NextProbe(MonotonicTime aNow)
 {
   while (!pendingProbes_.empty()) {
     const std::uint32_t index = pendingProbes_.front();
     pendingProbes_.pop_front();
-    if (upstreamsReportLoad_ && AcceptsRequests(upstreams_[index])) {
+    if (upstreamsReportLoad_ && AcceptsRequests(upstreams_[index], aNow)) {
       upstreams_[index].estimate_.OnProbeSent();
       return UpstreamHandle{ index };
     }
--- a/boragepier/decision/service_balancer.cc
+++ b/boragepier/decision/service_balancer.cc
@@ -49,6 +49,18 @@
   impl_->MarkLeaving(aUpstream);
 }
 
+Duration
+ServiceBalancer::BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow)
+{
+  return impl_->BeginPause(aUpstream, aDuration, aNow);
+}
+
+Duration
+ServiceBalancer::RetryAfterAllPause(MonotonicTime aNow)
+{
+  return impl_->RetryAfterAllPause(aNow);
+}
+
 std::vector<ReleasedCall>
 ServiceBalancer::Release(MonotonicTime aNow)
 {
@@ -94,9 +106,9 @@
 }
 
 std::optional<UpstreamHandle>
-ServiceBalancer::NextProbe(MonotonicTime)
+ServiceBalancer::NextProbe(MonotonicTime aNow)
 {
-  return impl_->NextProbe();
+  return impl_->NextProbe(aNow);
 }
 
 void
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -36,6 +36,8 @@
   /// Requests with the same value have similar service times; FreshProbeBalancer only.
   std::uint64_t workClass_ = 0;
   std::size_t bodyBytes_ = 0; ///< size of the request body; FreshProbeBalancer only
+  /// Submitted again because its attempt was withdrawn before it was sent.
+  bool moved_ = false;
   /// Upstreams of earlier attempts in order, avoided while there are others.
   std::vector<UpstreamHandle> triedUpstreams_;
 };
@@ -82,7 +84,9 @@
   int status_ = 0;     ///< HTTP status of the answer, 0 without one
   Duration latency_{}; ///< from the dispatch to the end of the attempt
   std::optional<LoadReport> load_;
-  bool draining_ = false; ///< the upstream announced that it is leaving
+  bool draining_ = false;         ///< the upstream announced that it is leaving
+  std::optional<Duration> pause_; ///< the upstream refused the request and wants none for this time
+  bool invalidPause_ = false;     ///< it asked for a pause with a value that is ignored
 };
 
 /// Decision whether a request may be sent again after a failed attempt.
@@ -102,6 +106,7 @@
   double expectedWaitMs_ = 0;        ///< expected wait of a new request for a slot
   double healthWeight_ = 1;          ///< 1 for a healthy upstream, 0 for an ejected one
   bool leaving_ = false;             ///< receives no new requests
+  Duration pausedFor_{};             ///< time left of the pause that it asked for
   double slowness_ = 0;              ///< as reported; 0 without a report
   Duration reportAge_{};             ///< valid if slowness_ is not 0
 };
@@ -163,6 +168,13 @@
   /// Records that an upstream is leaving, for example as announced in its answers. The upstream
   /// receives no new requests until its startNumber_ rises or its address changes.
   void MarkLeaving(UpstreamHandle aUpstream);
+  /// Records that an upstream asked for a pause when it refused a request or a probe. It receives
+  /// nothing until the end, then one request that tries it, and others once that one has ended. The
+  /// pause ends with its start at this address. While all upstreams pause, requests are refused.
+  /// @return by how much the end of the pauses of the upstream has moved
+  Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
+  /// @return Retry-After of a request that is refused now; zero unless all upstreams pause
+  Duration RetryAfterAllPause(MonotonicTime aNow);
 
   /// @return the requests that leave the queue now, to be dispatched or refused, in order
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
--- a/boragepier/decision/service_balancer_attempts.cc
+++ b/boragepier/decision/service_balancer_attempts.cc
@@ -69,7 +69,8 @@
     }
     return;
   }
-  if (aReport.failure_ == AttemptFailure::LocalLimit) {
+  if (aReport.failure_ == AttemptFailure::LocalLimit ||
+      aReport.failure_ == AttemptFailure::Withdrawn) {
     return; // says nothing about the upstream
   }
   if (aReport.failure_ == AttemptFailure::Refused) {
@@ -87,6 +88,7 @@
 {
   const auto index = static_cast<std::size_t>(aReport.upstream_);
   loadEstimator_.OnAttemptEnded(index, aReport.latency_, aNow);
+  upstreams_[index].pause_.OnAttemptEnded(aNow - aReport.latency_, ReachedUpstream(aReport));
   if (lastAttemptEnd_ != MonotonicTime()) {
     const double interval = ToMilliseconds(aNow - lastAttemptEnd_);
     attemptEndIntervalMs_ += kAttemptEndIntervalEwmaWeight * (interval - attemptEndIntervalMs_);
--- a/boragepier/decision/service_balancer_choice.cc
+++ b/boragepier/decision/service_balancer_choice.cc
@@ -23,6 +23,8 @@
 // Service times within these factors of the mean are treated as equal to it.
 constexpr double kMinEqualSlowness = 0.67;
 constexpr double kMaxEqualSlowness = 1.5;
+// Requests that wait for the end of a trial are looked at again after this time at the latest.
+constexpr Duration kTrialRecheckInterval = std::chrono::milliseconds(25);
 
 } // namespace
 
@@ -62,7 +64,7 @@
                                      MonotonicTime aNow)
 {
   for (const std::uint32_t index : aIndices) {
-    if (!AcceptsRequests(index) || WasTried(aCall, index)) {
+    if (!AcceptsRequests(index, aNow) || WasTried(aCall, index)) {
       continue;
     }
     if (aApplyHealthWeight) {
@@ -152,6 +154,7 @@
 ServiceBalancer::Impl::Dispatch(std::size_t aIndex, MonotonicTime aNow)
 {
   loadEstimator_.OnDispatch(aIndex, aNow);
+  upstreams_[aIndex].pause_.OnDispatch();
   lastDispatch_ = aNow;
   return { RoutingDecision::Kind::Dispatch,
            UpstreamHandle{ static_cast<std::uint32_t>(aIndex) },
@@ -181,7 +184,7 @@
 ServiceBalancer::Impl::Submit(const CallInfo& aCall, MonotonicTime aNow)
 {
   const bool firstAttempt = aCall.triedUpstreams_.empty();
-  if (firstAttempt) {
+  if (firstAttempt && !aCall.moved_) {
     retryBudget_.OnRequest();
     hedgeBudget_.OnRequest();
   }
@@ -190,7 +193,7 @@
   }
   const auto picked = Pick(aCall, aNow);
   if (!picked) {
-    return { RoutingDecision::Kind::Refuse, {}, RefusalReason::NoUpstream };
+    return DecideWithoutUpstream(aCall, aNow);
   }
   // Retries are not queued: their request has waited before.
   if (firstAttempt && (queue_.CountAhead(aCall.trafficClass_) > 0 || IsCongested(*picked))) {
@@ -205,6 +208,30 @@
   return Dispatch(picked->index_, aNow);
 }
 
+RoutingDecision
+ServiceBalancer::Impl::DecideWithoutUpstream(const CallInfo& aCall, MonotonicTime aNow)
+{
+  const PauseSummary pauses = SummarizePauses(aNow);
+  if (const auto end = pauses.EndIfAllPause()) {
+    return { RoutingDecision::Kind::Refuse,
+             {},
+             RefusalReason::UpstreamsPaused,
+             RetryAfterPause(*end, aNow, random_) };
+  }
+  std::optional<std::uint64_t> displaced;
+  if (!pauses.AnyOnTrial() || !queue_.Push(aCall, displaced)) {
+    return { RoutingDecision::Kind::Refuse,
+             {},
+             pauses.AnyOnTrial() ? RefusalReason::Overloaded : RefusalReason::NoUpstream };
+  }
+  if (displaced) {
+    displaced_.push_back(
+      { *displaced, { RoutingDecision::Kind::Refuse, {}, RefusalReason::Overloaded } });
+  }
+  trialRecheck_ = aNow + kTrialRecheckInterval;
+  return { RoutingDecision::Kind::Queued, {}, {} };
+}
+
 std::vector<ReleasedCall>
 ServiceBalancer::Impl::Release(MonotonicTime aNow)
 {
@@ -224,9 +251,13 @@
   while (const CallInfo* front = queue_.Front()) {
     const auto picked = Pick(*front, aNow);
     if (!picked) {
-      aReleased.push_back(
-        { front->id_, { RoutingDecision::Kind::Refuse, {}, RefusalReason::NoUpstream } });
+      if (SummarizePauses(aNow).AnyOnTrial()) {
+        trialRecheck_ = aNow + kTrialRecheckInterval;
+        break;
+      }
+      const CallInfo call = *front;
       queue_.PopFront();
+      aReleased.push_back({ call.id_, DecideWithoutUpstream(call, aNow) });
       continue;
     }
     // The estimates may stay wrong without new answers or reports, so one request is dispatched
@@ -249,8 +280,9 @@
   }
   std::optional<MonotonicTime> next;
   if (const auto deadline = queue_.EarliestDeadline()) {
-    next =
-      std::min(*deadline, lastDispatch_ + FromMilliseconds(loadEstimator_.MeanServiceTimeMs()));
+    const MonotonicTime nextDispatch =
+      std::max(trialRecheck_, lastDispatch_ + FromMilliseconds(loadEstimator_.MeanServiceTimeMs()));
+    next = std::min(*deadline, nextDispatch);
   }
   for (const HeldRequest& held : heldRequests_) {
     next = next ? std::min(*next, held.holdUntil_) : held.holdUntil_;
--- a/boragepier/decision/service_balancer_impl.h
+++ b/boragepier/decision/service_balancer_impl.h
@@ -13,6 +13,7 @@
 #include "boragepier/decision/outlier_ejection.h"
 #include "boragepier/decision/probe_budget.h"
 #include "boragepier/decision/service_balancer.h"
+#include "boragepier/decision/upstream_pause.h"
 
 namespace boragepier {
 
@@ -31,6 +32,8 @@
   RoutingDecision Submit(const CallInfo& aCall, MonotonicTime aNow);
   void OnAttemptEnded(const AttemptReport& aReport, MonotonicTime aNow);
   void MarkLeaving(UpstreamHandle aUpstream);
+  Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
+  Duration RetryAfterAllPause(MonotonicTime aNow);
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
   std::optional<MonotonicTime> NextRelease() const;
   bool CancelQueued(std::uint64_t aCallId);
@@ -40,7 +43,7 @@
   std::optional<Duration> HedgeDelay(const CallInfo& aCall, MonotonicTime aNow) const;
   std::optional<UpstreamHandle> DecideHedge(const CallInfo& aCall, MonotonicTime aNow);
   Duration AttemptTimeout(const CallInfo& aCall, MonotonicTime aNow) const;
-  std::optional<UpstreamHandle> NextProbe();
+  std::optional<UpstreamHandle> NextProbe(MonotonicTime aNow);
   void OnProbeEnded(UpstreamHandle aUpstream,
                     std::optional<LoadReport> aLoad,
                     Duration aRoundTrip,
@@ -60,6 +63,7 @@
     bool preferred_ = false;     ///< in the preferred subset of this instance
     double crossZoneRttMs_ = 0;  ///< round trip between availability zones; 0 in the own zone
     bool markedLeaving_ = false; ///< by MarkLeaving(), for this start at this address
+    UpstreamPause pause_;        ///< of this start at this address
   };
   struct PickedUpstream
   {
@@ -83,7 +87,14 @@
   /// Dispatches requests from the front of the queue while the upstreams are not congested.
   void ReleaseQueued(std::vector<ReleasedCall>& aReleased, MonotonicTime aNow);
   /// @return whether an upstream is listed and not leaving
-  bool AcceptsRequests(std::size_t aIndex) const;
+  bool IsInUse(std::size_t aIndex) const;
+  /// @return whether an upstream is in use and may receive a request or a probe now
+  bool AcceptsRequests(std::size_t aIndex, MonotonicTime aNow) const;
+  /// @return the pauses of the upstreams in use
+  PauseSummary SummarizePauses(MonotonicTime aNow) const;
+  /// @return the decision about a request for which there is no upstream: to wait for the end of a
+  /// trial, or to refuse it
+  RoutingDecision DecideWithoutUpstream(const CallInfo& aCall, MonotonicTime aNow);
   /// @return expected response time in ms, with penalties
   double Cost(std::size_t aIndex, bool aPreferSubset, MonotonicTime aNow) const;
   /// Adds those of aIndices to candidates_ that accept requests and were not tried yet.
@@ -144,6 +155,7 @@
   double probeRttMs_ = 2;       ///< moving average
   double probeSuccessRate_ = 1; ///< moving average: share of probes that returned a load report
   MonotonicTime lastDispatch_;
+  MonotonicTime trialRecheck_; ///< requests that wait for the end of a trial stay queued until then
   MonotonicTime lastAttemptEnd_;
   double attemptEndIntervalMs_ = 1; ///< moving average of the time between ends of attempts
 };
--- a/boragepier/decision/service_balancer_probes.cc
+++ b/boragepier/decision/service_balancer_probes.cc
@@ -60,8 +60,10 @@
   std::erase_if(heldRequests_, [&](const HeldRequest& aHeld) {
     const auto picked = Pick(aHeld.call_, aNow);
     if (!picked) {
-      aReleased.push_back(
-        { aHeld.call_.id_, { RoutingDecision::Kind::Refuse, {}, RefusalReason::NoUpstream } });
+      if (const auto decision = DecideWithoutUpstream(aHeld.call_, aNow);
+          decision.kind_ != RoutingDecision::Kind::Queued) {
+        aReleased.push_back({ aHeld.call_.id_, decision });
+      }
       return true;
     }
     const bool ready = aHeld.awaitedProbes_.empty() || aNow >= aHeld.holdUntil_ ||
@@ -82,13 +84,13 @@
 }
 
 std::optional<UpstreamHandle>
-ServiceBalancer::Impl::NextProbe()
+ServiceBalancer::Impl::NextProbe(MonotonicTime aNow)
 {
   while (!pendingProbes_.empty()) {
     const std::uint32_t index = pendingProbes_.front();
     pendingProbes_.pop_front();
     // While requests are queued there is no spare capacity for probes.
-    if (AcceptsRequests(index) && queue_.Size() == 0) {
+    if (AcceptsRequests(index, aNow) && queue_.Size() == 0) {
       return UpstreamHandle{ index };
     }
   }
--- a/boragepier/decision/service_balancer_upstreams.cc
+++ b/boragepier/decision/service_balancer_upstreams.cc
@@ -66,6 +66,7 @@
       }
       if (!IsSameStart(*upstreams_[index].endpoint_, endpoint)) {
         upstreams_[index].markedLeaving_ = false;
+        upstreams_[index].pause_ = {};
       }
     }
     upstreams_[index].endpoint_ = std::make_shared<const UpstreamEndpoint>(endpoint);
@@ -109,8 +110,39 @@
   upstreams_.at(static_cast<std::size_t>(aUpstream)).markedLeaving_ = true;
 }
 
+Duration
+ServiceBalancer::Impl::BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow)
+{
+  return upstreams_.at(static_cast<std::size_t>(aUpstream)).pause_.Begin(aDuration, aNow);
+}
+
+PauseSummary
+ServiceBalancer::Impl::SummarizePauses(MonotonicTime aNow) const
+{
+  PauseSummary summary;
+  for (const std::uint32_t index : listed_) {
+    if (IsInUse(index)) {
+      summary.Add(upstreams_[index].pause_, aNow);
+    }
+  }
+  return summary;
+}
+
+Duration
+ServiceBalancer::Impl::RetryAfterAllPause(MonotonicTime aNow)
+{
+  const auto end = SummarizePauses(aNow).EndIfAllPause();
+  return end ? RetryAfterPause(*end, aNow, random_) : Duration(0);
+}
+
+bool
+ServiceBalancer::Impl::AcceptsRequests(std::size_t aIndex, MonotonicTime aNow) const
+{
+  return IsInUse(aIndex) && upstreams_[aIndex].pause_.StateAt(aNow) == UpstreamPause::State::None;
+}
+
 bool
-ServiceBalancer::Impl::AcceptsRequests(std::size_t aIndex) const
+ServiceBalancer::Impl::IsInUse(std::size_t aIndex) const
 {
   const Upstream& upstream = upstreams_[aIndex];
   return upstream.listed_ && !upstream.endpoint_->leaving_ && !upstream.markedLeaving_;
@@ -153,7 +185,10 @@
     info.expectedWaitMs_ =
       loadEstimator_.ExpectedWaitServiceTimes(index, aNow) * loadEstimator_.ServiceTimeMs(index);
     info.healthWeight_ = outlierEjection_.HealthWeight(index, aNow);
-    info.leaving_ = !AcceptsRequests(index);
+    info.leaving_ = !IsInUse(index);
+    if (upstream.pause_.StateAt(aNow) == UpstreamPause::State::Paused) {
+      info.pausedFor_ = upstream.pause_.End() - aNow;
+    }
   }
   return candidates;
 }
--- a/boragepier/entry/attempt_reports.cc
+++ b/boragepier/entry/attempt_reports.cc
@@ -21,6 +21,8 @@
   const UpstreamFeedback feedback = aDialect.parseFeedback_(aResult.response_);
   report.load_ = feedback.load_;
   report.draining_ = feedback.draining_;
+  report.pause_ = feedback.pause_;
+  report.invalidPause_ = feedback.invalidPause_;
   if (feedback.notRun_) {
     report.outcome_ = Outcome::NotRun;
     report.failure_ = AttemptFailure::Refused;
@@ -56,6 +58,7 @@
       return RefusalReason::NoUpstream;
     case AttemptFailure::LocalLimit:
     case AttemptFailure::Refused:
+    case AttemptFailure::Withdrawn:
       return RefusalReason::Overloaded;
     case AttemptFailure::Timeout:
       return aDeadlinePassed ? RefusalReason::DeadlineExpired : RefusalReason::UpstreamTimeout;
--- a/boragepier/entry/balancer_driver.h
+++ b/boragepier/entry/balancer_driver.h
@@ -38,6 +38,21 @@
     }
   }
 
+  /// Records a pause that an upstream asked for, and takes back the requests to it that are not
+  /// sent yet.
+  void BeginPause(const std::shared_ptr<ActiveService>& aService,
+                  UpstreamHandle aUpstream,
+                  Duration aDuration)
+  {
+    std::shared_ptr<const UpstreamEndpoint> endpoint;
+    const Duration added = aService->WithBalancer([&](auto& aBalancer) {
+      endpoint = aBalancer.Endpoint(aUpstream);
+      return aBalancer.BeginPause(aUpstream, aDuration, deps_.scheduler_.Now());
+    });
+    deps_.observer_.OnUpstreamPaused(aService->Config()->name_, *endpoint, added);
+    deps_.sender_.Withdraw({ endpoint->address_, endpoint->port_ });
+  }
+
 private:
   // A response that takes longer describes a load that is no longer current.
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(100);
@@ -113,7 +128,8 @@
       return;
     }
     const MonotonicTime now = deps_.scheduler_.Now();
-    if (aResult.failure_ == AttemptFailure::LocalLimit) {
+    if (aResult.failure_ == AttemptFailure::LocalLimit ||
+        aResult.failure_ == AttemptFailure::Withdrawn) {
       aService->WithBalancer([&](auto& aBalancer) { aBalancer.OnProbeNotSent(aUpstream, now); });
       Drive(aService);
       return;
@@ -129,14 +145,19 @@
     }
     const bool fromOtherUpstream = aResult.outcome_ == Outcome::Answered &&
                                    !deps_.dialect_.isFromUpstream_(aResult.response_, aEndpoint);
+    bool sameStart = false;
     aService->WithBalancer([&](auto& aBalancer) {
       const bool leaving = fromOtherUpstream || feedback.draining_;
-      if (leaving && IsSameStart(aEndpoint, *aBalancer.Endpoint(aUpstream))) {
+      sameStart = IsSameStart(aEndpoint, *aBalancer.Endpoint(aUpstream));
+      if (leaving && sameStart) {
         aBalancer.MarkLeaving(aUpstream);
       }
       aBalancer.OnProbeEnded(
         aUpstream, fromOtherUpstream ? std::nullopt : feedback.load_, aResult.latency_, now);
     });
+    if (feedback.pause_ && sameStart && !fromOtherUpstream) {
+      BeginPause(aService, aUpstream, *feedback.pause_);
+    }
     Drive(aService);
   }
 
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -430,12 +430,22 @@
     }
     AttemptReport report = MakeAttemptReport(attempts_[aIndex].upstream_, aResult, deps_.dialect_);
     // A late answer of an earlier start says nothing about the present one.
-    report.draining_ = report.draining_ && IsCurrentStart(attempts_[aIndex]);
+    if ((report.draining_ || report.pause_) && !IsCurrentStart(attempts_[aIndex])) {
+      report.draining_ = false;
+      report.pause_.reset();
+    }
     RecordAttemptEnd(aIndex, report);
+    if (report.invalidPause_) {
+      deps_.observer_.OnPauseIgnored(serviceConfig_->name_, *attempts_[aIndex].endpoint_);
+    }
     ReportToBalancer(report);
     if (finished_) {
       return;
     }
+    if (report.failure_ == AttemptFailure::Withdrawn) {
+      SubmitAgain(aIndex);
+      return;
+    }
     const bool serverError = report.status_ >= 500;
     const bool repeatable = requestInfo_.repeatability_ == Repeatability::Repeatable;
     if (report.outcome_ == Outcome::Answered) {
@@ -487,9 +497,28 @@
     if (leaving) {
       deps_.observer_.OnUpstreamLeaving(*leaving);
     }
+    if (aReport.pause_) {
+      driver_.BeginPause(service_, aReport.upstream_, *aReport.pause_);
+    }
     driver_.Drive(service_);
   }
 
+  // Has the balancer choose again for an attempt that was withdrawn before it was sent. It does not
+  // count as an attempt.
+  void SubmitAgain(std::size_t aIndex)
+  {
+    std::erase(requestInfo_.triedUpstreams_, attempts_[aIndex].upstream_);
+    if (ActiveAttempts() > 0) {
+      return;
+    }
+    if (abandoned_ || halfClosed_) {
+      GiveUp(RefusalReason::CallerLeft);
+      return;
+    }
+    requestInfo_.moved_ = true;
+    SubmitToBalancer();
+  }
+
   void RetryOrGiveUp(const AttemptReport& aReport)
   {
     const MonotonicTime now = Now();
@@ -499,6 +528,8 @@
         [&](auto& aBalancer) { return aBalancer.DecideRetry(requestInfo_, aReport, now); });
     }
     if (!decision.allowed_) {
+      retryAfter_ =
+        service_->WithBalancer([&](auto& aBalancer) { return aBalancer.RetryAfterAllPause(now); });
       GiveUp(RefusalReasonFor(aReport.failure_, DeadlinePassed()));
       return;
     }
--- a/boragepier/entry/call_observer.h
+++ b/boragepier/entry/call_observer.h
@@ -40,6 +40,13 @@
   virtual void OnProbe(const ServiceName& aService) = 0;
   /// A response showed that an upstream is leaving: it drains, or another upstream has its address.
   virtual void OnUpstreamLeaving(const UpstreamEndpoint& aUpstream) = 0;
+  /// An upstream refused a request or a probe and asked for a pause.
+  /// @param aAdded by how much the end of its pauses has moved
+  virtual void OnUpstreamPaused(const ServiceName& aService,
+                                const UpstreamEndpoint& aUpstream,
+                                Duration aAdded) = 0;
+  /// An upstream asked for a pause with a value that is ignored.
+  virtual void OnPauseIgnored(const ServiceName& aService, const UpstreamEndpoint& aUpstream) = 0;
 };
 
 } // namespace boragepier
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -60,7 +60,7 @@
   for (const CandidateInfo& candidate : aCandidates) {
     if (candidate.slowness_ >= kSlowThreshold) {
       ++summary.slowUpstreams_;
-    } else if (!candidate.leaving_) {
+    } else if (!candidate.leaving_ && candidate.pausedFor_ <= Duration(0)) {
       leastMs = std::min(leastMs.value_or(candidate.expectedWaitMs_), candidate.expectedWaitMs_);
     }
   }
@@ -212,4 +212,21 @@
   onLeaving_(aUpstream);
 }
 
+void
+CallTelemetry::OnUpstreamPaused(const ServiceName& aService,
+                                const UpstreamEndpoint& aUpstream,
+                                Duration aAdded)
+{
+  metrics_.Service(aService).OnPause(aAdded);
+  Log(EventId::UpstreamPaused,
+      { { "upstream", aUpstream.id_ }, { "service", aService }, { "addedMs", aAdded } });
+}
+
+void
+CallTelemetry::OnPauseIgnored(const ServiceName& aService, const UpstreamEndpoint& aUpstream)
+{
+  metrics_.Service(aService).OnPauseIgnored();
+  Log(EventId::PauseIgnored, { { "upstream", aUpstream.id_ }, { "service", aService } });
+}
+
 } // namespace boragepier
--- a/boragepier/entry/call_telemetry.h
+++ b/boragepier/entry/call_telemetry.h
@@ -30,6 +30,10 @@
   void OnClaimEvent(const ServiceName& aService, ClaimEvent aEvent) override;
   void OnProbe(const ServiceName& aService) override;
   void OnUpstreamLeaving(const UpstreamEndpoint& aUpstream) override;
+  void OnUpstreamPaused(const ServiceName& aService,
+                        const UpstreamEndpoint& aUpstream,
+                        Duration aAdded) override;
+  void OnPauseIgnored(const ServiceName& aService, const UpstreamEndpoint& aUpstream) override;
 
 private:
   Metrics& metrics_;
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -477,4 +477,41 @@
   CHECK(sender_.sentRequests_.empty());
 }
 
+// Guards against a request that loses an attempt, or its place, because the upstream that was
+// chosen for it asked for a pause before it was sent.
+TEST(Call, WithdrawnRequestIsSentToAnotherUpstream)
+{
+  const auto exchange = Send("POST");
+  const auto paused = sender_.sentRequests_.at(0).target_;
+  // Another request to the same upstream is refused with a pause.
+  std::vector<std::shared_ptr<FakeExchange>> others;
+  std::size_t other = 0;
+  while (other == 0) {
+    others.push_back(Send("POST"));
+    const std::size_t last = sender_.sentRequests_.size() - 1;
+    other = sender_.sentRequests_[last].target_ == paused ? last : 0;
+  }
+  http::Response refusal = MakeResponse(503);
+  refusal.headers_.Set(kNotRunHeader, "true");
+  refusal.headers_.Set("Retry-After", "3");
+  sender_.Answer(other, refusal);
+  CHECK_EQUAL(1, sender_.withdrawn_.size());
+  CHECK(sender_.withdrawn_.at(0) == paused);
+  CHECK_EQUAL(1, observer_.pauseCount_);
+  const std::size_t before = sender_.sentRequests_.size();
+  const std::size_t retriesBefore = observer_.retryReasons_.size();
+  sender_.Fail(0, Outcome::NotRun, AttemptFailure::Withdrawn);
+  scheduler_.Advance(std::chrono::milliseconds(20));
+  // Beside probes.
+  const auto isPost = [](const auto& aSent) { return aSent.request_->method_ == "POST"; };
+  const auto first = sender_.sentRequests_.begin() + static_cast<std::ptrdiff_t>(before);
+  const auto moved = std::find_if(first, sender_.sentRequests_.end(), isPost);
+  CHECK(moved != sender_.sentRequests_.end());
+  CHECK(moved->target_ != paused);
+  CHECK_EQUAL(retriesBefore, observer_.retryReasons_.size());
+  sender_.Answer(static_cast<std::size_t>(moved - sender_.sentRequests_.begin()),
+                 MakeResponse(201));
+  CHECK_EQUAL(201, exchange->response_->status_);
+}
+
 } // namespace boragepier
--- a/boragepier/entry/pipeline_dependencies.h
+++ b/boragepier/entry/pipeline_dependencies.h
@@ -31,6 +31,8 @@
   {
     aSender.Cancel(aId)
     } -> std::same_as<Outcome>;
+  // Ends the requests to a target of which nothing was written yet, as Withdrawn.
+  aSender.Withdraw(aTarget);
 };
 
 /// Ensures that at most one of several requests with the same idempotency key runs.
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -86,6 +86,8 @@
     return Outcome::Unknown;
   }
 
+  void Withdraw(const http::Target& aTarget) { withdrawn_.push_back(aTarget); }
+
   /// Completes a request with a failure.
   void Fail(std::size_t aIndex, Outcome aOutcome, AttemptFailure aFailure)
   {
@@ -112,6 +114,7 @@
   }
 
   std::vector<SentRequest> sentRequests_;
+  std::vector<http::Target> withdrawn_; ///< targets of Withdraw()
 
 private:
   std::function<void(http::SendResult)> TakeCallback(std::size_t aIndex)
@@ -217,6 +220,14 @@
     retryReasons_.push_back(aReason);
   }
   void OnUnanswered(UnansweredCause) override {}
+  void OnUpstreamPaused(const ServiceName&, const UpstreamEndpoint&, Duration) override
+  {
+    ++pauseCount_;
+  }
+  void OnPauseIgnored(const ServiceName&, const UpstreamEndpoint&) override
+  {
+    ++ignoredPauseCount_;
+  }
   void OnUpstreamLeaving(const UpstreamEndpoint& aUpstream) override
   {
     leavingUpstreams_.push_back(aUpstream.id_);
@@ -226,6 +237,8 @@
   int abandonedCount_ = 0;
   std::vector<RetryReason> retryReasons_;
   std::vector<UpstreamId> leavingUpstreams_;
+  int pauseCount_ = 0;
+  int ignoredPauseCount_ = 0;
   bool throwsOnAttemptStarted_ = false;
   bool throwsOnAttemptEnded_ = false;
   bool throwsOnClaimEvent_ = false;
--- a/boragepier/entry/wire_dialect.cc
+++ b/boragepier/entry/wire_dialect.cc
@@ -1,5 +1,7 @@
 #include "boragepier/entry/wire_dialect.h"
 
+#include <charconv>
+
 #include "boragepier/entry/request_checks.h"
 
 namespace boragepier {
@@ -16,6 +18,7 @@
   if (const auto inFlight = ParseLoadHeader(headers)) {
     feedback.load_ = LoadReport{ *inFlight };
   }
+  ParsePause(aResponse, feedback);
   return feedback;
 }
 
@@ -27,6 +30,26 @@
 
 } // namespace
 
+void
+ParsePause(const http::Response& aResponse, UpstreamFeedback& aFeedback)
+{
+  constexpr int kStatusUnavailable = 503;
+  const auto text = aResponse.headers_.Get("Retry-After");
+  if (aResponse.status_ != kStatusUnavailable || !text) {
+    return;
+  }
+  double seconds = -1;
+  const char* const end = text->data() + text->size();
+  const auto [stop, error] = std::from_chars(text->data(), end, seconds, std::chars_format::fixed);
+  const double maxSeconds = ToMilliseconds(kMaxPause) / 1000;
+  // The comparisons are false for NaN.
+  if (error == std::errc() && stop == end && seconds >= 0 && seconds <= maxSeconds) {
+    aFeedback.pause_ = FromMilliseconds(1000 * seconds);
+  } else {
+    aFeedback.invalidPause_ = true;
+  }
+}
+
 const WireDialect&
 NativeDialect()
 {
--- a/boragepier/entry/wire_dialect.h
+++ b/boragepier/entry/wire_dialect.h
@@ -17,8 +17,20 @@
   std::optional<LoadReport> load_;
   bool draining_ = false; ///< it is leaving, or its address belongs to another upstream now
   bool notRun_ = false;   ///< it certifies that it did not run the request
+  /// It refused the request (503 with Retry-After) and wants none for this time.
+  std::optional<Duration> pause_;
+  bool invalidPause_ = false; ///< it asked for a pause with a value that is ignored
 };
 
+/// Longest pause that an upstream can ask for. A larger value is ignored.
+inline constexpr Duration kMaxPause = std::chrono::hours(1);
+
+/// Reads the pause that an upstream asks for with a refusal: status 503 with Retry-After, in
+/// seconds that may have a fraction. A value that is negative, not a number (a date, for example)
+/// or above kMaxPause is ignored.
+void
+ParsePause(const http::Response& aResponse, UpstreamFeedback& aFeedback);
+
 /// Header fields through which boragepier exchanges deadlines, request ids, idempotency keys and
 /// the state of upstreams with callers and upstreams: their names, and functions that read fields
 /// whose format differs between platforms. An empty name means that the platform has no such field.
--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -73,6 +73,31 @@
     return outcome;
   }
 
+  void Withdraw(const Target& aTarget)
+  {
+    // Those without a connection first: they would get the connections that the others release.
+    std::vector<SendId> withoutConnection;
+    std::vector<SendId> unsent;
+    for (const auto& [id, pending] : pendingRequests_) {
+      if (pending.target_ == aTarget && OutcomeIfAborted(pending) == Outcome::NotRun) {
+        (pending.connection_ == nullptr ? withoutConnection : unsent).push_back(id);
+      }
+    }
+    unsent.insert(unsent.begin(), withoutConnection.begin(), withoutConnection.end());
+    for (const SendId id : unsent) {
+      // The callbacks may have cancelled the others.
+      if (const auto node = pendingRequests_.extract(id)) {
+        const PendingRequest& pending = node.mapped();
+        loop_.Cancel(pending.timeoutTimer_);
+        ReleaseConnection(id, pending);
+        SendResult result;
+        result.outcome_ = Outcome::NotRun;
+        result.failure_ = AttemptFailure::Withdrawn;
+        Finish(pending, std::move(result));
+      }
+    }
+  }
+
   void CloseIdle(const Target& aTarget)
   {
     CloseIdleIf(pools_[aTarget], [](const ClientConnection&) { return true; });
@@ -445,6 +470,12 @@
   return impl_->Cancel(aId);
 }
 
+void
+Client::Withdraw(const Target& aTarget)
+{
+  impl_->Withdraw(aTarget);
+}
+
 void
 Client::CloseIdle(const Target& aTarget)
 {
--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -104,6 +104,9 @@
   /// @return NotRun if no byte was written; otherwise Unknown, also if the request has already
   /// ended
   Outcome Cancel(SendId aId);
+  /// Ends the requests to a target of which no byte was written yet, with outcome NotRun and
+  /// failure Withdrawn. Their callbacks run inside this call.
+  void Withdraw(const Target& aTarget);
   /// Closes the idle connections to a target, for example one that was removed.
   void CloseIdle(const Target& aTarget);
   /// @return number of open connections to a target, including those still connecting
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -644,4 +644,30 @@
   WaitUntil([&] { return client.Run([&] { return owner.use_count(); }) == 5; });
 }
 
+// Guards against requests that reach an upstream long after it has asked for a pause, because they
+// waited for a connection: they end as not run. One that was sent goes on.
+TEST(Client, WithdrawEndsOnlyRequestsThatWereNotSent)
+{
+  ClientFixture client;
+  client.options_.maxConnections_ = 1;
+  auto sent = client.Send();
+  RawSocket peer = client.listener_.Accept();
+  peer.ReadMessage();
+  std::vector<std::future<SendResult>> waiting;
+  for (int i = 0; i < 3; ++i) {
+    waiting.push_back(client.Send());
+  }
+  client.Run([&] { client.client_.Withdraw({ "127.0.0.1", 1 }); });
+  client.Run([&] { client.client_.Withdraw(client.target_); });
+  for (auto& result : waiting) {
+    CheckFailure(Await(std::move(result)), Outcome::NotRun, AttemptFailure::Withdrawn);
+  }
+  peer.Send(kOkResponse);
+  CheckResponse(Await(std::move(sent)), 200, "ok");
+  // The connection is used again.
+  auto next = client.Send();
+  ClientFixture::RespondOk(peer);
+  CheckResponse(Await(std::move(next)), 200, "ok");
+}
+
 } // namespace boragepier::http
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -243,6 +243,17 @@
              "for a grace period",
              "find the cause of the store outage" },
 
+  EventInfo{ EventId::UpstreamPaused,
+             LogLevel::Info,
+             "upstream-paused",
+             "an upstream refused a request and asked for a pause (Retry-After)",
+             "if many upstreams of a service pause, add upstreams" },
+  EventInfo{
+    EventId::PauseIgnored,
+    LogLevel::Warn,
+    "pause-ignored",
+    "an upstream asked for a pause with a value that is no number of seconds up to an hour",
+    "correct the Retry-After that the upstream sends" },
   EventInfo{ EventId::PeerConnected,
              LogLevel::Info,
              "peer-connected",
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -58,6 +58,8 @@
   UpstreamDoubtful = 4011,
   EntryUnreadable = 4012,
   EntriesAwaited = 4013,
+  UpstreamPaused = 4014,
+  PauseIgnored = 4015,
 
   PeerConnected = 5001,
   PeerLost = 5002,
--- a/boragepier/telemetry/explain.cc
+++ b/boragepier/telemetry/explain.cc
@@ -46,7 +46,8 @@
                       { "othersEstimate", candidate.othersEstimate_ },
                       { "expectedWaitMs", candidate.expectedWaitMs_ },
                       { "standing", candidate.healthWeight_ },
-                      { "leaving", candidate.leaving_ } });
+                      { "leaving", candidate.leaving_ },
+                      { "pausedMs", ToMilliseconds(candidate.pausedFor_) } });
   }
   return array;
 }
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -79,6 +79,13 @@
   void OnRetry(RetryReason aReason) { retries_.Add(aReason); }
   void OnAttemptFailure(AttemptFailure aFailure) { attemptFailures_.Add(aFailure); }
   void OnClaim(ClaimEvent aEvent) { claims_.Add(aEvent); }
+  /// @param aAdded by how much the pauses that an upstream asked for have become longer
+  void OnPause(Duration aAdded)
+  {
+    pauseCount_.fetch_add(1, std::memory_order_relaxed);
+    pausedNs_.fetch_add(static_cast<std::uint64_t>(aAdded.count()), std::memory_order_relaxed);
+  }
+  void OnPauseIgnored() { ignoredPauseCount_.fetch_add(1, std::memory_order_relaxed); }
   void OnEjection() { ejectionCount_.fetch_add(1, std::memory_order_relaxed); }
   void OnProbe(MonotonicTime aNow);
 
@@ -123,6 +130,9 @@
   LatencyHistogram queueWaits_;
   LatencyHistogram attemptDurations_;
   std::atomic<std::uint64_t> ejectionCount_ = 0;
+  std::atomic<std::uint64_t> pauseCount_ = 0;
+  std::atomic<std::uint64_t> pausedNs_ = 0;
+  std::atomic<std::uint64_t> ignoredPauseCount_ = 0;
   std::atomic<std::uint64_t> probeCount_ = 0;
   std::atomic<double> probeBudgetPerSecond_ = 0;
   std::atomic<std::uint64_t> configVersion_ = 0;
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -74,6 +74,15 @@
               "counter",
               "claims of requests with an idempotency key, by result" },
   MetricInfo{ "boragepier_ejections_total", "counter", "ejections of upstreams" },
+  MetricInfo{ "boragepier_upstream_pauses_total",
+              "counter",
+              "refusals with which an upstream asked for a pause (Retry-After)" },
+  MetricInfo{ "boragepier_upstream_paused_seconds_total",
+              "counter",
+              "time for which upstreams were or will be left out because they asked for it" },
+  MetricInfo{ "boragepier_ignored_pauses_total",
+              "counter",
+              "refusals of upstreams whose Retry-After is no number of seconds up to an hour" },
   MetricInfo{ "boragepier_probes_total", "counter", "probes sent to upstreams" },
   MetricInfo{ "boragepier_probe_budget_per_second",
               "gauge",
@@ -313,6 +322,13 @@
   WriteCounters("boragepier_claims_total", "result", &Service::claims_);
   WritePerService("boragepier_ejections_total",
                   [](const Service& aService) { return LoadAsDouble(aService.ejectionCount_); });
+  WritePerService("boragepier_upstream_pauses_total",
+                  [](const Service& aService) { return LoadAsDouble(aService.pauseCount_); });
+  WritePerService("boragepier_upstream_paused_seconds_total",
+                  [](const Service& aService) { return LoadAsDouble(aService.pausedNs_) / 1e9; });
+  WritePerService("boragepier_ignored_pauses_total", [](const Service& aService) {
+    return LoadAsDouble(aService.ignoredPauseCount_);
+  });
   WritePerService("boragepier_probes_total",
                   [](const Service& aService) { return LoadAsDouble(aService.probeCount_); });
   WritePerService("boragepier_probe_budget_per_second",
