Test pauses of upstreams over real connections

The simulated upstream has a mode that refuses all requests with Retry-After, and counts the requests of each instance that arrive in a pause from half a second after its start.

--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -275,6 +275,17 @@
   return { runs.begin(), runs.end() };
 }
 
+int
+Fleet::MostRequestsInPause()
+{
+  int most = 0;
+  for (const auto& upstream : upstreams_) {
+    const json counts = json::parse(client_.Get(upstream->port_, "/control/runs"));
+    most = std::max(most, counts.at("mostInPause").get<int>());
+  }
+  return most;
+}
+
 std::string
 MakeServiceFile(const std::string& aName, const std::string& aPath, const std::string& aExtraLines)
 {
--- a/testing/e2e/fleet.h
+++ b/testing/e2e/fleet.h
@@ -112,6 +112,9 @@
   /// @return each idempotency key with the number of its runs at all upstreams that this object
   /// owns
   std::vector<std::pair<std::string, int>> RunsByKey();
+  /// @return the largest number of requests that one instance sent to one upstream in a pause for
+  /// which the upstream had asked it
+  int MostRequestsInPause();
 
 private:
   void PutListEntry(const std::string& aId, const std::string& aJson);
--- a/testing/e2e/path_test.cc
+++ b/testing/e2e/path_test.cc
@@ -368,4 +368,37 @@
   CHECK_EQUAL(0, result.mismatched_);
 }
 
+// Guards against upstreams that ask for a pause and go on getting requests: from the queues of
+// connections, by retries, and when all of them pause. Real connections, one connection for each
+// instance and upstream, so that requests wait for it.
+TEST(Path, PausedUpstreamsGetNoRequests)
+{
+  constexpr int kMaxRequestsInPause = 2;
+  StartFleet(3, 2);
+  CHECK_EQUAL(
+    0,
+    fleet_.Publish(
+      "shop", MakeServiceFile("shop", "/orders/", "[choice]\nconnections-per-upstream = 2\n")));
+  fleet_.WaitForVersion("shop", 2);
+  const auto load = StartLoad(24);
+  load->WaitForRequests(200);
+  for (const std::size_t pausing : { 1U, 2U, 3U, 3U }) {
+    for (std::size_t i = 0; i < pausing; ++i) {
+      fleet_.ControlUpstream(fleet_.Upstream(i), R"({"mode":"pause","retryAfter":"1.7"})");
+    }
+    load->WaitForRequests(400);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+    for (std::size_t i = 0; i < pausing; ++i) {
+      fleet_.ControlUpstream(fleet_.Upstream(i), R"({"mode":"normal"})");
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    fleet_.WaitForStatus(fleet_.Instance(0), "/orders/0", 200);
+    fleet_.WaitForStatus(fleet_.Instance(1), "/orders/0", 200);
+    CHECK_COMPARE(fleet_.MostRequestsInPause(), <=, kMaxRequestsInPause);
+  }
+  const LoadResult result = load->Stop();
+  CheckOrders(result, fleet_);
+  CHECK_EQUAL(0, result.lost_);
+}
+
 } // namespace boragepier::testing
--- a/testing/upstream/faults.cc
+++ b/testing/upstream/faults.cc
@@ -32,6 +32,10 @@
       [](Faults& aFaults, const json& aMode, MonotonicTime) {
         aFaults.shedQueueLength_ = aMode.value("limit", std::size_t(4));
       } },
+    { "pause",
+      [](Faults& aFaults, const json& aMode, MonotonicTime) {
+        aFaults.retryAfter_ = aMode.value("retryAfter", std::string("1"));
+      } },
     { "straggle",
       [](Faults& aFaults, const json& aMode, MonotonicTime) {
         aFaults.slowdownFactor_ = aMode.value("factor", 10.0);
--- a/testing/upstream/faults.h
+++ b/testing/upstream/faults.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <limits>
+#include <string>
 #include <string_view>
 
 #include "boragepier/base/errors.h"
@@ -27,6 +28,7 @@
   double slowdownFactor_ = 1; ///< multiplies service times
   /// Requests are refused while all slots are busy and the queue has at least this length.
   std::size_t shedQueueLength_ = std::numeric_limits<std::size_t>::max();
+  std::string retryAfter_;         ///< if set, all requests are refused with this Retry-After
   bool failFast_ = false;          ///< responds with status 500 without running the request
   bool silentAfterRun_ = false;    ///< runs requests and never responds
   bool truncateResponses_ = false; ///< omits the last byte of each response
@@ -39,7 +41,8 @@
 /// Applies a mode given as JSON: {"mode": NAME, "add": BOOL, ...}. With "add", the faults in
 /// aFaults stay in effect; otherwise the mode replaces them. Modes and parameters with their
 /// defaults: normal, drain (forMs 500: time before requests are refused), cold-start (forMs 2000,
-/// factor 10), shed (limit 4), straggle (factor 10), fail-fast, silent, silent-after-run, truncate,
+/// factor 10), shed (limit 4), pause (retryAfter "1"),
+/// straggle (factor 10), fail-fast, silent, silent-after-run, truncate,
 /// misreport, no-report.
 /// @return the new faults
 /// @throws InvalidMode if the JSON is malformed or the mode is unknown
--- a/testing/upstream/upstream.cc
+++ b/testing/upstream/upstream.cc
@@ -27,6 +27,14 @@
   return aNow + std::chrono::milliseconds(milliseconds);
 }
 
+// Returns the process that sent a request: its request ids are a prefix of its own and a number.
+std::string
+InstanceOf(const http::Request& aRequest)
+{
+  const std::string id(aRequest.headers_.Get("Boragepier-Request-Id").value_or(""));
+  return id.substr(0, id.rfind('-'));
+}
+
 } // namespace
 
 Upstream::Upstream(net::EventLoop& aLoop, UpstreamSettings aSettings)
@@ -94,6 +102,12 @@
     aConnection->Respond(MakeResponse(500, "failing fast"));
     return;
   }
+  const std::string instance = InstanceOf(aRequest);
+  pauses_[instance].OnArrival(now);
+  if (!faults_.retryAfter_.empty()) {
+    RefuseWithPause(aConnection, instance, now);
+    return;
+  }
   const bool shed = running_ >= settings_.slots_ && queue_.size() >= faults_.shedQueueLength_;
   if (shed || (faults_.draining_ && now >= faults_.refuseRequestsFrom_)) {
     Refuse(aConnection, 503);
@@ -176,6 +190,36 @@
   aConnection->Respond(response);
 }
 
+void
+Upstream::RefuseWithPause(const ConnectionPtr& aConnection,
+                          const std::string& aInstance,
+                          MonotonicTime aNow)
+{
+  http::Response response = MakeResponse(503, "not run");
+  response.headers_.Add("Boragepier-Not-Run", "true");
+  response.headers_.Add("Retry-After", faults_.retryAfter_);
+  aConnection->Respond(response);
+  const double seconds = std::strtod(faults_.retryAfter_.c_str(), nullptr);
+  pauses_[aInstance].OnRefused(FromMilliseconds(1000 * seconds), aNow);
+}
+
+void
+PauseMonitor::OnRefused(Duration aPause, MonotonicTime aNow)
+{
+  constexpr Duration kGrace = std::chrono::milliseconds(500);
+  pauses_.push_back({ aNow + kGrace, aNow + aPause });
+}
+
+void
+PauseMonitor::OnArrival(MonotonicTime aNow)
+{
+  std::erase_if(pauses_, [&](const Pause& aPause) { return aPause.end_ <= aNow; });
+  for (Pause& pause : pauses_) {
+    pause.arrivals_ += aNow >= pause.countedFrom_ ? 1 : 0;
+    most_ = std::max(most_, pause.arrivals_);
+  }
+}
+
 // The reported load includes the request that this response answers.
 http::Response
 Upstream::MakeResponse(int aStatus, std::string aBody) const
@@ -234,8 +278,15 @@
 std::string
 Upstream::RunsAsJson() const
 {
+  int mostInPause = 0;
+  for (const auto& [instance, pauses] : pauses_) {
+    mostInPause = std::max(mostInPause, pauses.Most());
+  }
   return nlohmann::json{
-    { "total", totalRuns_ }, { "runs", runsByKey_ }, { "inFlight", running_ + queue_.size() }
+    { "total", totalRuns_ },
+    { "runs", runsByKey_ },
+    { "inFlight", running_ + queue_.size() },
+    { "mostInPause", mostInPause }
   }.dump();
 }
 
--- a/testing/upstream/upstream.h
+++ b/testing/upstream/upstream.h
@@ -39,9 +39,31 @@
   std::string runLog_;
 };
 
+/// Counts the requests of one instance that arrive in a pause for which it was asked. Those that
+/// were on their way, and arrive soon after, are not counted.
+class PauseMonitor
+{
+public:
+  void OnRefused(Duration aPause, MonotonicTime aNow);
+  void OnArrival(MonotonicTime aNow);
+  /// @return the largest number of requests in one pause
+  int Most() const { return most_; }
+
+private:
+  struct Pause
+  {
+    MonotonicTime countedFrom_;
+    MonotonicTime end_;
+    int arrivals_ = 0;
+  };
+  std::vector<Pause> pauses_; ///< that have not ended
+  int most_ = 0;
+};
+
 /// Simulated upstream: queues requests, reports its load, counts the runs of each idempotency key
-/// and injects faults. Serves GET /control/runs and POST /control/mode (see ApplyMode). Loop thread
-/// only.
+/// and injects faults. Serves GET /control/runs, which also has the largest number of requests that
+/// one instance sent in one pause for which it was asked ("mostInPause"), and POST /control/mode
+/// (see ApplyMode). Loop thread only.
 class Upstream
 {
 public:
@@ -75,6 +97,10 @@
   void OnJobEnded(const Job& aJob);
   Duration DrawServiceTime();
   void Refuse(const ConnectionPtr& aConnection, int aStatus);
+  /// Refuses a request and asks the instance that sent it for a pause.
+  void RefuseWithPause(const ConnectionPtr& aConnection,
+                       const std::string& aInstance,
+                       MonotonicTime aNow);
   http::Response MakeResponse(int aStatus, std::string aBody) const;
   std::string RunsAsJson() const;
   void Register();
@@ -87,6 +113,7 @@
   std::deque<Job> queue_;
   std::size_t running_ = 0;
   std::map<std::string, std::uint64_t> runsByKey_; ///< number of runs by idempotency key
+  std::map<std::string, PauseMonitor> pauses_;     ///< by instance
   std::uint64_t totalRuns_ = 0;
   std::ofstream runLog_; ///< flushed after each line, so that a killed process loses no line
   Faults faults_;
