Pass the rows of a transfer on when it is finished

Cause: an instance passed on the rows of a transfer that it then gave up.

Rows are now passed on up to the last position at which all of them were those of one moment, and none is confirmed while rows of an unfinished transfer are among them.

--- a/boragepier/directory/feed_mirror.cc
+++ b/boragepier/directory/feed_mirror.cc
@@ -154,13 +154,14 @@
 }
 
 FeedMirror::Changes
-FeedMirror::ChangesSince(std::uint64_t aPosition, std::size_t aMaxBytes) const
+FeedMirror::ChangesSince(std::uint64_t aAfter, std::uint64_t aUntil, std::size_t aMaxBytes) const
 {
   Changes changes;
-  changes.position_ = std::max(position_, aPosition);
+  changes.position_ = aUntil;
   std::size_t bytes = 0;
   std::uint64_t lastVersion = 0;
-  for (auto it = rowsByVersion_.lower_bound({ aPosition + 1, {} }); it != rowsByVersion_.end();
+  for (auto it = rowsByVersion_.lower_bound({ aAfter + 1, {} });
+       it != rowsByVersion_.end() && it->first.first <= aUntil;
        ++it) {
     const FeedRow& row = *it->second;
     bytes += row.key_.size() + row.value_.size();
--- a/boragepier/directory/feed_mirror.h
+++ b/boragepier/directory/feed_mirror.h
@@ -58,9 +58,15 @@
     std::vector<FeedRow> rows_;
     std::uint64_t position_ = 0; ///< up to which rows_ are complete
   };
-  /// @param aPosition position after which the rows changed
+  /// @param aAfter position after which the rows changed
+  /// @param aUntil position until which they changed; not below aAfter
   /// @param aMaxBytes limit on the size of keys and values; the rows of one version may exceed it
-  Changes ChangesSince(std::uint64_t aPosition, std::size_t aMaxBytes) const;
+  Changes ChangesSince(std::uint64_t aAfter, std::uint64_t aUntil, std::size_t aMaxBytes) const;
+  /// Returns the rows that changed after a position, up to Position().
+  Changes ChangesSince(std::uint64_t aPosition, std::size_t aMaxBytes) const
+  {
+    return ChangesSince(aPosition, std::max(aPosition, position_), aMaxBytes);
+  }
 
   /// @return the row with this key, also if it is removed, or null
   const FeedRow* Find(const std::string& aKey) const;
--- a/boragepier/directory/store_view.cc
+++ b/boragepier/directory/store_view.cc
@@ -38,6 +38,7 @@
   topic.confirmedAt_ = aObservedAt;
   topic.relisted_.reset();
   topic.completePosition_ = aResponse.position_;
+  topic.partial_ = false;
   if (aTopic == FeedTopic::Configuration) {
     // The store has one row, which is read as a whole or not at all. Its removal changes nothing.
     return aResponse.rows_.empty()
@@ -124,6 +125,7 @@
   std::vector<FeedRow> changed = target.ApplyChanges(aUpdate.rows_, aUpdate.position_);
   if (!aUpdate.complete_) {
     topic.transferFrom_ = aSender;
+    topic.partial_ = topic.partial_ || !changed.empty();
     return wasRelisting ? std::vector<FeedRow>() : changed;
   }
   if (!IsConsistent(aTopic, target)) {
@@ -141,6 +143,7 @@
                 : topic.mirror_.ApplySnapshot(relisted->LiveRows(), relisted->Position());
   }
   topic.synced_ = true;
+  topic.partial_ = false;
   topic.completePosition_ = topic.mirror_.Position();
   if (aUpdate.position_ >= topic.mirror_.Position()) {
     topic.confirmedAt_ = std::max(topic.confirmedAt_.value_or(aObservedAt), aObservedAt);
@@ -149,9 +152,9 @@
 }
 
 FeedPositions
-StoreView::Positions() const
+StoreView::CompletePositions() const
 {
-  return PositionsBy([&](FeedTopic aTopic) { return Position(aTopic); });
+  return PositionsBy([&](FeedTopic aTopic) { return CompletePosition(aTopic); });
 }
 
 std::uint64_t
@@ -201,22 +204,24 @@
 {
   const TopicState& topic = StateOf(aTopic);
   PeerStoreUpdate::Topic update;
-  const bool lacksRows = !topic.synced_ && topic.mirror_.Position() > aFrom;
-  if (!topic.confirmedAt_ || lacksRows) {
+  const std::uint64_t position = topic.completePosition_;
+  const bool lacksRows = !topic.synced_ && position > aFrom;
+  if (!topic.confirmedAt_ || lacksRows || aFrom > position) {
     return update; // position 0 tells the subscriber to ignore this topic
   }
   update.from_ = aFrom;
   update.position_ = aFrom;
   update.complete_ = true;
   update.ageMs_ = static_cast<std::uint64_t>(ToMilliseconds(aNow - *topic.confirmedAt_));
-  if (topic.mirror_.Position() > aFrom) {
-    auto changes = topic.mirror_.ChangesSince(aFrom, aMaxBytes);
-    update.complete_ = changes.position_ >= topic.mirror_.Position();
+  if (position > aFrom) {
+    auto changes = topic.mirror_.ChangesSince(aFrom, position, aMaxBytes);
+    update.complete_ = changes.position_ >= position;
     update.rows_ = std::move(changes.rows_);
     update.position_ = changes.position_;
     update.gaps_ = topic.mirror_.GapsAfter(aFrom);
   }
-  update.complete_ = update.complete_ && !topic.transferFrom_;
+  // Rows of an unfinished transfer have replaced some of those up to the position.
+  update.complete_ = update.complete_ && !topic.partial_;
   return update;
 }
 
--- a/boragepier/directory/store_view.h
+++ b/boragepier/directory/store_view.h
@@ -32,8 +32,8 @@
 ///
 /// Rows from another instance may come in several messages. Until the last one, they continue only
 /// with messages of the same sender: another one may have passed the positions in between with
-/// other rows. The configuration is complete only if it agrees with its digest (see
-/// config_parts.h).
+/// other rows. They are not passed on before the last one either, because the transfer may be given
+/// up. The configuration is complete only if it agrees with its digest (see config_parts.h).
 class StoreView
 {
 public:
@@ -66,7 +66,8 @@
 
   /// @return position up to which rows of the topic are known; 0 if none are
   std::uint64_t Position(FeedTopic aTopic) const { return StateOf(aTopic).mirror_.Position(); }
-  /// @return position after which changes are to be requested from the store
+  /// @return position up to which all rows are known as of one moment: after it changes are to be
+  /// requested from the store, and up to it they are passed on
   std::uint64_t CompletePosition(FeedTopic aTopic) const
   {
     return StateOf(aTopic).completePosition_;
@@ -78,13 +79,13 @@
       return aTopic.transferFrom_ == aSource;
     });
   }
-  /// @return whether the rows are those of one moment, because no transfer is in progress
+  /// @return whether the rows are those of one moment, rather than those of an unfinished transfer
   bool IsComplete(FeedTopic aTopic) const
   {
-    return !StateOf(aTopic).transferFrom_ && !IsRelisting(aTopic);
+    return !StateOf(aTopic).partial_ && !IsRelisting(aTopic);
   }
-  /// @return the positions in all topics
-  FeedPositions Positions() const;
+  /// @return CompletePosition() of all topics
+  FeedPositions CompletePositions() const;
   /// @return position after which rows are to be requested from another instance: Position(), or a
   /// lower one during a transfer from a third instance and while all rows are collected anew
   std::uint64_t SubscribePosition(FeedTopic aTopic, const InstanceId& aSource) const;
@@ -117,6 +118,7 @@
     std::unique_ptr<FeedMirror> relisted_;
     std::uint64_t completePosition_ = 0;     ///< of the mirror before the transfer in progress
     std::optional<InstanceId> transferFrom_; ///< sender of the transfer in progress
+    bool partial_ = false; ///< the mirror has rows of a transfer that was not finished
   };
 
   /// @return whether all rows of a topic are those of one moment, as far as a digest tells
--- a/boragepier/directory/subscriber_set.h
+++ b/boragepier/directory/subscriber_set.h
@@ -68,7 +68,7 @@
   /// is confirmed has advanced since the last one.
   void SendChanges(ViewStatus aStatus, MonotonicTime aNow)
   {
-    const FeedPositions positions = view_.Positions();
+    const FeedPositions positions = view_.CompletePositions();
     const auto confirmedAt = view_.ConfirmedAt();
     for (auto& [id, subscriber] : subscribers_) {
       bool due = aStatus == ViewStatus::Fresh && confirmedAt &&
