--- a/boragepier/config/route_set.cc
+++ b/boragepier/config/route_set.cc
@@ -33,9 +33,9 @@
 RouteSet::RouteSet(std::span<const RouteConfig> aRoutes)
 {
   // Backwards, so that the first of several equal routes replaces the others.
-  for (auto route = aRoutes.rbegin(); route != aRoutes.rend(); ++route) {
-    Set(std::make_shared<const RouteConfig>(*route));
-  }
+  std::for_each(aRoutes.rbegin(), aRoutes.rend(), [&](const RouteConfig& aRoute) {
+    Set(std::make_shared<const RouteConfig>(aRoute));
+  });
 }
 
 std::size_t
--- a/boragepier/entry/upstream_pause_test.cc
+++ b/boragepier/entry/upstream_pause_test.cc
@@ -64,7 +64,7 @@
     upstream.running_ += isProbe ? 0 : 1;
     const MonotonicTime sentAt = scheduler_.Now();
     scheduler_.After(isProbe ? std::chrono::milliseconds(1) : kServiceTime,
-                     [this, isProbe, sentAt, port = aTarget.port_, done = aDone] {
+                     [this, isProbe, sentAt, port = aTarget.port_, done = std::move(aDone)] {
                        upstreams_[port].running_ -= isProbe ? 0 : 1;
                        http::SendResult result;
                        result.outcome_ = Outcome::Answered;
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -653,8 +653,10 @@
   auto sent = client.Send();
   RawSocket peer = client.listener_.Accept();
   peer.ReadMessage();
+  constexpr int kWaiting = 3;
   std::vector<std::future<SendResult>> waiting;
-  for (int i = 0; i < 3; ++i) {
+  waiting.reserve(kWaiting);
+  for (int i = 0; i < kWaiting; ++i) {
     waiting.push_back(client.Send());
   }
   client.Run([&] { client.client_.Withdraw({ "127.0.0.1", 1 }); });
--- a/testing/bench/control_cost.cc
+++ b/testing/bench/control_cost.cc
@@ -153,16 +153,16 @@
     bodies.push_back(MakeRowsBody(MakeConfigJson(aRoutes, i + 1), i + 1));
   }
   std::vector<std::vector<FeedRow>> rows; // as received from the store
-  const double receiveUs = MeasureMicroseconds([&](int i) {
+  const double receiveUs = MeasureMicroseconds([&](int aRound) {
     rows.push_back(
-      metastore::DecodeRowsPage(FeedTopic::Configuration, bodies[static_cast<std::size_t>(i)])
+      metastore::DecodeRowsPage(FeedTopic::Configuration, bodies[static_cast<std::size_t>(aRound)])
         .rows_);
   });
   FeedMirror mirror;
   std::vector<std::vector<FeedRow>> changes; // parts that a version changes
-  const double divideUs = MeasureMicroseconds([&](int i) {
-    const auto config = metastore::DecodeConfigRow(rows[static_cast<std::size_t>(i)].front());
-    const auto position = static_cast<std::uint64_t>(i) + 1;
+  const double divideUs = MeasureMicroseconds([&](int aRound) {
+    const auto config = metastore::DecodeConfigRow(rows[static_cast<std::size_t>(aRound)].front());
+    const auto position = static_cast<std::uint64_t>(aRound) + 1;
     changes.push_back(mirror.ReplaceContent(DivideConfig(std::get<FleetConfig>(config), position),
                                             ToPartPosition(position)));
   });
@@ -173,18 +173,19 @@
 
   DirectoryState state(InstanceId("i"), FleetSettings{});
   std::vector<DecodedFeedRow> upstreams;
+  upstreams.reserve(kUpstreams);
   for (int i = 0; i < kUpstreams; ++i) {
     upstreams.push_back({ "u-" + std::to_string(i), MakeUpstream(i, 1) });
   }
   state.ApplyChanges(upstreams, kNow);
   ServiceRouter router(InstanceId("i"), ZoneName("z"), 1);
-  const double applyUs = MeasureMicroseconds([&](int i) {
-    state.ApplyConfigParts(changes[static_cast<std::size_t>(i)]);
+  const double applyUs = MeasureMicroseconds([&](int aRound) {
+    state.ApplyConfigParts(changes[static_cast<std::size_t>(aRound)]);
     state.ActivateConfig();
     router.Apply(*state.MakeRoutingTable(), kNow);
   });
-  const double upstreamUs = MeasureMicroseconds([&](int i) {
-    const DecodedFeedRow item{ "u-0", MakeUpstream(0, static_cast<std::uint64_t>(i) + 2) };
+  const double upstreamUs = MeasureMicroseconds([&](int aRound) {
+    const DecodedFeedRow item{ "u-0", MakeUpstream(0, static_cast<std::uint64_t>(aRound) + 2) };
     state.ApplyChanges(std::span(&item, 1), kNow);
     router.Apply(*state.MakeRoutingTable(), kNow);
   });
