Serve the pauses of a simulated upstream at a path of their own

It is served at /control/pauses now, and the test is unchanged. The soak can have upstreams that ask for pauses (--upstream-pauses); without the flag the plans of its seeds are the same.

--- a/testing/e2e/fleet.cc
+++ b/testing/e2e/fleet.cc
@@ -280,7 +280,7 @@
 {
   int most = 0;
   for (const auto& upstream : upstreams_) {
-    const json counts = json::parse(client_.Get(upstream->port_, "/control/runs"));
+    const json counts = json::parse(client_.Get(upstream->port_, "/control/pauses"));
     most = std::max(most, counts.at("mostInPause").get<int>());
   }
   return most;
--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -24,6 +24,7 @@
     ("upstreams", "number of upstreams", cxxopts::value<std::size_t>()->default_value("6"))
     ("callers", "number of callers; each sends one request at a time",
      cxxopts::value<int>()->default_value("8"))
+    ("upstream-pauses", "upstreams also ask for pauses (Retry-After); changes the plan of a seed")
     ("directory", "directory for logs", cxxopts::value<std::string>()->default_value("out/soak"))
     ("help", "show this text");
   // clang-format on
@@ -40,6 +41,7 @@
   options.instances_ = aFlags["instances"].as<std::size_t>();
   options.upstreams_ = aFlags["upstreams"].as<std::size_t>();
   options.callers_ = aFlags["callers"].as<int>();
+  options.upstreamPauses_ = aFlags.count("upstream-pauses") > 0;
   const auto directory = std::filesystem::absolute(aFlags["directory"].as<std::string>()) /
                          ("seed-" + std::to_string(aSeed));
   std::filesystem::remove_all(directory);
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -321,6 +321,9 @@
     AddUpstreamFault("upstream-loses-answers", R"({"mode":"silent-after-run"})");
     AddUpstreamFault("upstream-slow", R"({"mode":"straggle","factor":20})");
     AddUpstreamFault("upstream-sheds", R"({"mode":"shed","limit":1})");
+    if (options_.upstreamPauses_) {
+      AddUpstreamFault("upstream-pauses", R"({"mode":"pause","retryAfter":"0.8"})");
+    }
     AddPlatformFault("table-down", R"({"table_down":true})", R"({"table_down":false})");
     AddPlatformFault("list-down", R"({"list_down":true})", R"({"list_down":false})");
     AddPlatformFault("platform-slow", R"({"slow_ms":60})", R"({"slow_ms":0})");
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -20,6 +20,9 @@
   std::size_t instances_ = 4;
   std::size_t upstreams_ = 6;
   int callers_ = 8;
+  /// Adds the fault that an upstream refuses all requests and asks for a pause. Changes the plan of
+  /// each seed.
+  bool upstreamPauses_ = false;
   std::string directory_; ///< for the logs of instances and the run logs of upstreams; must exist
 };
 
--- a/testing/upstream/upstream.cc
+++ b/testing/upstream/upstream.cc
@@ -245,6 +245,8 @@
   if (aRequest.method_ == "GET" && aRequest.target_ == "/control/runs") {
     response.headers_.Add("Content-Type", "application/json");
     response.body_ = RunsAsJson();
+  } else if (aRequest.method_ == "GET" && aRequest.target_ == "/control/pauses") {
+    response.body_ = PausesAsJson();
   } else if (aRequest.method_ == "POST" && aRequest.target_ == "/control/mode") {
     try {
       SetMode(aRequest);
@@ -277,17 +279,20 @@
 
 std::string
 Upstream::RunsAsJson() const
+{
+  return nlohmann::json{
+    { "total", totalRuns_ }, { "runs", runsByKey_ }, { "inFlight", running_ + queue_.size() }
+  }.dump();
+}
+
+std::string
+Upstream::PausesAsJson() const
 {
   int mostInPause = 0;
   for (const auto& [instance, pauses] : pauses_) {
     mostInPause = std::max(mostInPause, pauses.Most());
   }
-  return nlohmann::json{
-    { "total", totalRuns_ },
-    { "runs", runsByKey_ },
-    { "inFlight", running_ + queue_.size() },
-    { "mostInPause", mostInPause }
-  }.dump();
+  return nlohmann::json{ { "mostInPause", mostInPause } }.dump();
 }
 
 void
--- a/testing/upstream/upstream.h
+++ b/testing/upstream/upstream.h
@@ -61,8 +61,8 @@
 };
 
 /// Simulated upstream: queues requests, reports its load, counts the runs of each idempotency key
-/// and injects faults. Serves GET /control/runs, which also has the largest number of requests that
-/// one instance sent in one pause for which it was asked ("mostInPause"), and POST /control/mode
+/// and injects faults. Serves GET /control/runs, GET /control/pauses, which has the largest number
+/// of requests that one instance sent in one pause for which it was asked, and POST /control/mode
 /// (see ApplyMode). Loop thread only.
 class Upstream
 {
@@ -103,6 +103,7 @@
                        MonotonicTime aNow);
   http::Response MakeResponse(int aStatus, std::string aBody) const;
   std::string RunsAsJson() const;
+  std::string PausesAsJson() const;
   void Register();
 
   net::EventLoop& loop_;
