--- a/boragepier/directory/config_random_test.cc
+++ b/boragepier/directory/config_random_test.cc
@@ -16,6 +16,7 @@
 
 constexpr int kZoneCount = 2;
 constexpr int kInstancesPerZone = 6;
+constexpr int kInstances = kZoneCount * kInstancesPerZone;
 constexpr std::uint64_t kSeeds = 30;
 constexpr int kSteps = 60;
 constexpr int kMaxRoutes = 900; // several messages
@@ -86,7 +87,7 @@
 
   void Act(Random & aRandom)
   {
-    const int index = static_cast<int>(aRandom(kZoneCount * kInstancesPerZone));
+    const int index = static_cast<int>(aRandom(kInstances));
     const InstanceId id = IdOf(index);
     switch (aRandom(8)) {
       case 0: // stops or starts
@@ -131,7 +132,7 @@
     network_.isolated_.clear();
     Publish(random);
     store_.Put(FeedTopic::Upstreams, "u-1", "x");
-    for (int i = 0; i < kZoneCount * kInstancesPerZone; ++i) {
+    for (int i = 0; i < kInstances; ++i) {
       Start(i, random);
     }
     for (int step = 0; step < kSteps; ++step) {
