Stop the summary of pauses at the first upstream that admits requests

The rest of the summary is read only when no upstream admits any, so the decisions are the same.

FeedMirror compared rows with a list in two places; RemovalsOfUnlisted() serves both. ReplaceContent() now lists removals before changes; the rows are the same and take effect together.

--- a/boragepier/config/route_set.cc
+++ b/boragepier/config/route_set.cc
@@ -8,17 +8,11 @@
 
 namespace {
 
-bool
-Matches(const RouteConfig& aRoute, std::string_view aHost, std::string_view aPathPrefix)
-{
-  return aRoute.host_ == aHost && aRoute.pathPrefix_ == aPathPrefix;
-}
-
 RouteSet::Shard::iterator
 FindRoute(RouteSet::Shard& aShard, std::string_view aHost, std::string_view aPathPrefix)
 {
   return std::find_if(aShard.begin(), aShard.end(), [&](const auto& aRoute) {
-    return Matches(*aRoute, aHost, aPathPrefix);
+    return aRoute->host_ == aHost && aRoute->pathPrefix_ == aPathPrefix;
   });
 }
 
--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -173,6 +173,10 @@
     if (IsInUse(upstreams_[index])) {
       summary.Add(upstreams_[index].pause_, aNow);
     }
+    // Runs for each request, and the rest matters only while no upstream admits any.
+    if (summary.AnyAdmits()) {
+      break;
+    }
   }
   return summary;
 }
--- a/boragepier/decision/service_balancer_upstreams.cc
+++ b/boragepier/decision/service_balancer_upstreams.cc
@@ -124,6 +124,10 @@
     if (IsInUse(index)) {
       summary.Add(upstreams_[index].pause_, aNow);
     }
+    // The rest matters only while no upstream admits requests.
+    if (summary.AnyAdmits()) {
+      break;
+    }
   }
   return summary;
 }
--- a/boragepier/directory/feed_mirror.cc
+++ b/boragepier/directory/feed_mirror.cc
@@ -9,6 +9,29 @@
 
 namespace boragepier {
 
+namespace {
+
+// Returns tombstones for the rows that are not among aListed.
+std::vector<FeedRow>
+RemovalsOfUnlisted(const std::map<std::string, FeedRow>& aRows,
+                   std::span<const FeedRow> aListed,
+                   std::uint64_t aPosition)
+{
+  std::set<std::string_view> listedKeys;
+  for (const FeedRow& row : aListed) {
+    listedKeys.insert(row.key_);
+  }
+  std::vector<FeedRow> removals;
+  for (const auto& [key, row] : aRows) {
+    if (!row.removed_ && !listedKeys.contains(key)) {
+      removals.push_back({ key, aPosition, true, {} });
+    }
+  }
+  return removals;
+}
+
+} // namespace
+
 void
 FeedMirror::SetRow(const FeedRow& aRow)
 {
@@ -50,17 +73,7 @@
     AddGaps(std::span(&gap, 1));
   }
   std::vector<FeedRow> changed = ApplyChanges(aRows, aPosition);
-  std::set<std::string_view> listedKeys;
-  for (const FeedRow& row : aRows) {
-    listedKeys.insert(row.key_);
-  }
-  std::vector<FeedRow> removed;
-  for (const auto& [key, row] : rows_) {
-    if (!row.removed_ && !listedKeys.contains(key)) {
-      removed.push_back({ key, aPosition, true, {} });
-    }
-  }
-  for (FeedRow& row : removed) {
+  for (FeedRow& row : RemovalsOfUnlisted(rows_, aRows, aPosition)) {
     SetRow(row);
     changed.push_back(std::move(row));
   }
@@ -70,23 +83,16 @@
 std::vector<FeedRow>
 FeedMirror::ReplaceContent(std::span<const FeedRow> aRows, std::uint64_t aPosition)
 {
-  std::vector<FeedRow> changed;
   if (aPosition < position_) {
-    return changed;
+    return {};
   }
-  std::set<std::string_view> listedKeys;
+  std::vector<FeedRow> changed = RemovalsOfUnlisted(rows_, aRows, aPosition);
   for (const FeedRow& row : aRows) {
-    listedKeys.insert(row.key_);
     const FeedRow* const known = Find(row.key_);
     if (known == nullptr || known->removed_ || known->value_ != row.value_) {
       changed.push_back(row);
     }
   }
-  for (const auto& [key, row] : rows_) {
-    if (!row.removed_ && !listedKeys.contains(key)) {
-      changed.push_back({ key, aPosition, true, {} });
-    }
-  }
   for (const FeedRow& row : changed) {
     SetRow(row);
   }
