Agree on the types of teams, quotas, evacuations and cold upstreams

Interfaces and notes in docs/design/ that the parts build on: configuration of teams, refusals for keys, quotas and cold upstreams, settings of their bounds, fields of the routing table, and the directory of keys, which holds digests only (libsodium). The peer protocol becomes version 8.

--- a/boragepier/base/ids.h
+++ b/boragepier/base/ids.h
@@ -44,6 +44,8 @@
 using ServiceName = StrongName<struct ServiceTag>;
 /// Name of an availability zone.
 using ZoneName = StrongName<struct ZoneTag>;
+/// Name of a team, unique in the configuration. Teams share the fleet; each has callers of its own.
+using TeamName = StrongName<struct TeamTag>;
 /// Identifies one request; sent to the caller in the response and accepted by
 /// `boragepierctl explain`.
 using RequestId = StrongName<struct RequestTag>;
--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -27,7 +27,8 @@
   { "shutting-down", 503 },        { "not-configured", 503 },
   { "caller-left", 503 },          { "internal-error", 500 },
   { "body-budget-exceeded", 503 }, { "response-not-awaited", 504 },
-  { "upstreams-paused", 503 },
+  { "upstreams-paused", 503 },     { "key-rejected", 401 },
+  { "quota-exceeded", 429 },       { "upstreams-cold", 503 },
 } };
 
 // In the order of RetryReason.
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -44,8 +44,11 @@
   BodyBudgetExceeded, ///< the body does not fit in the memory for bodies now
   ResponseNotAwaited, ///< as CallerLeft, for a request that may have run
   UpstreamsPaused,    ///< all upstreams of the service have asked for a pause
+  KeyRejected,        ///< the request has no key of a team
+  QuotaExceeded,      ///< the team has used up its quota
+  UpstreamsCold,      ///< all upstreams are cold and have as many requests as they can take
 };
-inline constexpr int kRefusalReasonCount = 25;
+inline constexpr int kRefusalReasonCount = 28;
 
 /// Why an attempt did not yield a complete response.
 enum class AttemptFailure : std::uint8_t
--- a/boragepier/config/config_file_test.cc
+++ b/boragepier/config/config_file_test.cc
@@ -196,6 +196,8 @@
     kMinimalSettings + "[listen]\ncaller =\ncaller-port = 7540.0\n"
                        "[fleet]\nretry-ratio = 2E-1\nretry-slack = 1E+3\nretry-window-s =\n"
                        "heartbeat-ms = 1500.5\nprobes-per-upstream-s = 1e3\nfirst-start = True\n"
+                       "quota-window-s =\nquota-overage = 5E-2\nquota-slack = 20.0\n"
+                       "cold-overage = 1.5\ncold-slack =\n"
                        "[peers]\nseeds =\n[log]\nfile =\nlevel =\n"
                        "[traffic]\nmax-connections = 2e3\ndrain-limit-s = 6.5\n",
     "f.ini");
@@ -206,6 +208,11 @@
   CHECK(settings.heartbeatInterval_ == std::chrono::microseconds(1500500));
   DOUBLES_EQUAL(1000, settings.probesPerUpstreamSecond_, 0);
   CHECK(settings.fleetStarts_);
+  CHECK(settings.quotaWindow_ == std::chrono::seconds(5));
+  DOUBLES_EQUAL(0.05, settings.quotaOverage_, 1e-12);
+  DOUBLES_EQUAL(20, settings.quotaSlack_, 0);
+  DOUBLES_EQUAL(1.5, settings.coldOverage_, 0);
+  DOUBLES_EQUAL(0, settings.coldSlack_, 0);
   CHECK(settings.seedPeers_.empty() && settings.logFile_.empty());
   CHECK_EQUAL(2000U, settings.maxConnections_);
   CHECK(settings.drainLimit_ == std::chrono::milliseconds(6500));
--- a/boragepier/config/route_config.h
+++ b/boragepier/config/route_config.h
@@ -10,6 +10,7 @@
 #include "boragepier/base/ids.h"
 #include "boragepier/base/time.h"
 #include "boragepier/config/service_config.h"
+#include "boragepier/config/team_config.h"
 
 namespace boragepier {
 
@@ -32,6 +33,7 @@
   Duration timeLimit_ = std::chrono::seconds(30);    ///< from arrival of a request to its response
   Duration latencyTarget_ = std::chrono::seconds(1); ///< a later response is of little use
   unsigned priority_ = 0;                            ///< 0 is served first
+  bool public_ = false; ///< callers need no key, even if FleetConfig::keysRequired_
 };
 
 /// Limits for connections and requests of callers that are part of the configuration.
@@ -50,6 +52,9 @@
   std::vector<RouteConfig> routes_;
   std::vector<ServiceConfig> services_;
   CallerLimits limits_;
+  /// Callers identify themselves by the key of a team, except on public routes.
+  bool keysRequired_ = false;
+  std::vector<TeamConfig> teams_;
 };
 
 } // namespace boragepier
--- a/boragepier/config/service_config.h
+++ b/boragepier/config/service_config.h
@@ -79,6 +79,11 @@
   std::size_t maxRequestBody_ = 1 << 20;  ///< bytes
   std::size_t maxResponseBody_ = 8 << 20; ///< bytes
 
+  /// Requests per second, from the whole fleet, that an upstream can take while it is cold; 0 for
+  /// no limit. FreshProbes only.
+  double coldRequestsPerSecond_ = 0;
+  Duration coldDuration_{}; ///< how long an upstream is cold after its start; FreshProbes only
+
   Duration claimRetention_ = std::chrono::hours(24); ///< how long an Idempotency-Key is remembered
 };
 
--- a/boragepier/config/settings.h
+++ b/boragepier/config/settings.h
@@ -59,8 +59,13 @@
   Duration retryWindow_ = std::chrono::seconds(10); ///< of the retry budget
   /// Interval at which upstreams renew their entries in the store.
   Duration heartbeatInterval_ = std::chrono::milliseconds(1500);
-  double probesPerUpstreamSecond_ = 20; ///< probe rate limit
-  bool fleetStarts_ = false;            ///< all instances start now, for the first time
+  double probesPerUpstreamSecond_ = 20;            ///< probe rate limit
+  Duration quotaWindow_ = std::chrono::seconds(5); ///< in which a team's requests are counted
+  double quotaOverage_ = 0.1; ///< tolerated share beyond a team's quota in one window
+  double quotaSlack_ = 0;     ///< tolerated requests beyond that share in one window
+  double coldOverage_ = 1;    ///< tolerated multiple of the rate of a cold upstream
+  double coldSlack_ = 0;      ///< tolerated requests to a cold upstream beyond that, in one second
+  bool fleetStarts_ = false;  ///< all instances start now, for the first time
 
   LogLevel logLevel_ = LogLevel::Info;
   std::string logFile_;              ///< path; if empty, logToStandardOutput_ applies
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -36,6 +36,8 @@
   /// Requests with the same value have similar service times; FreshProbeBalancer only.
   std::uint64_t workClass_ = 0;
   std::size_t bodyBytes_ = 0; ///< size of the request body; FreshProbeBalancer only
+  /// Identifies the team of the caller; 0 without one. FreshProbeBalancer only.
+  std::uint64_t team_ = 0;
   /// Submitted again because its attempt was withdrawn before it was sent.
   bool moved_ = false;
   /// Upstreams of earlier attempts in order, avoided while there are others.
--- a/boragepier/directory/config_parts.cc
+++ b/boragepier/directory/config_parts.cc
@@ -99,7 +99,8 @@
          maxAttempts,
          timeLimit,
          latencyTarget,
-         priority] = aValue;
+         priority,
+         isPublic] = aValue;
   aVisit(name,
          host,
          pathPrefix,
@@ -108,7 +109,8 @@
          maxAttempts,
          timeLimit,
          latencyTarget,
-         priority);
+         priority,
+         isPublic);
 }
 
 void
@@ -136,6 +138,8 @@
          queueLimit,
          maxRequestBody,
          maxResponseBody,
+         coldRequestsPerSecond,
+         coldDuration,
          claimRetention] = aValue;
   aVisit(name,
          pathPrefix,
@@ -158,6 +162,8 @@
          queueLimit,
          maxRequestBody,
          maxResponseBody,
+         coldRequestsPerSecond,
+         coldDuration,
          claimRetention);
 }
 
--- a/boragepier/directory/directory_state.h
+++ b/boragepier/directory/directory_state.h
@@ -24,6 +24,8 @@
   double probesPerUpstreamSecond_ = 20;             ///< limit on probes of one upstream
   /// Interval at which upstreams renew their entries.
   Duration heartbeatInterval_ = std::chrono::milliseconds(1500);
+  double coldOverage_ = 1; ///< tolerated multiple of the request rate of a cold upstream
+  double coldSlack_ = 0;   ///< tolerated requests beyond that in one second
 };
 
 /// Kinds of changes in the directory, for logs.
--- a/boragepier/entry/directory_events.cc
+++ b/boragepier/entry/directory_events.cc
@@ -39,11 +39,10 @@
 FleetSettings
 FleetLimitsFrom(const Settings& aSettings)
 {
-  return { aSettings.retryRatio_,
-           aSettings.retrySlack_,
-           aSettings.retryWindow_,
-           aSettings.probesPerUpstreamSecond_,
-           aSettings.heartbeatInterval_ };
+  return { aSettings.retryRatio_,        aSettings.retrySlack_,
+           aSettings.retryWindow_,       aSettings.probesPerUpstreamSecond_,
+           aSettings.heartbeatInterval_, aSettings.coldOverage_,
+           aSettings.coldSlack_ };
 }
 
 double
--- a/boragepier/entry/wire_dialect.cc
+++ b/boragepier/entry/wire_dialect.cc
@@ -60,6 +60,8 @@
     .idempotencyKeyField_ = std::string(kIdempotencyKeyHeader),
     .signatureField_ = {},
     .expectedUpstreamField_ = {},
+    .callerKeyField_ = {},
+    .teamField_ = {},
     .parseFeedback_ = ParseNativeFeedback,
     .isFromUpstream_ = AcceptAnyUpstream,
   };
--- a/boragepier/entry/wire_dialect.h
+++ b/boragepier/entry/wire_dialect.h
@@ -50,6 +50,10 @@
   std::string signatureField_;
   /// Id of the upstream that a request is meant for, so that another one can refuse it.
   std::string expectedUpstreamField_;
+  /// Key by which a caller identifies itself as one of a team. Never passed on.
+  std::string callerKeyField_;
+  /// Name of the team of the caller, set towards upstreams.
+  std::string teamField_;
 
   /// Reads the state of the upstream from its response to a request or a probe.
   UpstreamFeedback (*parseFeedback_)(const http::Response&) = nullptr;
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -15,7 +15,7 @@
 namespace boragepier {
 
 /// Version of the messages below. A peer with a different version is disconnected.
-inline constexpr unsigned kPeerProtocolVersion = 7;
+inline constexpr unsigned kPeerProtocolVersion = 8;
 /// Largest encoded message in bytes. Large enough for one configuration of kMaxConfigBodyBytes, or
 /// for store rows of kMaxStoreUpdateBytes.
 inline constexpr std::size_t kMaxPeerMessageBytes = std::size_t{ 1280 } * 1024;
--- a/boragepier/state/routing_table.h
+++ b/boragepier/state/routing_table.h
@@ -11,6 +11,7 @@
 #include "boragepier/config/route_set.h"
 #include "boragepier/config/service_config.h"
 #include "boragepier/config/upstream_endpoint.h"
+#include "boragepier/state/team_directory.h"
 
 namespace boragepier {
 
@@ -37,6 +38,12 @@
   std::optional<CallerLimits> callerLimits_;
   /// Live entry instances, including this one. May be out of date.
   std::vector<InstanceId> instances_;
+  /// Callers identify themselves by the key of a team, except on public routes.
+  bool keysRequired_ = false;
+  /// Not null if keysRequired_.
+  std::shared_ptr<const TeamDirectory> teams_;
+  /// Availability zones whose upstreams receive nothing.
+  std::vector<ZoneName> evacuatedZones_;
 };
 
 } // namespace boragepier
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(
   g++ cmake ninja-build ccache clang-format clang-tidy clang libclang-rt-14-dev spin
   libboost-dev libcpputest-dev libcxxopts-dev libinih-dev liblog4cxx-dev
-  libmsgpack-cxx-dev libnghttp2-dev libpcg-cpp-dev libxxhash-dev nlohmann-json3-dev
+  libmsgpack-cxx-dev libnghttp2-dev libpcg-cpp-dev libsodium-dev libxxhash-dev nlohmann-json3-dev
 )
 missing=()
 for package in "${packages[@]}"; do
