Reject incomplete and invalid responses of upstreams

An upstream that answered a long upload without a length, ended its sending side and reset the connection 50 ms later had the part of its body passed on as a complete response. A response that ends with the connection is complete only if the request has been written. A status above 599 is malformed; those below 200 already were.

--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -182,7 +182,10 @@
     Fail(AttemptFailure::NothingWritten);
   } else if (!reader_->Started(input_)) {
     Fail(AttemptFailure::ConnectionLost);
-  } else if (aEnd == net::StreamEnd::Closed && reader_->OnEndOfStream() == ReadStatus::Complete) {
+  } else if (aEnd == net::StreamEnd::Closed && stream_->OutputFlushed() &&
+             reader_->OnEndOfStream() == ReadStatus::Complete) {
+    // A peer that ends its output while the request is still being written may reset the connection
+    // next, and the response may lack its end.
     if (!SkipForeignResponse()) {
       OnComplete();
     }
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -179,6 +179,21 @@
   CheckFailure(Await(std::move(result)), Outcome::Unknown, AttemptFailure::Truncated);
 }
 
+// Guards against taking the part of a response that was sent before a reset for all of it: an
+// upstream that ends its sending side while the request is still being written may reset the
+// connection next.
+TEST(Client, ResponseWithoutLengthIsIncompleteWhileTheRequestIsBeingWritten)
+{
+  ClientFixture client;
+  const std::string body(8 << 20, 'x');
+  auto result = client.Send("POST", body);
+  RawSocket peer = client.listener_.Accept();
+  peer.ReadUntil("\r\n\r\n");
+  peer.Send("HTTP/1.1 200 OK\r\n\r\npart");
+  peer.ShutdownOutput();
+  CheckFailure(Await(std::move(result)), Outcome::Unknown, AttemptFailure::Truncated);
+}
+
 TEST(Client, InterimResponsesAreSkipped)
 {
   ClientFixture client;
@@ -241,6 +256,9 @@
          ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nokay\r\n0\r\n\r\n",
          "HTTP/1.1 101 Switching Protocols\r\n\r\n",
          "HTTP/1.1 99 Low\r\n\r\n",
+         "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok",
+         "HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\nok",
+         "HTTP/1.1 999 High\r\nContent-Length: 2\r\n\r\nok",
          "HTTP/2.0 200 OK\r\n\r\n",
          "garbage\r\n\r\n",
        }) {
--- a/boragepier/http/response_reader.cc
+++ b/boragepier/http/response_reader.cc
@@ -14,6 +14,8 @@
 // Limits how long a peer can keep a request open with interim responses (1xx).
 constexpr int kMaxInterimResponses = 16;
 
+constexpr int kMaxStatus = 599;
+
 } // namespace
 
 class ResponseReader::Parser : public MessageParser<false>
@@ -101,7 +103,7 @@
   response_.status_ = static_cast<int>(message.result_int());
   response_.headers_ = CopyHeaders(message);
   RemoveHopByHopFields(response_.headers_);
-  return response_.status_ >= 200;
+  return response_.status_ >= 200 && response_.status_ <= kMaxStatus;
 }
 
 ReadStatus
