Send nothing to upstreams of evacuated availability zones

An operator empties a zone by a row of its own. The rows come with the reads of the configuration, pass along the relay tree as a topic with its own positions, and mark the endpoints of the zone in the routing table; both balancers send these nothing, and the subset of an instance takes other upstreams in their place. Requests to a service with no other upstream are refused at once (no-upstream).

Two tests of StoreView now also confirm the new topic, without which routing data is not complete.

--- a/boragepier/config/upstream_endpoint.h
+++ b/boragepier/config/upstream_endpoint.h
@@ -18,6 +18,7 @@
   ZoneName zone_;
   std::uint64_t startNumber_ = 0; ///< increases with every start of the upstream
   bool leaving_ = false;          ///< is draining and receives no new requests
+  bool evacuated_ = false;        ///< its zone is evacuated: receives nothing meanwhile
   unsigned slots_ = 0;        ///< requests it executes concurrently; 0 means ServiceConfig::slots_
   MonotonicTime warmUpEnd_{}; ///< end of its warm-up, during which service times are longer
 
--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -128,6 +128,9 @@
   for (const std::uint32_t index : listed_) {
     Upstream& upstream = upstreams_[index];
     upstream.local_ = upstream.endpoint_->zone_ == localZone_;
+    if (upstream.endpoint_->evacuated_) {
+      continue; // leaves its place in the subset to another one
+    }
     const std::string_view id = upstream.endpoint_->id_.View();
     (upstream.local_ ? local : remote).emplace_back(XXH64(id.data(), id.size(), seed), index);
   }
@@ -197,7 +200,8 @@
 bool
 FreshProbeBalancer::IsInUse(const Upstream& aUpstream)
 {
-  return aUpstream.listed_ && !aUpstream.endpoint_->leaving_ && !aUpstream.markedLeaving_;
+  return aUpstream.listed_ && !aUpstream.endpoint_->leaving_ && !aUpstream.endpoint_->evacuated_ &&
+         !aUpstream.markedLeaving_;
 }
 
 unsigned
--- a/boragepier/decision/fresh_probe_balancer_test.cc
+++ b/boragepier/decision/fresh_probe_balancer_test.cc
@@ -440,6 +440,32 @@
 
 // Guards against requests to an upstream that said in an answer that it is leaving, while the store
 // is silent or still lists it, and against a mark that outlives that start of the upstream.
+// The load of a zone that an operator empties: new and queued requests go to the other zones, and
+// if there is none, are refused at once.
+TEST(FreshProbeBalancer, UpstreamsOfEvacuatedZonesReceiveNothing)
+{
+  std::vector endpoints{ MakeEndpoint("a-1", "a"), MakeEndpoint("b-1", "b") };
+  balancer_.SetUpstreams(endpoints, now_);
+  CHECK(Submit(MakeCall(Repeatability::AtMostOnce)).kind_ == RoutingDecision::Kind::Queued);
+  endpoints[0].evacuated_ = true;
+  balancer_.SetUpstreams(endpoints, now_);
+  const auto released =
+    RunUntilReleased({ { "a-1", MakeLoad(0) }, { "b-1", MakeLoad(0) } }, milliseconds(500));
+  CHECK_EQUAL(1U, released.size());
+  CHECK(released[0].decision_.kind_ == RoutingDecision::Kind::Dispatch);
+  CHECK(balancer_.Endpoint(released[0].decision_.upstream_)->id_.View() == "b-1");
+
+  endpoints[1].evacuated_ = true;
+  balancer_.SetUpstreams(endpoints, now_);
+  const RoutingDecision refused = Submit(MakeCall(Repeatability::Repeatable));
+  CHECK(refused.kind_ == RoutingDecision::Kind::Refuse);
+  CHECK(refused.reason_ == RefusalReason::NoUpstream);
+
+  endpoints[0].evacuated_ = false;
+  balancer_.SetUpstreams(endpoints, now_);
+  CHECK(Submit(MakeCall(Repeatability::Repeatable)).kind_ != RoutingDecision::Kind::Refuse);
+}
+
 TEST(FreshProbeBalancer, UpstreamThatAnnouncedItsLeavingReceivesNoRequestsUntilItRestarts)
 {
   std::vector endpoints{ MakeEndpoint("a-1", "a"), MakeEndpoint("a-2", "a") };
--- a/boragepier/decision/service_balancer_upstreams.cc
+++ b/boragepier/decision/service_balancer_upstreams.cc
@@ -149,7 +149,8 @@
 ServiceBalancer::Impl::IsInUse(std::size_t aIndex) const
 {
   const Upstream& upstream = upstreams_[aIndex];
-  return upstream.listed_ && !upstream.endpoint_->leaving_ && !upstream.markedLeaving_;
+  return upstream.listed_ && !upstream.endpoint_->leaving_ && !upstream.endpoint_->evacuated_ &&
+         !upstream.markedLeaving_;
 }
 
 std::shared_ptr<const UpstreamEndpoint>
--- a/boragepier/directory/directory_fakes.h
+++ b/boragepier/directory/directory_fakes.h
@@ -324,7 +324,9 @@
   {
     const std::size_t pages = store_.rows_[aTopic].size() / kRowsPerPage + 1;
     Call(pages, aTopic, 0, store_.scheduler_.Now(), [aDone](FeedResponse aResponse) {
-      std::erase_if(aResponse.rows_, [](const FeedRow& aRow) { return aRow.removed_; });
+      const auto isRemoved = [](const FeedRow& aRow) { return aRow.removed_; };
+      std::erase_if(aResponse.rows_, isRemoved);
+      std::erase_if(aResponse.evacuations_, isRemoved);
       aDone(std::move(aResponse));
     });
   }
@@ -344,7 +346,7 @@
     const MonotonicTime now = store_.scheduler_.Now();
     if (store_.writingUntil_ > now + kMaxWriteQueue) {
       store_.scheduler_.After(kStoreDelay, [aDone] {
-        aDone({ FeedStatus::Refused, {}, 0, "status 429", {} });
+        aDone({ FeedStatus::Refused, {}, 0, "status 429", {}, {} });
       });
       return;
     }
@@ -355,7 +357,7 @@
         for (const InstanceEntry& instance : instances) {
           store_.Put(FeedTopic::Instances, instance.id_.Text(), InstanceRowValue(instance));
         }
-        aDone({ FeedStatus::Ok, {}, 0, {}, {} });
+        aDone({ FeedStatus::Ok, {}, 0, {}, {}, {} });
       });
   }
 
@@ -395,16 +397,19 @@
     if (store_.unansweredInstances_.contains(self_)) {
       store_.scheduler_.After(kTimeout, [this, aDone] {
         if (!stopped_) {
-          aDone({ FeedStatus::Unreachable, {}, 0, "timeout", {} });
+          aDone({ FeedStatus::Unreachable, {}, 0, "timeout", {}, {} });
         }
       });
       return;
     }
     FeedResponse response{
-      FeedStatus::Ok, store_.ChangesSince(aTopic, aPosition), store_.position_, {}, {}
+      FeedStatus::Ok, store_.ChangesSince(aTopic, aPosition), store_.position_, {}, {}, {}
     };
+    if (aTopic == FeedTopic::Configuration) {
+      response.evacuations_ = store_.ChangesSince(FeedTopic::Evacuations, aPosition);
+    }
     const MonotonicTime now = store_.scheduler_.Now();
-    if (response.rows_.empty() && now < aUntil) {
+    if (response.rows_.empty() && response.evacuations_.empty() && now < aUntil) {
       store_.scheduler_.After(kPollInterval, [=, this] { Poll(aTopic, aPosition, aUntil, aDone); });
       return;
     }
--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -60,6 +60,22 @@
   }
 }
 
+void
+DirectoryState::ApplyEvacuations(std::span<const FeedRow> aRows)
+{
+  for (const FeedRow& row : aRows) {
+    const ZoneName zone(row.key_);
+    const bool changed =
+      row.removed_ ? evacuatedZones_.erase(zone) > 0 : evacuatedZones_.insert(zone).second;
+    if (changed) {
+      routingChanged_ = true;
+      const auto type =
+        row.removed_ ? DirectoryEventType::ZoneRestored : DirectoryEventType::ZoneEvacuated;
+      events_.push_back({ type, row.key_, {} });
+    }
+  }
+}
+
 void
 DirectoryState::OnUnreadable(const std::string& aKey, const std::string& aError)
 {
@@ -261,6 +277,7 @@
       table->instances_.push_back(instance.id_);
     }
   }
+  table->evacuatedZones_.assign(evacuatedZones_.begin(), evacuatedZones_.end());
   const auto& config = assembly_.Active();
   if (!config) {
     return table;
@@ -270,7 +287,9 @@
   table->callerLimits_ = config->limits_;
   std::unordered_map<ServiceName, std::vector<UpstreamEndpoint>> upstreamsByService;
   for (const auto& [key, upstream] : upstreams_) {
-    upstreamsByService[upstream.entry_.service_].push_back(upstream.entry_.endpoint_);
+    UpstreamEndpoint& endpoint =
+      upstreamsByService[upstream.entry_.service_].emplace_back(upstream.entry_.endpoint_);
+    endpoint.evacuated_ = evacuatedZones_.contains(endpoint.zone_);
   }
   for (ServiceConfig service : *config->services_) {
     service.retryRatio_ = settings_.retryRatio_;
--- a/boragepier/directory/directory_state.h
+++ b/boragepier/directory/directory_state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -42,6 +43,8 @@
   EntryUnreadable,
   InstanceAdded,
   RegistrationFailed, ///< a call that registers instances failed
+  ZoneEvacuated,      ///< the upstreams of an availability zone receive nothing from now on
+  ZoneRestored,       ///< the evacuation of an availability zone was withdrawn
 };
 
 /// One change in the directory.
@@ -84,6 +87,9 @@
   void ActivateConfig();
   /// Records an entry that was ignored.
   void OnUnreadable(const std::string& aKey, const std::string& aError);
+  /// Applies changed evacuations, which are in force until they are removed.
+  /// @param aRows rows of FeedTopic::Evacuations
+  void ApplyEvacuations(std::span<const FeedRow> aRows);
   /// Applies changed entries of upstreams and instances.
   void ApplyChanges(std::span<const DecodedFeedRow> aItems, MonotonicTime aNow);
   /// Records that this or another instance read the entries of the upstreams from the store. To be
@@ -155,6 +161,7 @@
   std::map<std::string, Upstream> upstreams_;
   int missingCount_ = 0; ///< number of them that are missing
   std::map<std::string, InstanceEntry> instances_;
+  std::set<ZoneName> evacuatedZones_;
   std::optional<MonotonicTime> upstreamsObservedAt_; ///< latest OnUpstreamsObserved()
   std::optional<MonotonicTime> observedSince_;       ///< see ObservedSince()
   MonotonicTime lastSeenBeforeOutage_{}; ///< last observation before the outage of the grace period
--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -301,6 +301,57 @@
   CheckConfigVersion(2);
 }
 
+// Guards against an evacuation that reaches only those who read the store, and against one that a
+// new configuration ends.
+TEST(DirectoryWatch, EvacuationsReachAllInstancesAndEndWithTheirRow)
+{
+  store_.Put(FeedTopic::Upstreams, "u-1", {});
+  StartAll(16);
+  const ZoneName zone =
+    instances_[0]->watch_.State().MakeRoutingTable()->services_.at(0).upstreams_.at(0).zone_;
+  const auto checkEvacuated = [&](bool aEvacuated) {
+    for (const auto& instance : instances_) {
+      const auto table = instance->watch_.State().MakeRoutingTable();
+      CHECK_EQUAL(aEvacuated ? 1U : 0U, table->evacuatedZones_.size());
+      CHECK_EQUAL(aEvacuated, table->services_.at(0).upstreams_.at(0).evacuated_);
+    }
+  };
+  checkEvacuated(false);
+  store_.Put(FeedTopic::Evacuations, zone.Text(), {});
+  RunFor(std::chrono::seconds(1));
+  checkEvacuated(true);
+  store_.Put(FeedTopic::Configuration, "config", "2");
+  RunFor(std::chrono::seconds(1));
+  CheckConfigVersion(2);
+  checkEvacuated(true);
+  Start(16);
+  RunFor(std::chrono::seconds(1));
+  checkEvacuated(true);
+  store_.Remove(FeedTopic::Evacuations, zone.Text());
+  RunFor(std::chrono::seconds(1));
+  checkEvacuated(false);
+}
+
+// Guards against a zone that stays empty for an instance that missed the end of its evacuation.
+TEST(DirectoryWatch, EndOfAnEvacuationReachesAnInstanceThatWasCutOff)
+{
+  store_.Put(FeedTopic::Evacuations, "z-1", {});
+  StartAll(4);
+  const InstanceId cutOff("i-2");
+  network_.isolated_ = { cutOff };
+  store_.unansweredInstances_ = { cutOff };
+  store_.Remove(FeedTopic::Evacuations, "z-1");
+  store_.Put(FeedTopic::Evacuations, "z-2", {});
+  RunFor(std::chrono::seconds(5));
+  CHECK(instances_[2]->watch_.State().MakeRoutingTable()->evacuatedZones_ ==
+        std::vector{ ZoneName("z-1") });
+  network_.isolated_.clear();
+  store_.unansweredInstances_.clear();
+  RunFor(std::chrono::seconds(3));
+  CHECK(instances_[2]->watch_.State().MakeRoutingTable()->evacuatedZones_ ==
+        std::vector{ ZoneName("z-2") });
+}
+
 // Guards against requests to removed upstreams if some instances cannot reach the store but others
 // can.
 TEST(DirectoryWatch, RemovedUpstreamIsNotKeptIfOnlySomeInstancesLoseTheStore)
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -502,6 +502,10 @@
       }
       return;
     }
+    if (aTopic == FeedTopic::Evacuations) {
+      state_.ApplyEvacuations(aRows);
+      return;
+    }
     if (aTopic == FeedTopic::Upstreams) {
       const bool wasInGracePeriod = state_.InGracePeriod(now);
       state_.OnUpstreamsObserved(aObservedAt, now);
--- a/boragepier/directory/relay_parts_test.cc
+++ b/boragepier/directory/relay_parts_test.cc
@@ -37,7 +37,7 @@
 FeedResponse
 MakeResponse(std::uint64_t aPosition, std::vector<FeedRow> aRows)
 {
-  return { FeedStatus::Ok, std::move(aRows), aPosition, {}, {} };
+  return { FeedStatus::Ok, std::move(aRows), aPosition, {}, {}, {} };
 }
 
 } // namespace
@@ -51,6 +51,7 @@
 TEST(StoreView, PartOfTheRowsIsNoConfirmation)
 {
   view_.ApplyResponse(FeedTopic::Configuration, MakeResponse(3, kNoRows), false, kNow);
+  view_.ApplyResponse(FeedTopic::Evacuations, MakeResponse(3, kNoRows), false, kNow);
   PeerStoreUpdate::Topic part{ 0, 2, 0, false, { MakeRow("u-1", 2) }, {} };
   CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, kSender, part, kNow).has_value());
   CHECK(!view_.HasRoutingData());
@@ -107,6 +108,7 @@
 {
   const MonotonicTime later = kNow + std::chrono::seconds(1);
   view_.ApplyResponse(FeedTopic::Configuration, MakeResponse(5, kNoRows), false, later);
+  view_.ApplyResponse(FeedTopic::Evacuations, MakeResponse(5, kNoRows), false, later);
   view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(5, { MakeRow("u-1", 2) }), false, kNow);
   const PeerStoreUpdate::Topic update{ 5, 9, 0, true, {}, { { 0, 9 } } };
   CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, kSender, update, later).has_value());
--- a/boragepier/directory/store_reader.h
+++ b/boragepier/directory/store_reader.h
@@ -79,7 +79,7 @@
   /// Starts to read each topic that should come from the store and is not being read yet.
   void Start()
   {
-    for (const FeedTopic topic : kFeedTopics) {
+    for (const FeedTopic topic : kReadTopics) {
       if (!StateOf(topic).reading_ && callbacks_.shouldRead_(topic)) {
         StateOf(topic).reading_ = true;
         Request(topic, true);
@@ -104,7 +104,7 @@
       return;
     }
     callbacks_.onReachableChanged_(true, {});
-    for (const FeedTopic topic : kFeedTopics) {
+    for (const FeedTopic topic : kReadTopics) {
       if (const auto timer = StateOf(topic).nextRequest_) {
         scheduler_.Cancel(*timer);
         Continue(topic);
@@ -150,26 +150,35 @@
     const Duration wait = aFirst || failing_       ? Duration(0)
                           : IsRoutingTopic(aTopic) ? timing_.longPollWait_
                                                    : timing_.instancesLongPollWait_;
-    const PendingCall call{ aTopic, view_.IsSynced(aTopic), scheduler_.Now(), wait };
+    const bool changesOnly = aTopic == FeedTopic::Configuration
+                               ? view_.IsSynced(aTopic) && view_.IsSynced(FeedTopic::Evacuations)
+                               : view_.IsSynced(aTopic);
+    const PendingCall call{ aTopic, changesOnly, scheduler_.Now(), wait };
     const auto done = [this, call](const FeedResponse& aResponse) { OnReply(call, aResponse); };
     if (call.changesOnly_) {
-      const std::uint64_t position = view_.CompletePosition(aTopic);
-      feed_.Wait(aTopic,
-                 aTopic == FeedTopic::Configuration ? ToStorePosition(position) : position,
-                 wait,
-                 done);
+      feed_.Wait(aTopic, ReadPosition(aTopic), wait, done);
     } else {
       feed_.Read(aTopic, done);
     }
   }
 
+  // Returns the position of the store after which changes of a topic are requested.
+  std::uint64_t ReadPosition(FeedTopic aTopic) const
+  {
+    const std::uint64_t position = view_.CompletePosition(aTopic);
+    if (aTopic != FeedTopic::Configuration) {
+      return position;
+    }
+    return std::min(ToStorePosition(position), view_.CompletePosition(FeedTopic::Evacuations));
+  }
+
   // Applies a response. Returns the number of rows that changed, or nothing if the response is
   // older than what is known.
   std::optional<std::size_t> Apply(const PendingCall& aCall, const FeedResponse& aResponse)
   {
     const MonotonicTime now = scheduler_.Now();
     MonotonicTime observedAt = clock_.CreatedAt(aCall.startedAt_, now, aResponse.storeTime_);
-    if (aCall.changesOnly_ && aResponse.rows_.empty()) {
+    if (aCall.changesOnly_ && aResponse.rows_.empty() && aResponse.evacuations_.empty()) {
       // The store responds without changes only at the end of the wait.
       observedAt = std::max(observedAt, std::min(now, aCall.startedAt_ + aCall.wait_));
     }
@@ -181,6 +190,27 @@
       return std::nullopt;
     }
     callbacks_.onRows_(aCall.topic_, *changed, observedAt);
+    return changed->size() + ApplyEvacuations(aCall, aResponse, observedAt);
+  }
+
+  // Applies the evacuations of a response. Returns the number of rows that changed.
+  std::size_t ApplyEvacuations(const PendingCall& aCall,
+                               const FeedResponse& aResponse,
+                               MonotonicTime aObservedAt)
+  {
+    if (aCall.topic_ != FeedTopic::Configuration) {
+      return 0;
+    }
+    FeedResponse evacuations;
+    evacuations.status_ = aResponse.status_;
+    evacuations.position_ = aResponse.position_;
+    evacuations.rows_ = aResponse.evacuations_;
+    const auto changed =
+      view_.ApplyResponse(FeedTopic::Evacuations, evacuations, aCall.changesOnly_, aObservedAt);
+    if (!changed) {
+      return 0; // newer ones are known from another instance
+    }
+    callbacks_.onRows_(FeedTopic::Evacuations, *changed, aObservedAt);
     return changed->size();
   }
 
@@ -221,6 +251,9 @@
     } else if (aResponse.status_ == FeedStatus::HistoryLost) {
       OnAnswered();
       view_.OnHistoryLost(aCall.topic_);
+      if (aCall.topic_ == FeedTopic::Configuration) {
+        view_.OnHistoryLost(FeedTopic::Evacuations);
+      }
     } else {
       const bool isStale = aResponse.status_ == FeedStatus::Ok;
       OnFailed(isStale ? std::string("stale answer") : aResponse.error_);
--- a/boragepier/directory/store_view.h
+++ b/boragepier/directory/store_view.h
@@ -15,7 +15,13 @@
 
 inline constexpr std::array<FeedTopic, kFeedTopicCount> kFeedTopics = { FeedTopic::Configuration,
                                                                         FeedTopic::Upstreams,
-                                                                        FeedTopic::Instances };
+                                                                        FeedTopic::Instances,
+                                                                        FeedTopic::Evacuations };
+
+/// Topics that are read from the store. Evacuations come with the configuration.
+inline constexpr std::array kReadTopics = { FeedTopic::Configuration,
+                                            FeedTopic::Upstreams,
+                                            FeedTopic::Instances };
 
 /// @return whether routing needs the topic up to date; the list of instances may be out of date
 constexpr bool
--- a/boragepier/directory/subscriber_set.h
+++ b/boragepier/directory/subscriber_set.h
@@ -140,7 +140,8 @@
       if (progress.partial_) {
         continue; // position 0 tells the subscriber to ignore this topic
       }
-      part = view_.UpdateSince(topic, progress.sent_, kMaxStoreUpdateBytes / kFeedTopicCount, aNow);
+      part =
+        view_.UpdateSince(topic, progress.sent_, kMaxStoreUpdateBytes / kReadTopics.size(), aNow);
       progress.sent_ = std::max(progress.sent_, part.position_);
       if (!part.rows_.empty()) {
         progress.partial_ = !part.complete_;
--- a/boragepier/entry/directory_events.cc
+++ b/boragepier/entry/directory_events.cc
@@ -28,6 +28,10 @@
       return EventId::EntryUnreadable;
     case DirectoryEventType::RegistrationFailed:
       return EventId::RegistrationFailed;
+    case DirectoryEventType::ZoneEvacuated:
+      return EventId::ZoneEvacuated;
+    case DirectoryEventType::ZoneRestored:
+      return EventId::ZoneRestored;
     case DirectoryEventType::InstanceAdded:
       break;
   }
--- a/boragepier/ports/directory_feed.h
+++ b/boragepier/ports/directory_feed.h
@@ -25,8 +25,9 @@
   Configuration, ///< one row with a FleetConfig
   Upstreams,     ///< an UpstreamEntry for each upstream
   Instances,     ///< an InstanceEntry for each entry instance that was ever started
+  Evacuations,   ///< a row without a value for each evacuated availability zone
 };
-inline constexpr std::size_t kFeedTopicCount = 3;
+inline constexpr std::size_t kFeedTopicCount = 4;
 
 /// An upstream as registered by itself.
 struct UpstreamEntry
@@ -106,6 +107,9 @@
   std::string error_;          ///< reason, if the status is not Ok
   /// Steady clock of the store when it created the response, if it says so.
   std::optional<Duration> storeTime_;
+  /// Rows of Evacuations up to position_, by the name of the zone. They come with the rows of
+  /// Configuration and are not read on their own.
+  std::vector<FeedRow> evacuations_;
 };
 
 using FeedCallback = std::function<void(FeedResponse)>;
@@ -114,7 +118,8 @@
 inline constexpr std::size_t kMaxRegistrations = 100;
 
 /// Client of the directory store: reads entries and waits for changes (long polling). Each callback
-/// runs exactly once, after the function returned, in the thread that called the function.
+/// runs exactly once, after the function returned, in the thread that called the function. Read()
+/// and Wait() are not called for Evacuations.
 template<typename T>
 concept DirectoryFeed = requires(T& aFeed,
                                  FeedTopic aTopic,
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -19,9 +19,9 @@
 /// Largest encoded message in bytes. Large enough for one configuration of kMaxConfigBodyBytes, or
 /// for store rows of kMaxStoreUpdateBytes.
 inline constexpr std::size_t kMaxPeerMessageBytes = std::size_t{ 1280 } * 1024;
-/// Total size in bytes of the rows of one PeerStoreUpdate, of which each topic gets an equal share.
-/// Rows of one version are not split, so they, or a single row, may exceed the share: the row of a
-/// configuration with a thousand routes has about 200 KB.
+/// Total size in bytes of the rows of one PeerStoreUpdate, of which each topic that is read from
+/// the store gets an equal share. Rows of one version are not split, so they, or a single row, may
+/// exceed the share: the row of a configuration with a thousand routes has about 200 KB.
 inline constexpr std::size_t kMaxStoreUpdateBytes = std::size_t{ 64 } * 1024;
 /// Largest number of elements in any list of a message.
 inline constexpr std::size_t kMaxPeerItems = 1024;
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -70,6 +70,8 @@
   DirectorySource = 5007,
   RegistrationFailed = 5008,
   ControlDelayed = 5009,
+  ZoneEvacuated = 5010,
+  ZoneRestored = 5011,
 
   RequestRefused = 6001,
   RequestOutcomeUnknown = 6002,
