Identify callers by the keys of teams

The configuration's teams and keys travel as parts of their own, one a key, so that a change of one of 10,000 keys sends two parts. A request on a route that is not public needs exactly one known key, else 401; the key is removed and the team's name set towards the upstream. The key is checked again before each attempt, so that a withdrawn one ends also for requests that wait. A team's priority goes before its route's. Without teams in the configuration nothing changes.

--- a/boragepier/config/team_config.h
+++ b/boragepier/config/team_config.h
@@ -13,15 +13,23 @@
 /// One-way hash of a caller's key. Keys are kept only in this form.
 using KeyDigest = std::array<std::uint8_t, 16>;
 
-/// A team: its callers identify themselves by one of its keys.
-struct TeamConfig
+/// What applies to all callers of a team together.
+struct TeamTerms
 {
   TeamName name_;
-  std::vector<KeyDigest> keys_;
   /// Takes precedence over RouteConfig::priority_; 0 is the most urgent.
   std::optional<unsigned> priority_;
   double ratePerSecond_ = 0; ///< requests per second in all instances together; 0 for no limit
   double burst_ = 0;         ///< requests that may exceed the rate
+
+  friend bool operator==(const TeamTerms&, const TeamTerms&) = default;
+};
+
+/// A team: its callers identify themselves by one of its keys.
+struct TeamConfig
+{
+  TeamTerms terms_;
+  std::vector<KeyDigest> keys_;
 };
 
 } // namespace boragepier
--- a/boragepier/directory/config_assembly.cc
+++ b/boragepier/directory/config_assembly.cc
@@ -27,6 +27,16 @@
     routesChanged_ = true;
   }
   servicesChanged_ = services_.erase(aKey) > 0 || servicesChanged_;
+  if (const auto team = teamsByKey_.find(aKey); team != teamsByKey_.end()) {
+    teams_.RemoveTeam(team->second);
+    teamsByKey_.erase(team);
+    teamsChanged_ = true;
+  }
+  if (const auto teamKey = teamKeysByKey_.find(aKey); teamKey != teamKeysByKey_.end()) {
+    teams_.RemoveKey(teamKey->second);
+    teamKeysByKey_.erase(teamKey);
+    teamsChanged_ = true;
+  }
   if (aKey == kConfigSummaryKey) {
     summary_.reset();
   }
@@ -54,6 +64,22 @@
   summary_ = aSummary;
 }
 
+void
+ConfigAssembly::Set(const std::string& aKey, const TeamTerms& aTerms)
+{
+  teams_.SetTeam(aTerms);
+  teamsByKey_[aKey] = aTerms.name_;
+  teamsChanged_ = true;
+}
+
+void
+ConfigAssembly::Set(const std::string& aKey, const TeamKey& aTeamKey)
+{
+  teams_.SetKey(aTeamKey.key_, aTeamKey.team_);
+  teamKeysByKey_[aKey] = aTeamKey.key_;
+  teamsChanged_ = true;
+}
+
 ConfigAssembly::Result
 ConfigAssembly::Activate()
 {
@@ -81,6 +107,10 @@
   } else {
     config->services_ = active_->services_;
   }
+  config->keysRequired_ = summary_->keysRequired_;
+  config->teams_ = std::exchange(teamsChanged_, false)
+                     ? std::make_shared<const TeamDirectory>(teams_)
+                     : active_->teams_;
   active_ = std::move(config);
   return Result::Activated;
 }
--- a/boragepier/directory/config_assembly.h
+++ b/boragepier/directory/config_assembly.h
@@ -11,6 +11,7 @@
 
 #include "boragepier/config/route_set.h"
 #include "boragepier/directory/config_parts.h"
+#include "boragepier/state/team_directory.h"
 
 namespace boragepier {
 
@@ -29,6 +30,8 @@
     std::shared_ptr<const RouteSet> routes_;
     std::shared_ptr<const std::vector<ServiceConfig>> services_;
     CallerLimits limits_;
+    bool keysRequired_ = false;
+    std::shared_ptr<const TeamDirectory> teams_;
   };
 
   enum class Result : std::uint8_t
@@ -56,16 +59,22 @@
   void Set(const std::string& aKey, RouteConfig aRoute);
   void Set(const std::string& aKey, ServiceConfig aService);
   void Set(const std::string& aKey, const ConfigSummary& aSummary);
+  void Set(const std::string& aKey, const TeamTerms& aTerms);
+  void Set(const std::string& aKey, const TeamKey& aTeamKey);
 
   std::shared_ptr<const Config> active_;
   // The parts applied so far.
   RouteSet routes_;
   std::map<std::string, RouteSet::RoutePointer> routesByKey_;
   std::map<std::string, ServiceConfig> services_;
+  TeamDirectory teams_;
+  std::map<std::string, TeamName> teamsByKey_;     ///< by the keys of their parts
+  std::map<std::string, KeyDigest> teamKeysByKey_; ///< by the keys of their parts
   std::optional<ConfigSummary> summary_;
   std::set<std::string> unreadable_; ///< keys of parts that could not be decoded
   bool routesChanged_ = true;        ///< since the last activation
   bool servicesChanged_ = true;      ///< since the last activation
+  bool teamsChanged_ = true;         ///< since the last activation
 };
 
 } // namespace boragepier
--- a/boragepier/directory/config_parts.cc
+++ b/boragepier/directory/config_parts.cc
@@ -3,6 +3,9 @@
 #include <array>
 #include <cmath>
 #include <cstdio>
+#include <cstring>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <type_traits>
@@ -22,6 +25,8 @@
 
 constexpr char kRouteKeyPrefix = 'r';
 constexpr char kServiceKeyPrefix = 's';
+constexpr char kTeamKeyPrefix = 't';
+constexpr char kTeamKeyKeyPrefix = 'k';
 
 constexpr std::uint32_t kMaxListSize = 4096;
 constexpr std::uint32_t kMaxTextBytes = 64 << 10;
@@ -83,8 +88,8 @@
 VisitFields(auto& aVisit, auto& aValue) requires
   std::is_same_v<std::remove_cvref_t<decltype(aValue)>, ConfigSummary>
 {
-  auto& [version, limits, digest] = aValue;
-  aVisit(version, limits, digest);
+  auto& [version, limits, keysRequired, digest] = aValue;
+  aVisit(version, limits, keysRequired, digest);
 }
 
 void
@@ -167,6 +172,22 @@
          claimRetention);
 }
 
+void
+VisitFields(auto& aVisit,
+            auto& aValue) requires std::is_same_v<std::remove_cvref_t<decltype(aValue)>, TeamTerms>
+{
+  auto& [name, priority, ratePerSecond, burst] = aValue;
+  aVisit(name, priority, ratePerSecond, burst);
+}
+
+void
+VisitFields(auto& aVisit,
+            auto& aValue) requires std::is_same_v<std::remove_cvref_t<decltype(aValue)>, TeamKey>
+{
+  auto& [key, team] = aValue;
+  aVisit(key, team);
+}
+
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
 // Appends the fields that it is called with, as an array.
@@ -192,6 +213,9 @@
       packer_.pack(static_cast<std::underlying_type_t<T>>(aValue));
     } else if constexpr (std::is_same_v<T, Duration>) {
       packer_.pack(static_cast<std::int64_t>(aValue.count()));
+    } else if constexpr (std::is_same_v<T, KeyDigest>) {
+      packer_.pack_bin(static_cast<std::uint32_t>(aValue.size()));
+      packer_.pack_bin_body(reinterpret_cast<const char*>(aValue.data()), aValue.size());
     } else if constexpr (std::is_aggregate_v<T>) {
       VisitFields(*this, aValue);
     } else {
@@ -204,6 +228,15 @@
     packer_.pack(aValue.Text());
   }
   template<typename T>
+  void Put(const std::optional<T>& aValue)
+  {
+    if (aValue) {
+      Put(*aValue);
+    } else {
+      packer_.pack_nil();
+    }
+  }
+  template<typename T>
   void Put(const std::vector<T>& aValue)
   {
     packer_.pack_array(static_cast<std::uint32_t>(aValue.size()));
@@ -244,6 +277,11 @@
       }
     } else if constexpr (std::is_same_v<T, Duration>) {
       aValue = Duration(aObject.as<std::int64_t>());
+    } else if constexpr (std::is_same_v<T, KeyDigest>) {
+      if (aObject.type != msgpack::type::BIN || aObject.via.bin.size != aValue.size()) {
+        throw msgpack::type_error();
+      }
+      std::memcpy(aValue.data(), aObject.via.bin.ptr, aValue.size());
     } else if constexpr (std::is_same_v<T, double>) {
       aValue = aObject.as<double>();
       if (!std::isfinite(aValue)) {
@@ -262,6 +300,14 @@
     aValue = StrongName<Tag>(aObject.as<std::string>());
   }
   template<typename T>
+  static void Get(const msgpack::object& aObject, std::optional<T>& aValue)
+  {
+    aValue.reset();
+    if (aObject.type != msgpack::type::NIL) {
+      Get(aObject, aValue.emplace());
+    }
+  }
+  template<typename T>
   static void Get(const msgpack::object& aObject, std::vector<T>& aValue)
   {
     if (aObject.type != msgpack::type::ARRAY) {
@@ -346,7 +392,22 @@
   for (const ServiceConfig& service : aConfig.services_) {
     add(kServiceKeyPrefix, service.name_.View(), service);
   }
-  const ConfigSummary summary{ aConfig.version_, aConfig.limits_, digest };
+  std::map<KeyDigest, TeamName> teamsByKey;
+  for (const TeamConfig& team : aConfig.teams_) {
+    add(kTeamKeyPrefix, team.terms_.name_.View(), team.terms_);
+    for (const KeyDigest& key : team.keys_) {
+      if (const auto [known, isNew] = teamsByKey.emplace(key, team.terms_.name_);
+          !isNew && known->second != team.terms_.name_) {
+        known->second = {}; // it would be unclear for whom a request with the key counts
+      }
+    }
+  }
+  for (const auto& [key, team] : teamsByKey) {
+    add(kTeamKeyKeyPrefix,
+        std::string_view(reinterpret_cast<const char*>(key.data()), key.size()),
+        TeamKey{ key, team });
+  }
+  const ConfigSummary summary{ aConfig.version_, aConfig.limits_, aConfig.keysRequired_, digest };
   parts.push_back(MakePart(std::string(kConfigSummaryKey), summary, aStorePosition));
   return parts;
 }
@@ -354,7 +415,8 @@
 ConfigPart
 DecodeConfigPart(const FeedRow& aRow)
 {
-  const msgpack::unpack_limit limit(kMaxListSize, 0, kMaxTextBytes, 0, 0, kMaxDepth);
+  const msgpack::unpack_limit limit(
+    kMaxListSize, 0, kMaxTextBytes, sizeof(KeyDigest), 0, kMaxDepth);
   try {
     const msgpack::object_handle handle =
       msgpack::unpack(aRow.value_.data(), aRow.value_.size(), nullptr, nullptr, limit);
@@ -367,6 +429,12 @@
     if (aRow.key_.starts_with(kRouteKeyPrefix)) {
       return DecodeAs<RouteConfig>(handle.get());
     }
+    if (aRow.key_.starts_with(kTeamKeyPrefix)) {
+      return DecodeAs<TeamTerms>(handle.get());
+    }
+    if (aRow.key_.starts_with(kTeamKeyKeyPrefix)) {
+      return DecodeAs<TeamKey>(handle.get());
+    }
   } catch (const msgpack::unpack_error& error) {
     throw ConfigPartError(error.what());
   } catch (const msgpack::type_error& error) {
--- a/boragepier/directory/config_parts.h
+++ b/boragepier/directory/config_parts.h
@@ -13,8 +13,9 @@
 namespace boragepier {
 
 // The store holds the configuration as one row. Whoever reads it divides it into parts, each a row
-// of its own: one for each route and service, and a summary. Instances keep and relay the parts, so
-// a new version costs them what it changes, however large the configuration is.
+// of its own: one for each route, service, team and key of a team, and a summary. Instances keep
+// and relay the parts, so a new version costs them what it changes, however large the configuration
+// is.
 //
 // Each position of the store corresponds to a range of positions of the parts. A part has a fixed
 // place in it, which follows from its key, so a version of any size can be sent in several
@@ -26,13 +27,21 @@
 {
   std::uint64_t version_ = 0; ///< FleetConfig::version_
   CallerLimits limits_;
-  std::uint64_t digest_ = 0; ///< sum of DigestOfPart() of the other parts
+  bool keysRequired_ = false; ///< FleetConfig::keysRequired_
+  std::uint64_t digest_ = 0;  ///< sum of DigestOfPart() of the other parts
 };
 
 /// Key of the summary.
 inline constexpr std::string_view kConfigSummaryKey = "summary";
 
-using ConfigPart = std::variant<RouteConfig, ServiceConfig, ConfigSummary>;
+/// The team to which a key leads.
+struct TeamKey
+{
+  KeyDigest key_{};
+  TeamName team_; ///< empty if several teams have the key, which then leads to none
+};
+
+using ConfigPart = std::variant<RouteConfig, ServiceConfig, ConfigSummary, TeamTerms, TeamKey>;
 
 /// A part that cannot be decoded.
 class ConfigPartError : public Error
--- a/boragepier/directory/config_parts_test.cc
+++ b/boragepier/directory/config_parts_test.cc
@@ -88,7 +88,8 @@
                      7,
                      std::chrono::milliseconds(1),
                      std::chrono::milliseconds(2),
-                     9 };
+                     9,
+                     true };
   ServiceConfig service;
   service.name_ = ServiceName("s");
   service.policy_ = PolicyKind::FreshProbes;
@@ -114,6 +115,7 @@
   CHECK(decodedRoute.timeLimit_ == std::chrono::milliseconds(1));
   CHECK(decodedRoute.latencyTarget_ == std::chrono::milliseconds(2));
   CHECK_EQUAL(9, decodedRoute.priority_);
+  CHECK(decodedRoute.public_);
   const auto decodedService = std::get<ServiceConfig>(DecodeConfigPart(parts[1]));
   CHECK(decodedService.policy_ == PolicyKind::FreshProbes);
   CHECK_EQUAL(1, decodedService.rules_.size());
@@ -127,11 +129,91 @@
   CHECK(summary.limits_.idleTimeout_ == std::chrono::milliseconds(17));
 }
 
+FleetConfig
+MakeTeamConfig(std::uint64_t aVersion, int aTeams, int aKeysPerTeam)
+{
+  FleetConfig config = MakeConfig(aVersion);
+  config.keysRequired_ = true;
+  for (int i = 0; i < aTeams; ++i) {
+    TeamConfig& team = config.teams_.emplace_back();
+    team.terms_ = { TeamName("t" + std::to_string(i)), 2, 1.5, 7 };
+    for (int j = 0; j < aKeysPerTeam; ++j) {
+      team.keys_.push_back(DigestOfKey(team.terms_.name_.Text() + '-' + std::to_string(j)));
+    }
+  }
+  return config;
+}
+
+std::string
+TeamOf(const ConfigAssembly& aAssembly, std::string_view aKey)
+{
+  const auto team = aAssembly.Active()->teams_->Find(DigestOfKey(aKey));
+  return team ? team->terms_.name_.Text() : "";
+}
+
+void
+ApplyAll(ConfigAssembly& aAssembly, const std::vector<FeedRow>& aParts)
+{
+  for (const FeedRow& part : aParts) {
+    aAssembly.Apply(part);
+  }
+  CHECK(aAssembly.Activate() == ConfigAssembly::Result::Activated);
+}
+
+TEST(ConfigParts, TeamsAndKeysAreKept)
+{
+  FleetConfig config = MakeTeamConfig(5, 2, 2);
+  config.teams_[1].terms_.priority_.reset();
+  ConfigAssembly assembly;
+  ApplyAll(assembly, DivideConfig(config, 3));
+  CHECK(assembly.Active()->keysRequired_);
+  CHECK_EQUAL(2U, assembly.Active()->teams_->Teams().size());
+  for (const TeamConfig& team : config.teams_) {
+    CHECK(assembly.Active()->teams_->Find(team.keys_[1])->terms_ == team.terms_);
+  }
+}
+
+// With one key at two teams, the requests of one of them would count for the other.
+TEST(ConfigParts, KeyOfTwoTeamsLeadsToNone)
+{
+  FleetConfig config = MakeTeamConfig(5, 3, 2);
+  config.teams_[1].keys_.push_back(DigestOfKey("t0-1"));
+  config.teams_[2].keys_.push_back(DigestOfKey("t0-1"));
+  config.teams_[2].keys_.push_back(DigestOfKey("t2-0"));
+  ConfigAssembly assembly;
+  ApplyAll(assembly, DivideConfig(config, 3));
+  CHECK_EQUAL(std::string(), TeamOf(assembly, "t0-1"));
+  CHECK_EQUAL(std::string("t0"), TeamOf(assembly, "t0-0"));
+  CHECK_EQUAL(std::string("t2"), TeamOf(assembly, "t2-0"));
+}
+
+// 10,000 keys: a change of one key costs what one key costs, also for those who relay it.
+TEST(ConfigParts, ChangeOfOneKeySendsTwoParts)
+{
+  FleetConfig config = MakeTeamConfig(5, 100, 100);
+  StoreView reader;
+  reader.ApplyResponse(kTopic, MakeConfigResponse(config, 5), false, kNow);
+  StoreView view;
+  TransferAll(reader, kSender, view);
+  ConfigAssembly assembly;
+  ApplyAll(assembly, view.UpdateSince(kTopic, 0, std::size_t{ 1 } << 30, kNow).rows_);
+  CHECK_EQUAL(std::string("t7"), TeamOf(assembly, "t7-99"));
+  config.version_ = 6;
+  config.routes_ = MakeConfig(5).routes_;
+  config.teams_[7].keys_.pop_back();
+  reader.ApplyResponse(kTopic, MakeConfigResponse(config, 6), true, kNow);
+  const auto update = reader.UpdateSince(kTopic, view.Position(kTopic), kMaxBytes, kNow);
+  CHECK_EQUAL(2U, update.rows_.size());
+  ApplyAll(assembly, update.rows_);
+  CHECK_EQUAL(std::string(), TeamOf(assembly, "t7-99"));
+  CHECK_EQUAL(std::string("t7"), TeamOf(assembly, "t7-98"));
+}
+
 // Guards against bytes of another instance that end the process or are taken for a part.
 TEST(ConfigParts, AlteredBytesAreRejectedOrDecoded)
 {
   Random random(7);
-  const auto parts = DivideConfig(MakeConfig(5, 3), 3);
+  const auto parts = DivideConfig(MakeTeamConfig(5, 1, 1), 3);
   int rejected = 0;
   for (int i = 0; i < 20000; ++i) {
     FeedRow part = parts[static_cast<std::size_t>(i) % parts.size()];
--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -285,6 +285,8 @@
   table->routesVersion_ = config->version_;
   table->routes_ = config->routes_;
   table->callerLimits_ = config->limits_;
+  table->keysRequired_ = config->keysRequired_;
+  table->teams_ = config->teams_;
   std::unordered_map<ServiceName, std::vector<UpstreamEndpoint>> upstreamsByService;
   for (const auto& [key, upstream] : upstreams_) {
     UpstreamEndpoint& endpoint =
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -141,6 +141,9 @@
       throw RequestRefusedError(RefusalReason::NotConfigured);
     }
     const RouteMatch match = deps_.router_.Match(request.headers_.Get("Host").value_or(""), path);
+    if (match.teams_) {
+      IdentifyTeam(*match.teams_);
+    }
     service_ = match.service_;
     if (!service_) {
       throw RequestRefusedError(match.route_ ? RefusalReason::NoUpstream : RefusalReason::NoRoute);
@@ -167,6 +170,10 @@
     requestInfo_.bodyBytes_ = request.body_.size();
     requestInfo_.repeatability_ = callOptions_.repeatability_;
     requestInfo_.trafficClass_ = serviceConfig_->trafficClass_;
+    if (team_) {
+      requestInfo_.team_ = team_->id_;
+      requestInfo_.priority_ = team_->terms_.priority_.value_or(requestInfo_.priority_);
+    }
     if (Now() >= requestInfo_.deadline_) {
       throw RequestRefusedError(RefusalReason::DeadlineExpired);
     }
@@ -175,6 +182,27 @@
     }
   }
 
+  // Throws RequestRefusedError.
+  void IdentifyTeam(const TeamDirectory& aTeams)
+  {
+    callerKey_ = ParseCallerKey(exchange_->GetRequest(), deps_.dialect_);
+    team_ = callerKey_ ? aTeams.Find(*callerKey_) : nullptr;
+    if (!team_) {
+      throw RequestRefusedError(RefusalReason::KeyRejected);
+    }
+    record_.team_ = team_->terms_.name_;
+  }
+
+  // Whether the key of the caller was withdrawn, or given to another team, since the request came.
+  bool IsKeyWithdrawn() const
+  {
+    if (!callerKey_) {
+      return false;
+    }
+    const auto team = deps_.router_.FindTeam(*callerKey_);
+    return !team || team->id_ != team_->id_;
+  }
+
   void ClaimKey()
   {
     ClaimRequest claimRequest;
@@ -319,6 +347,11 @@
       GiveUp(RefusalReason::DeadlineExpired);
       return;
     }
+    if (IsKeyWithdrawn()) {
+      ReportUnsentAttempt(aDecision.upstream_);
+      GiveUp(RefusalReason::KeyRejected);
+      return;
+    }
     StartAttempt(aDecision.upstream_, nextRetryReason_);
   }
 
@@ -372,6 +405,13 @@
     auto request = std::make_shared<http::Request>(exchange_->GetRequest());
     http::RemoveHopByHopFields(request->headers_);
     RemoveReservedFields(request->headers_);
+    if (deps_.router_.KeysRequired()) {
+      request->headers_.Remove(dialect.callerKeyField_);
+      request->headers_.Remove(dialect.teamField_);
+    }
+    if (team_) {
+      request->headers_.Set(dialect.teamField_, team_->terms_.name_.View());
+    }
     const auto remainingMs =
       std::chrono::duration_cast<std::chrono::milliseconds>(requestInfo_.deadline_ - aNow).count();
     request->headers_.Set(dialect.deadlineField_,
@@ -404,7 +444,7 @@
   {
     hedgeTimer_ = net::TimerId::None;
     const MonotonicTime now = Now();
-    if (finished_ || ActiveAttempts() != 1 || now >= requestInfo_.deadline_) {
+    if (finished_ || ActiveAttempts() != 1 || now >= requestInfo_.deadline_ || IsKeyWithdrawn()) {
       return;
     }
     bool rechecksHedge = false;
@@ -713,8 +753,10 @@
   std::shared_ptr<const ServiceConfig> serviceConfig_;
   CallOptions callOptions_;
   CallInfo requestInfo_;
-  RequestId callerRequestId_; ///< request id set by the caller; empty if there is none
-  Duration retryAfter_{};     ///< Retry-After of a refusal; zero if unknown
+  std::optional<KeyDigest> callerKey_; ///< nothing if the caller needs none
+  TeamDirectory::TeamPointer team_;    ///< null if the caller needs no key
+  RequestId callerRequestId_;          ///< request id set by the caller; empty if there is none
+  Duration retryAfter_{};              ///< Retry-After of a refusal; zero if unknown
   ExplainRecord record_;
 
   std::optional<ClaimHandle> claim_; ///< held until the response is recorded or the key is released
--- a/boragepier/entry/request_checks.cc
+++ b/boragepier/entry/request_checks.cc
@@ -179,6 +179,21 @@
   return RequestId(std::string(*field));
 }
 
+std::optional<KeyDigest>
+ParseCallerKey(const http::Request& aRequest, const WireDialect& aDialect)
+{
+  std::optional<KeyDigest> key;
+  for (const http::Headers::Field& field : aRequest.headers_) {
+    if (EqualIgnoringCase(field.name_, aDialect.callerKeyField_)) {
+      if (key) {
+        return std::nullopt;
+      }
+      key = DigestOfKey(field.value_);
+    }
+  }
+  return key;
+}
+
 CallOptions
 ResolveCallOptions(const http::Request& aRequest,
                    std::string_view aPath,
--- a/boragepier/entry/request_checks.h
+++ b/boragepier/entry/request_checks.h
@@ -9,6 +9,7 @@
 #include "boragepier/base/ids.h"
 #include "boragepier/base/outcome.h"
 #include "boragepier/base/time.h"
+#include "boragepier/config/caller_key.h"
 #include "boragepier/config/route_config.h"
 #include "boragepier/config/service_config.h"
 #include "boragepier/entry/wire_dialect.h"
@@ -57,6 +58,11 @@
 std::optional<RequestId>
 ParseCallerRequestId(const http::Request& aRequest, const WireDialect& aDialect);
 
+/// @return digest of the key by which the caller identifies itself; nothing if there is none, or if
+///   there are several
+std::optional<KeyDigest>
+ParseCallerKey(const http::Request& aRequest, const WireDialect& aDialect);
+
 /// Options of one request: what the caller requested in header fields, within the limits of the
 /// service or route.
 struct CallOptions
--- a/boragepier/entry/service_router.cc
+++ b/boragepier/entry/service_router.cc
@@ -210,6 +210,9 @@
   auto snapshot = std::make_shared<Snapshot>();
   ApplyServices(aTable, *previous, *snapshot, aNow);
   ApplyRoutes(aTable, *previous, *snapshot);
+  if (aTable.keysRequired_) {
+    snapshot->teams_ = aTable.teams_;
+  }
   const std::lock_guard lock(mutex_);
   snapshot_ = std::move(snapshot);
 }
@@ -255,10 +258,14 @@
 {
   const auto snapshot = CurrentSnapshot();
   if (!snapshot->routeSet_) {
-    return { nullptr, FindLongestPrefix(aPath, [&](std::string_view aPrefix) {
-               const auto found = snapshot->servicesByPrefix_.find(aPrefix);
-               return found == snapshot->servicesByPrefix_.end() ? nullptr : found->second;
-             }) };
+    return { nullptr,
+             FindLongestPrefix(aPath,
+                               [&](std::string_view aPrefix) {
+                                 const auto found = snapshot->servicesByPrefix_.find(aPrefix);
+                                 return found == snapshot->servicesByPrefix_.end() ? nullptr
+                                                                                   : found->second;
+                               }),
+             nullptr };
   }
   const std::string host = NormalizeHost(aHost);
   const auto route = FindLongestPrefix(aPath, [&](std::string_view aPrefix) {
@@ -267,7 +274,14 @@
   if (!route) {
     return {};
   }
-  return { route, route->NextService() };
+  return { route, route->NextService(), route->Config().public_ ? nullptr : snapshot->teams_ };
+}
+
+TeamDirectory::TeamPointer
+ServiceRouter::FindTeam(const KeyDigest& aKey) const
+{
+  const auto snapshot = CurrentSnapshot();
+  return snapshot->teams_ ? snapshot->teams_->Find(aKey) : nullptr;
 }
 
 bool
--- a/boragepier/entry/service_router.h
+++ b/boragepier/entry/service_router.h
@@ -118,6 +118,8 @@
 {
   std::shared_ptr<ActiveRoute> route_; ///< null if the service was matched by its own path prefix
   std::shared_ptr<ActiveService> service_; ///< null if no service matches
+  /// Teams of which the caller must have a key; null if it needs none.
+  std::shared_ptr<const TeamDirectory> teams_;
 };
 
 /// Holds the current services and routes and finds those of a request. Thread-safe: the control
@@ -144,6 +146,10 @@
   RouteMatch Match(std::string_view aHost, std::string_view aPath) const;
   /// @return whether there is any route or service
   bool HasConfiguration() const;
+  /// @return whether callers identify themselves by keys, at least on some routes
+  bool KeysRequired() const { return CurrentSnapshot()->teams_ != nullptr; }
+  /// @return the team to which a key leads now, or null
+  TeamDirectory::TeamPointer FindTeam(const KeyDigest& aKey) const;
 
   /// @return the current services; not affected by later routing tables
   std::shared_ptr<const ServiceList> Services() const;
@@ -176,6 +182,7 @@
     StringMap<ActiveService> servicesByPrefix_;
     std::shared_ptr<const RouteSet> routeSet_; ///< from which routes_ was built; null if empty
     std::array<std::shared_ptr<const RouteShard>, RouteSet::kShardCount> routes_;
+    std::shared_ptr<const TeamDirectory> teams_; ///< null if callers need no keys
 
     /// @return the route with this key, or null
     std::shared_ptr<ActiveRoute> FindRoute(std::string_view aKey) const;
--- /dev/null
+++ b/boragepier/entry/team_key_test.cc
@@ -0,0 +1,237 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "boragepier/entry/call.h"
+#include "boragepier/entry/pipeline_fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+// Callers that identify themselves by the key of a team.
+
+namespace boragepier {
+
+namespace {
+
+constexpr const char* kKeyField = "X-Caller-Key";
+constexpr const char* kTeamField = "X-Team";
+constexpr const char* kPublicPath = "/public/1";
+constexpr const char* kTeamPath = "/teams/1";
+
+WireDialect
+MakeDialect()
+{
+  WireDialect dialect = NativeDialect();
+  dialect.callerKeyField_ = kKeyField;
+  dialect.teamField_ = kTeamField;
+  return dialect;
+}
+
+std::shared_ptr<const RouteSet>
+MakeRoutes()
+{
+  std::vector<RouteConfig> routes(2);
+  routes[0].name_ = "teams";
+  routes[0].pathPrefix_ = "/teams/";
+  routes[1].name_ = "public";
+  routes[1].pathPrefix_ = "/public/";
+  routes[1].public_ = true;
+  for (RouteConfig& route : routes) {
+    route.host_ = "a.example";
+    route.services_ = { { ServiceName("s"), 1 } };
+    route.priority_ = 3;
+    route.maxAttempts_ = 3;
+  }
+  return std::make_shared<const RouteSet>(routes);
+}
+
+} // namespace
+
+TEST_GROUP(TeamKey)
+{
+  FakeScheduler scheduler_;
+  FakeSender sender_;
+  FakeClaimCoordinator claims_;
+  FakeObserver observer_;
+  ServiceRouter router_{ InstanceId("i1"), ZoneName("a"), 7 };
+  WireDialect dialect_ = MakeDialect();
+  RequestPipeline<FakeScheduler, FakeSender, FakeClaimCoordinator> pipeline_{
+    { scheduler_, sender_, claims_, router_, observer_, [] { return WallTime(); }, dialect_ },
+    "i1-",
+    1
+  };
+  TeamDirectory teams_;
+  int upstreamCount_ = 2;
+
+  void setup() override
+  {
+    TeamTerms terms;
+    terms.name_ = TeamName("north");
+    terms.priority_ = 1;
+    teams_.SetTeam(terms);
+    terms.name_ = TeamName("south");
+    terms.priority_.reset();
+    teams_.SetTeam(terms);
+    teams_.SetKey(DigestOfKey("key-n"), TeamName("north"));
+    teams_.SetKey(DigestOfKey("key-s"), TeamName("south"));
+    Apply(true);
+  }
+
+  void Apply(bool aKeysRequired)
+  {
+    RoutingTable table;
+    table.routes_ = MakeRoutes();
+    table.instances_.emplace_back("i1");
+    table.keysRequired_ = aKeysRequired;
+    table.teams_ = std::make_shared<const TeamDirectory>(teams_);
+    ServiceRoute& service = table.services_.emplace_back();
+    service.version_ = 1;
+    service.config_.name_ = ServiceName("s");
+    service.config_.retryRatio_ = 1;
+    for (int i = 0; i < upstreamCount_; ++i) {
+      UpstreamEndpoint& endpoint = service.upstreams_.emplace_back();
+      endpoint.id_ = UpstreamId("u" + std::to_string(i));
+      endpoint.address_ = "127.0.0.1";
+      endpoint.port_ = static_cast<std::uint16_t>(9000 + i);
+      endpoint.startNumber_ = 1;
+    }
+    router_.Apply(table, scheduler_.Now());
+  }
+
+  std::shared_ptr<FakeExchange> Send(
+    const char* aPath, const std::vector<std::string>& aKeys, const char* aMethod = "POST")
+  {
+    http::Request request;
+    request.method_ = aMethod;
+    request.target_ = aPath;
+    request.headers_.Add("Host", "a.example");
+    request.headers_.Add("x-team", "forged");
+    for (const std::string& key : aKeys) {
+      request.headers_.Add("x-caller-KEY", key);
+    }
+    auto exchange = std::make_shared<FakeExchange>(std::move(request), scheduler_.Now());
+    pipeline_.Handle(exchange);
+    return exchange;
+  }
+
+  const http::Headers& LastSent() const
+  {
+    return sender_.sentRequests_.back().request_->headers_;
+  }
+
+  void CheckRejected(const FakeExchange& aExchange)
+  {
+    CHECK_EQUAL(1, aExchange.responseCount_);
+    CHECK_EQUAL(401, aExchange.response_->status_);
+    CHECK(aExchange.OutcomeField() == "not-run");
+  }
+};
+
+// Guards against an upstream that learns the key, or takes a team that the caller names for the
+// caller's.
+TEST(TeamKey, UpstreamsReceiveTheTeamInsteadOfTheKey)
+{
+  Send(kTeamPath, { "key-n" });
+  CHECK_EQUAL(1U, sender_.sentRequests_.size());
+  CHECK(LastSent().Get(kTeamField) == "north");
+  CHECK(!LastSent().Get(kKeyField));
+  Send(kTeamPath, { "key-s" });
+  CHECK(LastSent().Get(kTeamField) == "south");
+}
+
+TEST(TeamKey, UnknownKeysAreRejected)
+{
+  CheckRejected(*Send(kTeamPath, {}));
+  for (const std::string& key : { std::string(),
+                                  std::string("other"),
+                                  std::string("key-n "),
+                                  std::string("\xff\x01"),
+                                  std::string(64 << 10, 'k') }) {
+    CheckRejected(*Send(kTeamPath, { key }));
+  }
+  // It would be unclear whose request it is.
+  CheckRejected(*Send(kTeamPath, { "key-n", "key-s" }));
+  CheckRejected(*Send(kTeamPath, { "key-n", "key-n" }));
+  CHECK(sender_.sentRequests_.empty());
+}
+
+TEST(TeamKey, PublicRoutesNeedNoKey)
+{
+  Send(kPublicPath, {});
+  CHECK_EQUAL(1U, sender_.sentRequests_.size());
+  CHECK(!LastSent().Get(kTeamField));
+  Send(kPublicPath, { "other" });
+  CHECK_EQUAL(2U, sender_.sentRequests_.size());
+  CHECK(!LastSent().Get(kKeyField));
+}
+
+// A path that leads nowhere is no secret, and callers should not be told that their key is wrong.
+TEST(TeamKey, UnknownRoutesAreNotFound)
+{
+  const auto exchange = Send("/elsewhere/", {});
+  CHECK_EQUAL(404, exchange->response_->status_);
+}
+
+// Guards against callers that are told that their key is wrong by an instance that knows no keys.
+TEST(TeamKey, InstanceWithoutConfigurationIsUnavailable)
+{
+  ServiceRouter router{ InstanceId("i2"), ZoneName("a"), 7 };
+  RequestPipeline<FakeScheduler, FakeSender, FakeClaimCoordinator> pipeline{
+    { scheduler_, sender_, claims_, router, observer_, [] { return WallTime(); }, dialect_ },
+    "i2-",
+    1
+  };
+  http::Request request;
+  request.method_ = "GET";
+  request.target_ = kTeamPath;
+  const auto exchange = std::make_shared<FakeExchange>(std::move(request), scheduler_.Now());
+  pipeline.Handle(exchange);
+  CHECK_EQUAL(503, exchange->response_->status_);
+}
+
+// Without keys in the configuration, the fields are those of the caller.
+TEST(TeamKey, FieldsPassUnlessKeysAreRequired)
+{
+  Apply(false);
+  Send(kTeamPath, { "any" });
+  CHECK(LastSent().Get(kKeyField) == "any");
+  CHECK(LastSent().Get(kTeamField) == "forged");
+}
+
+TEST(TeamKey, KeysAreAddedAndWithdrawnByNewConfigurations)
+{
+  CheckRejected(*Send(kTeamPath, { "key-new" }));
+  teams_.SetKey(DigestOfKey("key-new"), TeamName("south"));
+  teams_.RemoveKey(DigestOfKey("key-n"));
+  Apply(true);
+  Send(kTeamPath, { "key-new" });
+  CHECK(LastSent().Get(kTeamField) == "south");
+  CheckRejected(*Send(kTeamPath, { "key-n" }));
+}
+
+// Guards against a withdrawn key whose requests go on to upstreams because they came before.
+TEST(TeamKey, WithdrawnKeyEndsRetries)
+{
+  const auto exchange = Send(kTeamPath, { "key-n" });
+  CHECK_EQUAL(1U, sender_.sentRequests_.size());
+  teams_.RemoveKey(DigestOfKey("key-n"));
+  Apply(true);
+  sender_.Fail(0, Outcome::NotRun, AttemptFailure::ConnectFailed);
+  scheduler_.Advance(std::chrono::milliseconds(1));
+  CHECK_EQUAL(1U, sender_.sentRequests_.size());
+  CheckRejected(*exchange);
+}
+
+// A retry after an unchanged or another configuration goes on.
+TEST(TeamKey, RetriesGoOnWithAValidKey)
+{
+  Send(kTeamPath, { "key-n" });
+  teams_.RemoveKey(DigestOfKey("key-s"));
+  Apply(true);
+  sender_.Fail(0, Outcome::NotRun, AttemptFailure::ConnectFailed);
+  scheduler_.Advance(std::chrono::milliseconds(1));
+  CHECK_EQUAL(2U, sender_.sentRequests_.size());
+  CHECK(LastSent().Get(kTeamField) == "north");
+}
+
+} // namespace boragepier
--- a/boragepier/state/team_directory.cc
+++ b/boragepier/state/team_directory.cc
@@ -1,6 +1,7 @@
 #include "boragepier/state/team_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -12,26 +13,56 @@
   return std::max<std::uint64_t>(1, XXH3_64bits(aName.View().data(), aName.View().size()));
 }
 
-TeamDirectory::TeamDirectory(std::span<const TeamConfig> aTeams)
+void
+TeamDirectory::SetTeam(const TeamTerms& aTerms)
 {
-  teams_.reserve(aTeams.size());
-  for (const TeamConfig& config : aTeams) {
-    const auto team = std::make_shared<const Team>(Team{ config, TeamIdOf(config.name_) });
-    teams_.push_back(team);
-    for (const KeyDigest& key : config.keys_) {
-      if (const auto [found, inserted] = byKey_.emplace(key, team);
-          !inserted && found->second != team) {
-        found->second = nullptr;
-      }
-    }
+  const std::uint64_t id = TeamIdOf(aTerms.name_);
+  auto teams = std::make_shared<TeamMap>(*teams_);
+  teams->insert_or_assign(id, std::make_shared<const Team>(Team{ aTerms, id }));
+  teams_ = std::move(teams);
+}
+
+void
+TeamDirectory::RemoveTeam(const TeamName& aName)
+{
+  auto teams = std::make_shared<TeamMap>(*teams_);
+  teams->erase(TeamIdOf(aName));
+  teams_ = std::move(teams);
+}
+
+void
+TeamDirectory::SetKey(const KeyDigest& aKey, const TeamName& aTeam)
+{
+  auto& current = shards_.at(ShardOf(aKey));
+  auto shard = current ? std::make_shared<Shard>(*current) : std::make_shared<Shard>();
+  shard->insert_or_assign(aKey, aTeam.Empty() ? 0 : TeamIdOf(aTeam));
+  current = std::move(shard);
+}
+
+void
+TeamDirectory::RemoveKey(const KeyDigest& aKey)
+{
+  auto& current = shards_.at(ShardOf(aKey));
+  if (current && current->contains(aKey)) {
+    auto shard = std::make_shared<Shard>(*current);
+    shard->erase(aKey);
+    current = std::move(shard);
   }
 }
 
-std::shared_ptr<const Team>
-TeamDirectory::Find(std::string_view aKey) const
+TeamDirectory::TeamPointer
+TeamDirectory::Find(const KeyDigest& aKey) const
 {
-  const auto found = byKey_.find(DigestOfKey(aKey));
-  return found == byKey_.end() ? nullptr : found->second;
+  const auto& shard = shards_.at(ShardOf(aKey));
+  if (!shard) {
+    return nullptr;
+  }
+  const auto key = shard->find(aKey);
+  if (key == shard->end()) {
+    return nullptr;
+  }
+  const auto team = teams_->find(key->second);
+  return team == teams_->end() ? nullptr : team->second;
 }
 
 } // namespace boragepier
--- a/boragepier/state/team_directory.h
+++ b/boragepier/state/team_directory.h
@@ -1,13 +1,13 @@
 #ifndef BORAGEPIER_STATE_TEAM_DIRECTORY_H
 #define BORAGEPIER_STATE_TEAM_DIRECTORY_H
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <cstring>
+#include <map>
 #include <memory>
-#include <span>
-#include <string_view>
 #include <unordered_map>
-#include <vector>
 
 #include "boragepier/config/caller_key.h"
 #include "boragepier/config/team_config.h"
@@ -17,26 +17,39 @@
 /// A team of the configuration in force.
 struct Team
 {
-  TeamConfig config_;
-  std::uint64_t id_ = 0; ///< hash of the name, not 0; the same in all instances and versions
+  TeamTerms terms_;
+  std::uint64_t id_ = 0; ///< TeamIdOf() its name
 };
 
-/// Finds the team of a key. Not changed after it has been built.
+/// @return the id of a team with this name: not 0, and the same in all instances and versions
+std::uint64_t
+TeamIdOf(const TeamName& aName);
+
+/// Finds the team of a key. A copy shares its contents with the original, and a change replaces a
+/// part of them, so the cost of a change does not grow with the number of keys.
 class TeamDirectory
 {
 public:
-  TeamDirectory() = default;
-  /// @param aTeams teams with distinct names. A key that several of them have belongs to none.
-  explicit TeamDirectory(std::span<const TeamConfig> aTeams);
+  using TeamPointer = std::shared_ptr<const Team>;
 
-  /// Finds the team of a caller. Takes the same time for all keys of one length.
-  /// @param aKey key as the caller sends it
-  /// @return the team, or null if the key is unknown
-  std::shared_ptr<const Team> Find(std::string_view aKey) const;
-  /// @return all teams
-  std::span<const std::shared_ptr<const Team>> Teams() const { return teams_; }
+  /// Adds a team, or replaces the one with the same name.
+  void SetTeam(const TeamTerms& aTerms);
+  /// Removes the team with this name, if there is one. Its keys then lead to no team.
+  void RemoveTeam(const TeamName& aName);
+  /// Sets the team to which a key leads.
+  /// @param aTeam name of the team, which may be added later; empty if the key leads to none
+  void SetKey(const KeyDigest& aKey, const TeamName& aTeam);
+  void RemoveKey(const KeyDigest& aKey);
+
+  /// Finds the team of a caller. The time does not depend on the digests that are known.
+  /// @return the team, or null if the key leads to none
+  TeamPointer Find(const KeyDigest& aKey) const;
+  /// @return all teams by their ids
+  const std::map<std::uint64_t, TeamPointer>& Teams() const { return *teams_; }
 
 private:
+  static constexpr std::size_t kShardCount = 256;
+
   /// Digests are uniformly distributed, so a part of one is its hash.
   struct DigestHash
   {
@@ -54,15 +67,15 @@
       return IsSameKey(aLeft, aRight);
     }
   };
+  /// Ids of teams by the digests of their keys.
+  using Shard = std::unordered_map<KeyDigest, std::uint64_t, DigestHash, DigestEqual>;
+  using TeamMap = std::map<std::uint64_t, TeamPointer>;
 
-  std::vector<std::shared_ptr<const Team>> teams_;
-  /// Null for a key of several teams.
-  std::unordered_map<KeyDigest, std::shared_ptr<const Team>, DigestHash, DigestEqual> byKey_;
-};
+  static std::size_t ShardOf(const KeyDigest& aKey) { return aKey.back() % kShardCount; }
 
-/// @return the id of a team with this name, not 0
-std::uint64_t
-TeamIdOf(const TeamName& aName);
+  std::shared_ptr<const TeamMap> teams_ = std::make_shared<const TeamMap>();
+  std::array<std::shared_ptr<const Shard>, kShardCount> shards_;
+};
 
 } // namespace boragepier
 
--- a/boragepier/state/team_directory_test.cc
+++ b/boragepier/state/team_directory_test.cc
@@ -1,58 +1,78 @@
 #include "boragepier/state/team_directory.h"
 
 #include <string>
-#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
 namespace boragepier {
 
-TEST_GROUP(TeamDirectory){
-  static TeamConfig MakeTeam(const std::string& aName,
-                             const std::vector<std::string>& aKeys){ TeamConfig team;
-team.name_ = TeamName(aName);
-for (const std::string& key : aKeys) {
-  team.keys_.push_back(DigestOfKey(key));
-}
-return team;
-}
-}
-;
+TEST_GROUP(TeamDirectory)
+{
+  TeamDirectory directory_;
+
+  void setup() override
+  {
+    AddTeam("a");
+    AddTeam("b");
+    directory_.SetKey(DigestOfKey("key-1"), TeamName("a"));
+    directory_.SetKey(DigestOfKey("key-2"), TeamName("a"));
+    directory_.SetKey(DigestOfKey("key-3"), TeamName("b"));
+  }
+
+  void AddTeam(const std::string& aName)
+  {
+    TeamTerms terms;
+    terms.name_ = TeamName(aName);
+    directory_.SetTeam(terms);
+  }
+
+  static std::string NameOf(const TeamDirectory& aDirectory, std::string_view aKey)
+  {
+    const auto team = aDirectory.Find(DigestOfKey(aKey));
+    return team ? team->terms_.name_.Text() : "";
+  }
+};
 
 TEST(TeamDirectory, KeysLeadToTheirTeams)
 {
-  const std::vector<TeamConfig> configs = { MakeTeam("a", { "key-1", "key-2" }),
-                                            MakeTeam("b", { "key-3" }),
-                                            MakeTeam("none", {}) };
-  const TeamDirectory directory(configs);
-  CHECK(directory.Find("key-1")->config_.name_.View() == "a");
-  CHECK(directory.Find("key-2")->config_.name_.View() == "a");
-  CHECK(directory.Find("key-3")->config_.name_.View() == "b");
-  CHECK_EQUAL(3U, directory.Teams().size());
-  CHECK_EQUAL(TeamIdOf(TeamName("a")), directory.Find("key-1")->id_);
+  CHECK_EQUAL(std::string("a"), NameOf(directory_, "key-1"));
+  CHECK_EQUAL(std::string("a"), NameOf(directory_, "key-2"));
+  CHECK_EQUAL(std::string("b"), NameOf(directory_, "key-3"));
+  CHECK_EQUAL(2U, directory_.Teams().size());
 }
 
-// A caller must not pass with a part of a key, another case or surrounding space.
+// A caller must not pass with a part of a key, in another case or with more around it.
 TEST(TeamDirectory, OtherKeysLeadToNoTeam)
 {
-  const std::vector<TeamConfig> configs = { MakeTeam("a", { "key-1" }) };
-  const TeamDirectory directory(configs);
-  for (const std::string key : { "", "key-", "key-11", "KEY-1", " key-1", "key-1 " }) {
-    CHECK(directory.Find(key) == nullptr);
+  for (const std::string key : { "", "key-", "key-11", "KEY-1", " key-1", "key-1 ", "k\xe9y-1" }) {
+    CHECK_EQUAL(std::string(), NameOf(directory_, key));
   }
-  CHECK(directory.Find(std::string(64 << 10, 'k')) == nullptr);
-  CHECK(directory.Find(std::string("key-1\0", 6)) == nullptr);
+  CHECK_EQUAL(std::string(), NameOf(directory_, std::string(64 << 10, 'k')));
+  CHECK_EQUAL(std::string(), NameOf(directory_, std::string_view("key-1\0", 6)));
+}
+
+// Guards against a key that stays valid after it was withdrawn, and against a change that shows in
+// copies which are already in use.
+TEST(TeamDirectory, ChangesApplyToOneCopy)
+{
+  const TeamDirectory before = directory_;
+  directory_.RemoveKey(DigestOfKey("key-1"));
+  directory_.SetKey(DigestOfKey("key-2"), TeamName("b"));
+  directory_.RemoveTeam(TeamName("a"));
+  CHECK_EQUAL(std::string(), NameOf(directory_, "key-1"));
+  CHECK_EQUAL(std::string("b"), NameOf(directory_, "key-2"));
+  CHECK_EQUAL(std::string("a"), NameOf(before, "key-1"));
+  CHECK_EQUAL(std::string("a"), NameOf(before, "key-2"));
 }
 
-// With one key at two teams, the requests of one of them would count for the other.
-TEST(TeamDirectory, KeyOfTwoTeamsBelongsToNone)
+TEST(TeamDirectory, KeyWithoutATeamLeadsToNone)
 {
-  const std::vector<TeamConfig> configs = { MakeTeam("a", { "key-1", "key-1", "key-2" }),
-                                            MakeTeam("b", { "key-2", "key-3" }) };
-  const TeamDirectory directory(configs);
-  CHECK(directory.Find("key-1") != nullptr);
-  CHECK(directory.Find("key-2") == nullptr);
-  CHECK(directory.Find("key-3") != nullptr);
+  directory_.SetKey(DigestOfKey("key-1"), {});
+  directory_.SetKey(DigestOfKey("key-4"), TeamName("later"));
+  CHECK_EQUAL(std::string(), NameOf(directory_, "key-1"));
+  CHECK_EQUAL(std::string(), NameOf(directory_, "key-4"));
+  AddTeam("later");
+  CHECK_EQUAL(std::string("later"), NameOf(directory_, "key-4"));
 }
 
 } // namespace boragepier
--- a/boragepier/telemetry/explain.cc
+++ b/boragepier/telemetry/explain.cc
@@ -77,6 +77,7 @@
   return { { "requestId", aRecord.id_.Text() },
            { "service", aRecord.service_.Text() },
            { "route", aRecord.route_ },
+           { "team", aRecord.team_.Text() },
            { "method", aRecord.method_ },
            { "path", aRecord.path_ },
            { "arrivalUnixMs", aRecord.arrival_.time_since_epoch().count() },
--- a/boragepier/telemetry/explain.h
+++ b/boragepier/telemetry/explain.h
@@ -37,6 +37,7 @@
   RequestId id_;
   ServiceName service_; ///< empty if no route matched
   std::string route_;   ///< name of the route; empty if the path prefix of the service matched
+  TeamName team_;       ///< of the caller; empty without one
   std::string method_;
   std::string path_; ///< without the query
   WallTime arrival_;
