Limit the requests to cold upstreams

While an upstream is cold, a few instances selected by rendezvous hashing send it requests, each at its share of the rate for the whole fleet; the sum stays within the tolerance if two lists of instances select differently. Other requests go to warm upstreams, wait for the next share while an answer in time is possible, or are refused at once as upstreams-cold. How long an upstream is cold follows from its entry, its responses to probes and its start, whichever is newest.

--- a/boragepier/config/service_config.h
+++ b/boragepier/config/service_config.h
@@ -82,7 +82,8 @@
   /// Requests per second, from the whole fleet, that an upstream can take while it is cold; 0 for
   /// no limit. FreshProbes only.
   double coldRequestsPerSecond_ = 0;
-  Duration coldDuration_{}; ///< how long an upstream is cold after its start; FreshProbes only
+  double coldOverage_ = 1; ///< tolerated multiple of that rate in one second; FreshProbes only
+  double coldSlack_ = 0;   ///< tolerated requests beyond that in one second; FreshProbes only
 
   Duration claimRetention_ = std::chrono::hours(24); ///< how long an Idempotency-Key is remembered
 };
--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -77,7 +77,7 @@
 }
 
 void
-FreshProbeBalancer::SetUpstreams(std::span<const UpstreamEndpoint> aUpstreams, MonotonicTime)
+FreshProbeBalancer::SetUpstreams(std::span<const UpstreamEndpoint> aUpstreams, MonotonicTime aNow)
 {
   for (const std::uint32_t index : listed_) {
     upstreams_[index].listed_ = false;
@@ -93,6 +93,7 @@
     Upstream& upstream = upstreams_[index];
     if (!isNew && endpoint.startNumber_ > upstream.endpoint_->startNumber_) {
       upstream.estimate_.Reset();
+      upstream.cold_.Reset();
     }
     if (!isNew && !IsSameStart(*upstream.endpoint_, endpoint)) {
       upstream.markedLeaving_ = false;
@@ -101,6 +102,7 @@
     if (isNew || *upstream.endpoint_ != endpoint) {
       upstream.endpoint_ = std::make_shared<const UpstreamEndpoint>(endpoint);
     }
+    upstream.cold_.ExtendTo(endpoint.warmUpEnd_, aNow);
     upstream.listed_ = true;
     listed_.push_back(index);
   }
@@ -110,10 +112,14 @@
 void
 FreshProbeBalancer::SetFleet(const InstanceId& aSelf,
                              std::span<const InstanceId> aInstances,
-                             MonotonicTime)
+                             MonotonicTime aNow)
 {
   self_ = aSelf;
   instances_ = std::max<std::size_t>(1, aInstances.size());
+  if (servingSince_ == MonotonicTime()) {
+    servingSince_ = aNow;
+  }
+  coldShares_.SetFleet(aSelf, aInstances);
   RecomputeDerivedState();
 }
 
@@ -148,6 +154,11 @@
   addFirstByHash(
     remote,
     std::max(kMinRemoteSubsetSize, kMaxSubsetSize - std::min(kMaxSubsetSize, subset_.size())));
+  coldShares_.SetTerms(
+    { config_.coldRequestsPerSecond_, config_.coldOverage_, config_.coldSlack_ });
+  for (const std::uint32_t index : listed_) {
+    upstreams_[index].coldSender_.reset();
+  }
   probeBudget_.SetRate(kProbeBudgetCompensation * config_.probesPerUpstreamSecond_,
                        listed_.size(),
                        instances_,
@@ -204,6 +215,34 @@
          !aUpstream.markedLeaving_;
 }
 
+bool
+FreshProbeBalancer::IsColdAndLimited(const Upstream& aUpstream, MonotonicTime aNow) const
+{
+  return coldShares_.IsLimited() && aUpstream.cold_.IsCold(aNow);
+}
+
+std::optional<MonotonicTime>
+FreshProbeBalancer::NextColdRequest(Upstream& aUpstream) const
+{
+  if (!aUpstream.coldSender_) {
+    aUpstream.coldSender_ = coldShares_.IsSender(aUpstream.endpoint_->id_.View());
+  }
+  if (!*aUpstream.coldSender_) {
+    return std::nullopt;
+  }
+  return aUpstream.cold_.NextRequest(coldShares_.ShareRate(), servingSince_);
+}
+
+bool
+FreshProbeBalancer::HasColdRoom(Upstream& aUpstream, MonotonicTime aNow) const
+{
+  if (!IsColdAndLimited(aUpstream, aNow)) {
+    return true;
+  }
+  const auto next = NextColdRequest(aUpstream);
+  return next && *next <= aNow;
+}
+
 unsigned
 FreshProbeBalancer::SlotsOf(const Upstream& aUpstream) const
 {
--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "boragepier/base/random.h"
+#include "boragepier/decision/cold_limit.h"
 #include "boragepier/decision/occupancy_model.h"
 #include "boragepier/decision/probe_budget.h"
 #include "boragepier/decision/service_balancer.h"
@@ -85,6 +86,10 @@
     double affinityRank_ = 0;
     bool markedLeaving_ = false; ///< by MarkLeaving(), for this start at this address
     UpstreamPause pause_;        ///< of this start at this address
+    ColdUpstream cold_;          ///< of this start
+    /// Whether this instance may send requests while the upstream is cold; nothing if not known
+    /// yet.
+    std::optional<bool> coldSender_;
   };
 
   /// Upstreams that have been probed for a queued request.
@@ -136,6 +141,18 @@
   static bool IsInUse(const Upstream& aUpstream);
   /// @return whether an upstream is in use and may receive a request or a probe now
   static bool AcceptsRequests(const Upstream& aUpstream, MonotonicTime aNow);
+  /// @return whether an upstream is cold, and its requests are limited
+  bool IsColdAndLimited(const Upstream& aUpstream, MonotonicTime aNow) const;
+  /// @return when this instance may send the next request to a cold upstream; nothing if it may not
+  std::optional<MonotonicTime> NextColdRequest(Upstream& aUpstream) const;
+  /// @return whether an upstream that accepts requests may receive another one while it is cold
+  bool HasColdRoom(Upstream& aUpstream, MonotonicTime aNow) const;
+  /// Decides about a request to which no upstream is open: waits for room at a cold one while an
+  /// answer in time is possible, or refuses it.
+  /// @return nothing if no upstream is cold, or if the request waits
+  std::optional<RoutingDecision> DecideWithoutWarmUpstream(QueuedRequest& aQueued,
+                                                           bool& aWaits,
+                                                           MonotonicTime aNow);
   /// @return the pauses of the upstreams in use
   PauseSummary SummarizePauses(MonotonicTime aNow) const;
   /// @return the refusal of a request because all upstreams pause, or nothing if they do not
@@ -207,6 +224,8 @@
   std::vector<std::uint32_t> subset_;
   InstanceId self_;
   std::size_t instances_ = 1;
+  ColdShares coldShares_;
+  MonotonicTime servingSince_{}; ///< time of the first SetFleet()
   SlownessModel slownessModel_;
   WorkEstimator workEstimator_;
   OccupancyModel occupancyModel_;
--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -114,7 +114,8 @@
       std::exp(-ToMilliseconds(*reportAge) / (2 * SlownessModel::kPersistenceMs));
     slowness = weight * estimate.Report()->slowness_ + (1 - weight) * slowness;
   }
-  if (upstream.endpoint_->warmUpEnd_ > aNow) {
+  if (coldShares_.IsLimited() ? upstream.cold_.IsCold(aNow)
+                              : upstream.endpoint_->warmUpEnd_ > aNow) {
     slowness *= kWarmUpSlowness;
   }
   const double workMs = ExpectedWorkMs(aCall);
@@ -154,7 +155,8 @@
   std::vector<ScoredUpstream> ranked;
   const auto addUpstreams = [&](std::span<const std::uint32_t> aIndices, bool aIncludeTried) {
     for (const std::uint32_t index : aIndices) {
-      if (AcceptsRequests(upstreams_[index], aNow) && (aIncludeTried || !WasTried(aCall, index))) {
+      if (AcceptsRequests(upstreams_[index], aNow) && HasColdRoom(upstreams_[index], aNow) &&
+          (aIncludeTried || !WasTried(aCall, index))) {
         ranked.push_back(ScoreUpstream(index, aCall, aNow));
       }
     }
@@ -346,6 +348,7 @@
                            aNow });
   estimate.OnDispatch(aNow);
   upstreams_[aScored.index_].pause_.OnDispatch();
+  upstreams_[aScored.index_].cold_.OnDispatch(aNow);
   return { RoutingDecision::Kind::Dispatch, UpstreamHandle{ aScored.index_ }, {}, {} };
 }
 
@@ -407,6 +410,10 @@
       aQueued.stageDeadline_ = aNow + kQueueReprobeInterval;
       return std::nullopt;
     }
+    bool waits = false;
+    if (const auto refusal = DecideWithoutWarmUpstream(aQueued, waits, aNow); refusal || waits) {
+      return refusal;
+    }
     return Refuse(RefusalReason::NoUpstream, std::chrono::milliseconds(500));
   }
   if (const ScoredUpstream* const picked = Pick(aQueued, ranked, aNow)) {
@@ -426,6 +433,37 @@
   return std::nullopt;
 }
 
+std::optional<RoutingDecision>
+FreshProbeBalancer::DecideWithoutWarmUpstream(QueuedRequest& aQueued,
+                                              bool& aWaits,
+                                              MonotonicTime aNow)
+{
+  std::optional<MonotonicTime> nextRequest;
+  std::optional<MonotonicTime> firstWarm;
+  for (const std::uint32_t index : listed_) {
+    Upstream& upstream = upstreams_[index];
+    if (!AcceptsRequests(upstream, aNow) || !IsColdAndLimited(upstream, aNow)) {
+      continue;
+    }
+    firstWarm = std::min(firstWarm.value_or(upstream.cold_.End()), upstream.cold_.End());
+    if (const auto next = NextColdRequest(upstream)) {
+      nextRequest = std::min(nextRequest.value_or(*next), *next);
+    }
+  }
+  if (!firstWarm) {
+    return std::nullopt;
+  }
+  const MonotonicTime open = std::min(nextRequest.value_or(*firstWarm), *firstWarm);
+  const double serviceMs =
+    slownessModel_.ServiceTimeMs(ExpectedWorkMs(aQueued.call_), kWarmUpSlowness);
+  if (open + FromMilliseconds(serviceMs) <= aQueued.call_.targetTime_) {
+    aQueued.stageDeadline_ = open;
+    aWaits = true;
+    return std::nullopt;
+  }
+  return Refuse(RefusalReason::UpstreamsCold, open - aNow);
+}
+
 std::vector<ReleasedCall>
 FreshProbeBalancer::Release(MonotonicTime aNow)
 {
@@ -608,6 +646,9 @@
   const auto index = static_cast<std::uint32_t>(aUpstream);
   UpstreamEstimate& estimate = upstreams_.at(index).estimate_;
   estimate.OnProbeEnded(aLoad.has_value(), aRoundTrip);
+  if (aLoad && aLoad->coldRemaining_) {
+    upstreams_[index].cold_.SetRemaining(*aLoad->coldRemaining_, aNow);
+  }
   if (aLoad && !aLoad->hasLoad_) {
     // Where upstreams do not report load, a probe may take a slot like a request and is useless.
     upstreamsReportLoad_ = upstreamsReportLoad_ && ++probesWithoutLoad_ < kMaxProbesWithoutLoad;
--- a/boragepier/decision/fresh_probe_balancer_test.cc
+++ b/boragepier/decision/fresh_probe_balancer_test.cc
@@ -440,6 +440,71 @@
 
 // Guards against requests to an upstream that said in an answer that it is leaving, while the store
 // is silent or still lists it, and against a mark that outlives that start of the upstream.
+// The load of a zone whose upstreams come back cold: they receive their share, and the rest goes to
+// the warm ones.
+TEST(FreshProbeBalancer, ColdUpstreamsReceiveOnlyTheirShare)
+{
+  ServiceConfig config = MakeConfig();
+  config.coldRequestsPerSecond_ = 4;
+  balancer_.SetConfig(config, now_);
+  std::vector endpoints{ MakeEndpoint("a-1", "a"), MakeEndpoint("b-1", "b") };
+  endpoints[0].startNumber_ = 2;
+  endpoints[0].warmUpEnd_ = now_ + std::chrono::seconds(3);
+  balancer_.SetUpstreams(endpoints, now_);
+  const std::map<std::string, LoadReport> loads{ { "a-1", MakeLoad(0) }, { "b-1", MakeLoad(0) } };
+  std::map<std::string, int> counts;
+  const MonotonicTime end = now_ + std::chrono::seconds(1);
+  while (now_ < end) {
+    RoutingDecision decision = Submit(MakeCall(Repeatability::AtMostOnce));
+    if (decision.kind_ == RoutingDecision::Kind::Queued) {
+      const auto released = RunUntilReleased(loads, milliseconds(500));
+      CHECK_EQUAL(1U, released.size());
+      decision = released[0].decision_;
+    }
+    CHECK(decision.kind_ == RoutingDecision::Kind::Dispatch);
+    ++counts[balancer_.Endpoint(decision.upstream_)->id_.Text()];
+    AttemptReport report;
+    report.upstream_ = decision.upstream_;
+    report.outcome_ = Outcome::Answered;
+    report.status_ = 200;
+    balancer_.OnAttemptEnded(report, now_);
+    now_ += milliseconds(5);
+  }
+  CHECK_COMPARE(counts["a-1"], <=, 5);
+  CHECK_COMPARE(counts["b-1"], >, 20);
+}
+
+// The load of a restart of all upstreams of a service.
+TEST(FreshProbeBalancer, RequestsWaitForColdUpstreamsOrAreRefusedAtOnce)
+{
+  ServiceConfig config = MakeConfig();
+  config.coldRequestsPerSecond_ = 4;
+  balancer_.SetConfig(config, now_);
+  std::vector endpoints{ MakeEndpoint("a-1", "a") };
+  endpoints[0].startNumber_ = 2;
+  endpoints[0].warmUpEnd_ = now_ + std::chrono::seconds(30);
+  balancer_.SetUpstreams(endpoints, now_);
+  const std::map<std::string, LoadReport> loads{ { "a-1", MakeLoad(0) } };
+  CHECK(Submit(MakeCall(Repeatability::AtMostOnce)).kind_ == RoutingDecision::Kind::Queued);
+  CHECK_EQUAL(1U, RunUntilReleased(loads, milliseconds(100)).size());
+  // The next one can be served in time after the time of a request.
+  const MonotonicTime before = now_;
+  CHECK(Submit(MakeCall(Repeatability::AtMostOnce)).kind_ == RoutingDecision::Kind::Queued);
+  const auto released = RunUntilReleased(loads, milliseconds(600));
+  CHECK_EQUAL(1U, released.size());
+  CHECK(released[0].decision_.kind_ == RoutingDecision::Kind::Dispatch);
+  CHECK(now_ - before >= milliseconds(200));
+  const RoutingDecision refused = Submit(MakeCallWithTarget(milliseconds(100)));
+  CHECK(refused.kind_ == RoutingDecision::Kind::Refuse);
+  CHECK(refused.reason_ == RefusalReason::UpstreamsCold);
+  CHECK(refused.retryAfter_ >= milliseconds(100) && refused.retryAfter_ <= milliseconds(400));
+  // The upstream itself says that it is warm.
+  LoadReport warm = MakeLoad(0);
+  warm.coldRemaining_ = Duration(0);
+  balancer_.OnProbeEnded(UpstreamHandle{ 0 }, warm, milliseconds(3), now_);
+  CHECK(Submit(MakeCallWithTarget(milliseconds(100))).kind_ != RoutingDecision::Kind::Refuse);
+}
+
 // The load of a zone that an operator empties: new and queued requests go to the other zones, and
 // if there is none, are refused at once.
 TEST(FreshProbeBalancer, UpstreamsOfEvacuatedZonesReceiveNothing)
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -75,6 +75,7 @@
   double slowness_ = 1;        ///< present service time as a multiple of that at normal speed
   bool healthy_ = true;        ///< whether the upstream reports itself as healthy
   bool hasLoad_ = true;        ///< false if the upstream answered without a load report
+  std::optional<Duration> coldRemaining_{}; ///< how long it stays cold; nothing if not reported
 };
 
 /// Result of one attempt to send a request to an upstream.
--- a/boragepier/directory/config_parts.cc
+++ b/boragepier/directory/config_parts.cc
@@ -144,7 +144,8 @@
          maxRequestBody,
          maxResponseBody,
          coldRequestsPerSecond,
-         coldDuration,
+         coldOverage,
+         coldSlack,
          claimRetention] = aValue;
   aVisit(name,
          pathPrefix,
@@ -168,7 +169,8 @@
          maxRequestBody,
          maxResponseBody,
          coldRequestsPerSecond,
-         coldDuration,
+         coldOverage,
+         coldSlack,
          claimRetention);
 }
 
--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -298,6 +298,8 @@
     service.retrySlack_ = settings_.retrySlack_;
     service.retryWindow_ = settings_.retryWindow_;
     service.probesPerUpstreamSecond_ = settings_.probesPerUpstreamSecond_;
+    service.coldOverage_ = settings_.coldOverage_;
+    service.coldSlack_ = settings_.coldSlack_;
     auto& upstreams = upstreamsByService[service.name_];
     table->services_.push_back(
       { std::move(service), config->version_, std::move(upstreams), settingsVersion_ });
--- a/boragepier/entry/balancer_driver.h
+++ b/boragepier/entry/balancer_driver.h
@@ -142,6 +142,7 @@
         feedback.load_->hasLoad_ = false;
       }
       feedback.load_->healthy_ = aResult.response_.status_ < 300;
+      feedback.load_->coldRemaining_ = feedback.coldRemaining_;
     }
     const bool fromOtherUpstream = aResult.outcome_ == Outcome::Answered &&
                                    !deps_.dialect_.isFromUpstream_(aResult.response_, aEndpoint);
--- a/boragepier/entry/wire_dialect.h
+++ b/boragepier/entry/wire_dialect.h
@@ -19,6 +19,8 @@
   bool notRun_ = false;   ///< it certifies that it did not run the request
   /// It refused the request (503 with Retry-After) and wants none for this time.
   std::optional<Duration> pause_;
+  /// How long it stays cold; zero if it is warm. In responses to probes.
+  std::optional<Duration> coldRemaining_;
   bool invalidPause_ = false; ///< it asked for a pause with a value that is ignored
 };
 
