--- a/boragepier/directory/config_assembly.cc
+++ b/boragepier/directory/config_assembly.cc
@@ -81,13 +81,14 @@
 }
 
 ConfigAssembly::Result
-ConfigAssembly::Activate()
+ConfigAssembly::Activate(std::uint64_t aEra)
 {
   if (!summary_ || !unreadable_.empty()) {
     return Result::Incomplete;
   }
   const std::uint64_t activeVersion = active_ ? active_->version_ : 0;
-  if (summary_->version_ <= activeVersion) {
+  // A version may be lower in a newer era, or the same with another content.
+  if (std::exchange(activeEra_, aEra) == aEra && summary_->version_ <= activeVersion) {
     return summary_->version_ == activeVersion ? Result::Unchanged : Result::Outdated;
   }
   auto config = std::make_shared<Config>();
--- a/boragepier/directory/config_assembly.h
+++ b/boragepier/directory/config_assembly.h
@@ -38,7 +38,8 @@
   {
     Unchanged,
     Activated,
-    Outdated,   ///< the version is lower than that of the active configuration, which stays
+    Outdated,   ///< the version is lower than that of the active configuration of the same era,
+                ///< which stays
     Incomplete, ///< a part is unreadable, or there is no summary; the active configuration stays
   };
 
@@ -47,7 +48,8 @@
   void Apply(const FeedRow& aRow);
 
   /// Puts the parts applied so far into force. To be called when they belong to one version.
-  Result Activate();
+  /// @param aEra era of the store from which the parts are; never decreases
+  Result Activate(std::uint64_t aEra);
 
   /// @return the configuration in force, or null before the first
   const std::shared_ptr<const Config>& Active() const { return active_; }
@@ -63,6 +65,7 @@
   void Set(const std::string& aKey, const TeamKey& aTeamKey);
 
   std::shared_ptr<const Config> active_;
+  std::uint64_t activeEra_ = 0; ///< of the store from which the active configuration is
   // The parts applied so far.
   RouteSet routes_;
   std::map<std::string, RouteSet::RoutePointer> routesByKey_;
--- a/boragepier/directory/config_parts_test.cc
+++ b/boragepier/directory/config_parts_test.cc
@@ -60,7 +60,7 @@
   bool Transfer(const StoreView& aFrom, const InstanceId& aSender, StoreView& aTo){
     const auto update =
       aFrom.UpdateSince(kTopic, aTo.SubscribePosition(kTopic, aSender), kMaxBytes, kNow);
-aTo.ApplyUpdate(kTopic, aSender, update, kNow);
+aTo.ApplyUpdate(kTopic, aSender, 0, update, kNow);
 return update.complete_;
 }
 
@@ -157,7 +157,7 @@
   for (const FeedRow& part : aParts) {
     aAssembly.Apply(part);
   }
-  CHECK(aAssembly.Activate() == ConfigAssembly::Result::Activated);
+  CHECK(aAssembly.Activate(0) == ConfigAssembly::Result::Activated);
 }
 
 TEST(ConfigParts, TeamsAndKeysAreKept)
@@ -292,7 +292,7 @@
       // A part of another sender's rows does not disturb the transfer.
       const bool complete = target->IsComplete(kTopic) && target->IsSynced(kTopic);
       const auto part = other.UpdateSince(kTopic, 0, kMaxBytes, kNow);
-      CHECK(complete || !target->ApplyUpdate(kTopic, kOtherSender, part, kNow).has_value());
+      CHECK(complete || !target->ApplyUpdate(kTopic, kOtherSender, 0, part, kNow).has_value());
       target->AbandonOtherTransfers(kOtherSender);
       TransferAll(other, kOtherSender, *target);
       CHECK(target->IsComplete(kTopic));
@@ -318,12 +318,12 @@
   for (const FeedRow& part : DivideConfig(MakeConfig(5, 300), 5)) {
     assembly.Apply(part);
   }
-  CHECK(assembly.Activate() == ConfigAssembly::Result::Activated);
+  CHECK(assembly.Activate(0) == ConfigAssembly::Result::Activated);
   bool relisted = false;
   for (int i = 0; i < 200 && (!view.IsComplete(kTopic) || i == 0); ++i) {
     const auto update =
       source.UpdateSince(kTopic, view.SubscribePosition(kTopic, kSender), kMaxBytes, kNow);
-    const auto rows = view.ApplyUpdate(kTopic, kSender, update, kNow);
+    const auto rows = view.ApplyUpdate(kTopic, kSender, 0, update, kNow);
     CHECK(rows.has_value());
     for (const FeedRow& row : *rows) {
       assembly.Apply(row);
@@ -332,7 +332,7 @@
   }
   CHECK(relisted);
   CHECK(view.IsComplete(kTopic));
-  CHECK(assembly.Activate() == ConfigAssembly::Result::Activated);
+  CHECK(assembly.Activate(0) == ConfigAssembly::Result::Activated);
   CHECK_EQUAL(6, assembly.Active()->version_);
   CHECK_EQUAL(299, assembly.Active()->routes_->Size());
 }
@@ -347,7 +347,7 @@
            DivideConfig(MakeConfig(aVersion, aRouteCount), aVersion), ToPartPosition(aVersion))) {
       assembly.Apply(part);
     }
-    CHECK(assembly.Activate() == ConfigAssembly::Result::Activated);
+    CHECK(assembly.Activate(0) == ConfigAssembly::Result::Activated);
     return assembly.Active();
   };
   const auto first = applyVersion(1, 4000);
--- a/boragepier/directory/directory_fakes.h
+++ b/boragepier/directory/directory_fakes.h
@@ -286,6 +286,21 @@
     return rows;
   }
 
+  /// Keeps a copy to which Restore() returns.
+  void TakeCopy()
+  {
+    copy_ = { position_, rows_, changedAt_ };
+  }
+
+  /// Returns to the last copy, in a new era.
+  void Restore()
+  {
+    position_ = copy_.position_;
+    rows_ = copy_.rows_;
+    changedAt_ = copy_.changedAt_;
+    ++era_;
+  }
+
   /// Counts calls that arrive now.
   void CountCalls(const InstanceId& aCaller, std::size_t aCount, bool aWrite)
   {
@@ -296,8 +311,17 @@
     counts[second] += aCount;
   }
 
+  struct Copy
+  {
+    std::uint64_t position_ = 1;
+    std::map<FeedTopic, std::map<std::string, FeedRow>> rows_;
+    std::map<FeedTopic, std::uint64_t> changedAt_;
+  };
+
   FakeScheduler& scheduler_;
   std::uint64_t position_ = 1;
+  std::uint64_t era_ = 0;
+  Copy copy_;
   std::map<FeedTopic, std::map<std::string, FeedRow>> rows_;
   std::map<FeedTopic, std::uint64_t> changedAt_; ///< position of the last change
   std::map<InstanceId, int> callCounts_;
@@ -345,8 +369,8 @@
     // Transactions are executed one after the other, and refused if too many wait.
     const MonotonicTime now = store_.scheduler_.Now();
     if (store_.writingUntil_ > now + kMaxWriteQueue) {
-      store_.scheduler_.After(kStoreDelay, [aDone] {
-        aDone({ FeedStatus::Refused, {}, 0, "status 429", {}, {} });
+      store_.scheduler_.After(kStoreDelay, [this, aDone] {
+        aDone({ FeedStatus::Refused, {}, 0, "status 429", {}, {}, store_.era_ });
       });
       return;
     }
@@ -357,7 +381,7 @@
         for (const InstanceEntry& instance : instances) {
           store_.Put(FeedTopic::Instances, instance.id_.Text(), InstanceRowValue(instance));
         }
-        aDone({ FeedStatus::Ok, {}, 0, {}, {}, {} });
+        aDone({ FeedStatus::Ok, {}, 0, {}, {}, {}, store_.era_ });
       });
   }
 
@@ -397,14 +421,17 @@
     if (store_.unansweredInstances_.contains(self_)) {
       store_.scheduler_.After(kTimeout, [this, aDone] {
         if (!stopped_) {
-          aDone({ FeedStatus::Unreachable, {}, 0, "timeout", {}, {} });
+          aDone({ FeedStatus::Unreachable, {}, 0, "timeout", {}, {}, 0 });
         }
       });
       return;
     }
-    FeedResponse response{
-      FeedStatus::Ok, store_.ChangesSince(aTopic, aPosition), store_.position_, {}, {}, {}
-    };
+    if (aPosition > store_.position_) {
+      aDone({ FeedStatus::HistoryLost, {}, 0, "status 410", {}, {}, store_.era_ });
+      return;
+    }
+    FeedResponse response{ FeedStatus::Ok, store_.ChangesSince(aTopic, aPosition),
+                           store_.position_, {}, {}, {}, store_.era_ };
     if (aTopic == FeedTopic::Configuration) {
       response.evacuations_ = store_.ChangesSince(FeedTopic::Evacuations, aPosition);
     }
--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -48,9 +48,9 @@
 }
 
 void
-DirectoryState::ActivateConfig()
+DirectoryState::ActivateConfig(std::uint64_t aEra)
 {
-  const ConfigAssembly::Result result = assembly_.Activate();
+  const ConfigAssembly::Result result = assembly_.Activate(aEra);
   if (result == ConfigAssembly::Result::Activated) {
     routingChanged_ = true;
     events_.push_back({ DirectoryEventType::ConfigAccepted, std::to_string(ConfigVersion()), {} });
@@ -108,6 +108,7 @@
 DirectoryState::ApplyValue(const std::string& aKey, const InstanceEntry& aEntry, MonotonicTime)
 {
   const auto [it, isNew] = instances_.try_emplace(aKey);
+  missingInstances_.erase(aKey);
   if (!isNew && it->second == aEntry) {
     return;
   }
@@ -131,7 +132,9 @@
 void
 DirectoryState::ApplyValue(const std::string& aKey, const RemovedEntry&, MonotonicTime aNow)
 {
-  if (instances_.erase(aKey) > 0) {
+  if (aNow < instanceGraceUntil_ && instances_.contains(aKey)) {
+    missingInstances_.insert(aKey);
+  } else if (instances_.erase(aKey) > 0) {
     routingChanged_ = true;
     instancesChanged_ = true;
   }
@@ -171,9 +174,16 @@
   // period restarts.
   const bool outageDuringGrace =
     previousObservedAt < graceUntil_ && gap >= settings_.heartbeatInterval_;
+  if (std::exchange(upstreamRestorePending_, false)) {
+    graceOfRestore_ = true;
+    observedSince_ = aObservedAt;
+    graceUntil_ = std::max(graceUntil_, aNow + kReregistrationGrace);
+    return;
+  }
   if (gap >= MinOutage() || outageDuringGrace) {
     if (!InGracePeriod(aNow)) {
       lastSeenBeforeOutage_ = previousObservedAt;
+      graceOfRestore_ = false;
     }
     observedSince_ = aObservedAt;
     graceUntil_ = std::max(graceUntil_, aNow + kReregistrationGrace);
@@ -190,7 +200,7 @@
     return;
   }
   if (InGracePeriod(aNow)) {
-    if (aSince < lastSeenBeforeOutage_ + MinOutage() && *observedSince_ < aUntil + MinOutage()) {
+    if (!graceOfRestore_ && aSince < lastSeenBeforeOutage_ + MinOutage() && *observedSince_ < aUntil + MinOutage()) {
       graceUntil_ = aNow;
       observedSince_ = aSince;
       RemoveMissingUpstreams(aNow);
@@ -201,6 +211,42 @@
   }
 }
 
+void
+DirectoryState::OnStoreRestored(std::uint64_t aEra)
+{
+  upstreamRestorePending_ = true;
+  instanceRestorePending_ = true;
+  events_.push_back({ DirectoryEventType::StoreRestored, std::to_string(aEra), {} });
+}
+
+void
+DirectoryState::OnInstancesObserved(MonotonicTime aNow)
+{
+  if (std::exchange(instanceRestorePending_, false)) {
+    instanceGraceUntil_ = aNow + kReregistrationGrace;
+  }
+}
+
+void
+DirectoryState::RemoveMissing(MonotonicTime aNow)
+{
+  RemoveMissingUpstreams(aNow);
+  RemoveMissingInstances(aNow);
+}
+
+void
+DirectoryState::RemoveMissingInstances(MonotonicTime aNow)
+{
+  if (aNow < instanceGraceUntil_ || missingInstances_.empty()) {
+    return;
+  }
+  for (const std::string& key : std::exchange(missingInstances_, {})) {
+    instances_.erase(key);
+  }
+  routingChanged_ = true;
+  instancesChanged_ = true;
+}
+
 void
 DirectoryState::RemoveMissingUpstreams(MonotonicTime aNow)
 {
@@ -221,7 +267,14 @@
 std::optional<MonotonicTime>
 DirectoryState::NextRemoval() const
 {
-  return missingCount_ > 0 ? std::optional(graceUntil_) : std::nullopt;
+  std::optional<MonotonicTime> next;
+  if (missingCount_ > 0) {
+    next = graceUntil_;
+  }
+  if (!missingInstances_.empty()) {
+    next = std::min(next.value_or(instanceGraceUntil_), instanceGraceUntil_);
+  }
+  return next;
 }
 
 void
@@ -264,7 +317,8 @@
 DirectoryState::IsListed(const InstanceEntry& aInstance) const
 {
   const auto found = instances_.find(aInstance.id_.Text());
-  return found != instances_.end() && found->second == aInstance;
+  return found != instances_.end() && found->second == aInstance &&
+         !missingInstances_.contains(found->first);
 }
 
 std::shared_ptr<const RoutingTable>
--- a/boragepier/directory/directory_state.h
+++ b/boragepier/directory/directory_state.h
@@ -45,20 +45,22 @@
   RegistrationFailed, ///< a call that registers instances failed
   ZoneEvacuated,      ///< the upstreams of an availability zone receive nothing from now on
   ZoneRestored,       ///< the evacuation of an availability zone was withdrawn
+  StoreRestored,      ///< the store was restored from an older copy: all entries are read anew
 };
 
 /// One change in the directory.
 struct DirectoryEvent
 {
   DirectoryEventType type_;
-  /// Key of the entry, version of the configuration, or duration of the outage in milliseconds.
+  /// Key of the entry, version of the configuration, era of the store, or duration of the outage in
+  /// milliseconds.
   std::string subject_;
   std::string detail_; ///< service, error or reason; may be empty
 };
 
 /// Configuration, upstreams and instances as read from a store. Reads no clock and does no I/O.
 ///
-/// The version of the configuration never decreases.
+/// The version of the configuration never decreases within an era of the store.
 ///
 /// During an outage of the store, live upstreams cannot renew their entries, so the entries may
 /// expire; the upstreams register again soon after the outage. An entry that disappears within
@@ -67,6 +69,10 @@
 /// some instances cannot reach the store, no entry expires. An instance that could reach neither
 /// the store nor the others takes its own gap for an outage, until another instance reports that it
 /// has observed the store in that time.
+///
+/// A store that was restored from an older copy lacks what was written since. Upstreams register
+/// again as after an outage, and so do instances: entries that are missing in the restored store
+/// are kept for the grace period, which no observation of another instance ends.
 class DirectoryState
 {
 public:
@@ -83,13 +89,21 @@
   /// Applies changed parts of the configuration. They take effect with ActivateConfig().
   void ApplyConfigParts(std::span<const FeedRow> aParts);
   /// Puts the parts that were applied into force, unless their version is lower than the active
-  /// one. To be called when they are those of one version.
-  void ActivateConfig();
+  /// one of the same era. To be called when they are those of one version.
+  /// @param aEra era of the store from which the parts are
+  void ActivateConfig(std::uint64_t aEra);
   /// Records an entry that was ignored.
   void OnUnreadable(const std::string& aKey, const std::string& aError);
   /// Applies changed evacuations, which are in force until they are removed.
   /// @param aRows rows of FeedTopic::Evacuations
   void ApplyEvacuations(std::span<const FeedRow> aRows);
+  /// Records that the store was restored from an older copy. The changes that are applied from now
+  /// on replace the entries by those of the restored store.
+  /// @param aEra era of the restored store
+  void OnStoreRestored(std::uint64_t aEra);
+  /// Starts to keep the instances whose entries are missing in the restored store. To be called
+  /// before the changes of the instances that were read are applied.
+  void OnInstancesObserved(MonotonicTime aNow);
   /// Applies changed entries of upstreams and instances.
   void ApplyChanges(std::span<const DecodedFeedRow> aItems, MonotonicTime aNow);
   /// Records that this or another instance read the entries of the upstreams from the store. To be
@@ -107,9 +121,10 @@
   std::optional<MonotonicTime> ObservedSince() const { return observedSince_; }
   /// @return whether upstreams whose entries are missing are kept
   bool InGracePeriod(MonotonicTime aNow) const { return aNow < graceUntil_; }
-  /// Removes the upstreams whose entries are still missing at the end of the grace period.
-  void RemoveMissingUpstreams(MonotonicTime aNow);
-  /// @return when to call RemoveMissingUpstreams(), or nothing if no entry is missing
+  /// Removes the upstreams and instances whose entries are still missing at the end of the grace
+  /// period.
+  void RemoveMissing(MonotonicTime aNow);
+  /// @return when to call RemoveMissing(), or nothing if no entry is missing
   std::optional<MonotonicTime> NextRemoval() const;
 
   /// @return whether the routing table or the registered instances changed since the last call
@@ -153,6 +168,8 @@
   Duration MinOutage() const { return kMinOutageHeartbeats * settings_.heartbeatInterval_; }
   void RemoveUpstream(const std::string& aKey, MonotonicTime aNow);
   void SetMissing(Upstream& aUpstream, bool aMissing);
+  void RemoveMissingUpstreams(MonotonicTime aNow);
+  void RemoveMissingInstances(MonotonicTime aNow);
 
   const InstanceId self_;
   FleetSettings settings_;
@@ -161,11 +178,17 @@
   std::map<std::string, Upstream> upstreams_;
   int missingCount_ = 0; ///< number of them that are missing
   std::map<std::string, InstanceEntry> instances_;
+  std::set<std::string> missingInstances_; ///< those of instances_ that the restored store lacks
   std::set<ZoneName> evacuatedZones_;
   std::optional<MonotonicTime> upstreamsObservedAt_; ///< latest OnUpstreamsObserved()
   std::optional<MonotonicTime> observedSince_;       ///< see ObservedSince()
   MonotonicTime lastSeenBeforeOutage_{}; ///< last observation before the outage of the grace period
   MonotonicTime graceUntil_{};
+  bool graceOfRestore_ = false; ///< the grace period follows a restore, so it is not ended early
+  MonotonicTime instanceGraceUntil_{};
+  // The first entries of the restored store are not applied yet.
+  bool upstreamRestorePending_ = false;
+  bool instanceRestorePending_ = false;
   bool routingChanged_ = false;
   bool instancesChanged_ = false;
   std::vector<DirectoryEvent> events_;
--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -24,7 +24,7 @@
   void ApplyConfig(std::uint64_t aVersion)
   {
     state_.ApplyConfigParts(DivideConfig(MakeConfig(aVersion), aVersion));
-    state_.ActivateConfig();
+    state_.ActivateConfig(0);
   }
   std::size_t UpstreamCount() const
   {
@@ -52,7 +52,7 @@
   auto parts = DivideConfig(MakeConfig(9), 9);
   parts.front().value_.resize(parts.front().value_.size() / 2);
   state_.ApplyConfigParts(parts);
-  state_.ActivateConfig();
+  state_.ActivateConfig(0);
   CHECK_EQUAL(5, state_.ConfigVersion());
   CHECK_EQUAL(1, state_.MakeRoutingTable()->routes_->Size());
   ApplyConfig(9);
@@ -80,7 +80,7 @@
   ApplyItem({ "u-2", RemovedEntry{} }, outageEnd);
   CHECK_EQUAL(2, UpstreamCount());
   ApplyItem(UpstreamItem("u-1"), outageEnd + std::chrono::milliseconds(1900));
-  state_.RemoveMissingUpstreams(outageEnd + DirectoryState::kReregistrationGrace);
+  state_.RemoveMissing(outageEnd + DirectoryState::kReregistrationGrace);
   CHECK_EQUAL(1, UpstreamCount());
   CHECK(!state_.NextRemoval());
 }
@@ -119,9 +119,9 @@
   ApplyItem({ "u-1", RemovedEntry{} }, outageEnd);
   outageEnd += std::chrono::milliseconds(2400);
   state_.OnUpstreamsObserved(outageEnd, outageEnd);
-  state_.RemoveMissingUpstreams(outageEnd + std::chrono::milliseconds(200));
+  state_.RemoveMissing(outageEnd + std::chrono::milliseconds(200));
   CHECK_EQUAL(1, UpstreamCount());
-  state_.RemoveMissingUpstreams(outageEnd + DirectoryState::kReregistrationGrace);
+  state_.RemoveMissing(outageEnd + DirectoryState::kReregistrationGrace);
   CHECK_EQUAL(0, UpstreamCount());
 }
 
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -143,6 +143,7 @@
   typename StoreReader<S, F>::Callbacks ReaderCallbacks()
   {
     return { .shouldRead_ = [this](FeedTopic aTopic) { return ShouldReadTopic(aTopic); },
+             .onEra_ = [this](std::uint64_t aEra) { ObserveEra(aEra); },
              .isRoot_ = [this] { return follower_.Role().IsRoot(); },
              .onRows_ =
                [this](FeedTopic aTopic, const auto& aRows, MonotonicTime aObservedAt) {
@@ -167,6 +168,29 @@
                } };
   }
 
+  // Records the era of a response or message, before its rows are applied. If the store was
+  // restored from an older copy, everything is read anew, and missing instances register again.
+  void ObserveEra(std::uint64_t aEra)
+  {
+    if (!view_.ObserveEra(aEra)) {
+      return;
+    }
+    state_.OnStoreRestored(aEra);
+    eraObservedAt_ = scheduler_.Now();
+    sourceKnowsEra_ = false;
+    registrationTriedAt_.reset();
+    registrationInterval_ = {};
+    reader_.ReadAnew();
+  }
+
+  // Whether this instance has rows of an older era and leaves its source, which knows the newer one,
+  // time to send the rows of that.
+  bool IsAwaitingEra() const
+  {
+    return sourceKnowsEra_ && view_.IsBehindEra() &&
+           scheduler_.Now() - eraObservedAt_ < timing_.initialSyncTimeout_;
+  }
+
   // --- reading the store ---
 
   // Returns the delay of the first read when the whole fleet starts: the time in which the instance
@@ -221,7 +245,7 @@
     if (!view_.HasRoutingData()) {
       return !IsAwaitingFirstData();
     }
-    return !IsFresh() && !IsTransferInProgress();
+    return !IsFresh() && !IsTransferInProgress() && !IsAwaitingEra();
   }
 
   // Whether the data will be up to date as soon as the current source has sent the rest of it. To
@@ -262,7 +286,7 @@
     if (reader_.IsFailing() || shuttingDown_) {
       return ViewStatus::Unconfirmed;
     }
-    if (!view_.HasRoutingData()) {
+    if (!view_.HasRoutingData() || view_.IsBehindEra()) {
       return ViewStatus::Pending;
     }
     return IsFresh() ? ViewStatus::Fresh : ViewStatus::Unconfirmed;
@@ -275,6 +299,7 @@
     const FeedPositions positions = view_.SubscribePositions(aSource.id_);
     subscribe.positions_.assign(positions.begin(), positions.end());
     subscribe.registrations_ = std::move(aRegistrations);
+    subscribe.era_ = view_.Era();
     peers_.Send({ aSource.id_, aSource.address_, aSource.port_ }, subscribe);
   }
 
@@ -356,6 +381,9 @@
     if (follower_.IsSilentFor(timing_.sourceTimeout_, aNow)) {
       return true;
     }
+    if (IsAwaitingEra()) {
+      return false;
+    }
     // The heads of the zones have no other source with newer data than the root.
     return follower_.Role().level_ > RelayLevel::Head && IsNearlyStale(aNow) &&
            follower_.IsInUseFor(timing_.sourceChangeMargin_, aNow);
@@ -397,6 +425,7 @@
     if (aSubscribe.positions_.size() != kFeedTopicCount) {
       return;
     }
+    ObserveEra(aSubscribe.era_);
     subscribers_.OnSubscribe(aSender, aSubscribe, Status(), scheduler_.Now());
     for (const InstanceEntry& instance : aSubscribe.registrations_) {
       if (!state_.IsListed(instance)) {
@@ -428,6 +457,10 @@
     if (composedAtMs > ToClockMs(now)) {
       return;
     }
+    ObserveEra(aStoreUpdate.era_);
+    if (aStoreUpdate.era_ < view_.Era()) {
+      return; // the sender learns of the newer era from the next subscription
+    }
     ApplyObservations(aStoreUpdate, composedAtMs, now);
     if (!follower_.IsCurrent(aSender.id_) && !follower_.IsPreferred(aSender.id_)) {
       Publish();
@@ -439,7 +472,8 @@
       const MonotonicTime observedAt =
         FromClockMs(composedAtMs - std::min(update.ageMs_, composedAtMs));
       const bool wasRelisting = view_.IsRelisting(topic);
-      if (const auto changed = view_.ApplyUpdate(topic, aSender.id_, update, observedAt)) {
+      if (const auto changed =
+            view_.ApplyUpdate(topic, aSender.id_, aStoreUpdate.era_, update, observedAt)) {
         const bool relistingStarts = view_.IsRelisting(topic) && !wasRelisting;
         if (!view_.IsRelisting(topic) || !changed->empty()) {
           ApplyRows(topic, *changed, observedAt);
@@ -454,9 +488,11 @@
     }
     Publish();
     // A source that cannot confirm its data times out like a silent one.
-    const bool awaitsData = aStoreUpdate.pending_ && !view_.HasRoutingData();
+    const bool awaitsData =
+      aStoreUpdate.pending_ && (!view_.HasRoutingData() || view_.IsBehindEra());
     if (aStoreUpdate.storeAnswers_ || awaitsData) {
       sourceReplied_ = true;
+      sourceKnowsEra_ = true;
       // The preferred source is no better than the current one if it would be given up at once, and
       // a transfer from the current one comes first.
       const bool returnsToPreferred =
@@ -498,7 +534,7 @@
     if (aTopic == FeedTopic::Configuration) {
       state_.ApplyConfigParts(aRows);
       if (view_.IsComplete(aTopic)) {
-        state_.ActivateConfig();
+        state_.ActivateConfig(view_.Era(aTopic));
       }
       return;
     }
@@ -513,6 +549,9 @@
         SendSubscribes();
       }
     }
+    if (aTopic == FeedTopic::Instances) {
+      state_.OnInstancesObserved(now);
+    }
     std::vector<DecodedFeedRow> items;
     items.reserve(aRows.size());
     for (const FeedRow& row : aRows) {
@@ -541,7 +580,7 @@
       removalTimerArmed_ = true;
       scheduler_.After(std::max(Duration(0), *nextRemoval - scheduler_.Now()), [this] {
         removalTimerArmed_ = false;
-        state_.RemoveMissingUpstreams(scheduler_.Now());
+        state_.RemoveMissing(scheduler_.Now());
         Publish();
       });
     }
@@ -604,6 +643,8 @@
   MonotonicTime transferProgressAt_; ///< arrival of the last message of a transfer
   bool instanceListRead_ = false;    ///< the first read of the list of instances has ended
   bool sourceReplied_ = false;       ///< a source has sent data, or that it waits for data
+  MonotonicTime eraObservedAt_;      ///< when rows became those of an older era of the store
+  bool sourceKnowsEra_ = false;      ///< a source has replied in the newest era
   bool shuttingDown_ = false;
   bool removalTimerArmed_ = false;
   std::optional<MonotonicTime> registrationTriedAt_;
--- a/boragepier/directory/feed_mirror.cc
+++ b/boragepier/directory/feed_mirror.cc
@@ -100,6 +100,27 @@
   return changed;
 }
 
+std::vector<FeedRow>
+FeedMirror::ReplaceWith(FeedMirror&& aOther)
+{
+  const std::vector<FeedRow> rows = aOther.LiveRows();
+  std::vector<FeedRow> changed = RemovalsOfUnlisted(rows_, rows, aOther.position_);
+  for (const FeedRow& row : rows) {
+    const FeedRow* const known = Find(row.key_);
+    if (known == nullptr || known->removed_ || known->value_ != row.value_) {
+      changed.push_back(row);
+    }
+  }
+  position_ = aOther.position_;
+  digest_ = aOther.digest_;
+  // Moving a map keeps its elements, to which rowsByVersion_ refers, in place.
+  rowsByVersion_ = std::move(aOther.rowsByVersion_);
+  rows_ = std::move(aOther.rows_);
+  gaps_ = std::move(aOther.gaps_);
+  listedUntil_ = aOther.listedUntil_;
+  return changed;
+}
+
 const FeedRow*
 FeedMirror::Find(const std::string& aKey) const
 {
--- a/boragepier/directory/feed_mirror.h
+++ b/boragepier/directory/feed_mirror.h
@@ -37,6 +37,11 @@
   /// copy that missed a removal is found by Digest().
   /// @return the rows that changed the mirror; none if aPosition is below Position()
   std::vector<FeedRow> ReplaceContent(std::span<const FeedRow> aRows, std::uint64_t aPosition);
+  /// Takes over the rows and the position of another mirror, also if its position is lower. Compares
+  /// by value, because versions do not tell which of two rows is newer.
+  /// @param aOther rows of which those that differ from the rows of this mirror are returned
+  /// @return the rows that changed the mirror, with the rows that aOther does not have as removed
+  std::vector<FeedRow> ReplaceWith(FeedMirror&& aOther);
   /// Returns to a lower position, after which the rows are to be applied again. The rows stay.
   void Rewind(std::uint64_t aPosition) { position_ = std::min(position_, aPosition); }
 
@@ -49,6 +54,8 @@
   /// @return the gaps that end after a position, by their start
   std::vector<RemovalGap> GapsAfter(std::uint64_t aPosition) const;
 
+  /// @return whether no row was ever applied
+  bool IsEmpty() const { return position_ == 0 && rows_.empty(); }
   /// @return the rows that are not removed
   std::vector<FeedRow> LiveRows() const;
 
--- a/boragepier/directory/relay_parts_test.cc
+++ b/boragepier/directory/relay_parts_test.cc
@@ -37,7 +37,7 @@
 FeedResponse
 MakeResponse(std::uint64_t aPosition, std::vector<FeedRow> aRows)
 {
-  return { FeedStatus::Ok, std::move(aRows), aPosition, {}, {}, {} };
+  return { FeedStatus::Ok, std::move(aRows), aPosition, {}, {}, {}, 0 };
 }
 
 } // namespace
@@ -53,10 +53,10 @@
   view_.ApplyResponse(FeedTopic::Configuration, MakeResponse(3, kNoRows), false, kNow);
   view_.ApplyResponse(FeedTopic::Evacuations, MakeResponse(3, kNoRows), false, kNow);
   PeerStoreUpdate::Topic part{ 0, 2, 0, false, { MakeRow("u-1", 2) }, {} };
-  CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, kSender, part, kNow).has_value());
+  CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, kSender, 0, part, kNow).has_value());
   CHECK(!view_.HasRoutingData());
   PeerStoreUpdate::Topic rest{ 2, 5, 0, true, { MakeRow("u-2", 4) }, {} };
-  CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, kSender, rest, kNow).has_value());
+  CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, kSender, 0, rest, kNow).has_value());
   CHECK(view_.HasRoutingData());
 }
 
@@ -64,7 +64,7 @@
 TEST(StoreView, UpdateThatDoesNotContinueThePositionIsIgnored)
 {
   const PeerStoreUpdate::Topic late{ 2, 5, 0, true, { MakeRow("u-2", 4) }, {} };
-  CHECK(!view_.ApplyUpdate(FeedTopic::Upstreams, kSender, late, kNow).has_value());
+  CHECK(!view_.ApplyUpdate(FeedTopic::Upstreams, kSender, 0, late, kNow).has_value());
   CHECK_EQUAL(0, view_.Position(FeedTopic::Upstreams));
 }
 
@@ -88,7 +88,7 @@
   while (!complete && parts < 100) {
     const auto update = sender.UpdateSince(
       FeedTopic::Upstreams, view_.SubscribePosition(FeedTopic::Upstreams, kSender), 5000, kNow);
-    const auto applied = view_.ApplyUpdate(FeedTopic::Upstreams, kSender, update, kNow);
+    const auto applied = view_.ApplyUpdate(FeedTopic::Upstreams, kSender, 0, update, kNow);
     CHECK(applied.has_value());
     changed.insert(changed.end(), applied->begin(), applied->end());
     complete = view_.IsSynced(FeedTopic::Upstreams);
@@ -111,7 +111,7 @@
   view_.ApplyResponse(FeedTopic::Evacuations, MakeResponse(5, kNoRows), false, later);
   view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(5, { MakeRow("u-1", 2) }), false, kNow);
   const PeerStoreUpdate::Topic update{ 5, 9, 0, true, {}, { { 0, 9 } } };
-  CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, kSender, update, later).has_value());
+  CHECK(view_.ApplyUpdate(FeedTopic::Upstreams, kSender, 0, update, later).has_value());
   CHECK(view_.IsRelisting(FeedTopic::Upstreams));
   CHECK(*view_.ConfirmedAt() == kNow);
   CHECK(!view_.IsSynced(FeedTopic::Upstreams));
@@ -133,17 +133,17 @@
   // A subscriber that had all rows before the second read learns the removal as usual.
   view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(5, { MakeRow("u-1", 2) }), false, kNow);
   view_.ApplyUpdate(
-    FeedTopic::Upstreams, kSender, root.UpdateSince(FeedTopic::Upstreams, 5, 1000, kNow), kNow);
+    FeedTopic::Upstreams, kSender, 0, root.UpdateSince(FeedTopic::Upstreams, 5, 1000, kNow), kNow);
   CHECK_EQUAL(20, view_.Position(FeedTopic::Upstreams));
   // "u-3" was written at 8, after the first read, and removed before the second.
   StoreView subscriber;
   subscriber.ApplyResponse(
     FeedTopic::Upstreams, MakeResponse(9, { MakeRow("u-1", 2), MakeRow("u-3", 8) }), false, kNow);
   subscriber.ApplyUpdate(
-    FeedTopic::Upstreams, kSender, view_.UpdateSince(FeedTopic::Upstreams, 9, 1000, kNow), kNow);
+    FeedTopic::Upstreams, kSender, 0, view_.UpdateSince(FeedTopic::Upstreams, 9, 1000, kNow), kNow);
   CHECK(subscriber.IsRelisting(FeedTopic::Upstreams));
   const auto changed = subscriber.ApplyUpdate(
-    FeedTopic::Upstreams, kSender, view_.UpdateSince(FeedTopic::Upstreams, 0, 1000, kNow), kNow);
+    FeedTopic::Upstreams, kSender, 0, view_.UpdateSince(FeedTopic::Upstreams, 0, 1000, kNow), kNow);
   CHECK_EQUAL(3, changed->size());
   CHECK(!subscriber.IsRelisting(FeedTopic::Upstreams));
 }
@@ -369,6 +369,7 @@
     timing_,
     jitter_,
     { .shouldRead_ = [this](FeedTopic aTopic) { return wanted_ && IsRoutingTopic(aTopic); },
+      .onEra_ = [this](std::uint64_t aEra) { view_.ObserveEra(aEra); },
       .isRoot_ = [] { return false; },
       .onRows_ = [](FeedTopic, const auto&, MonotonicTime) {},
       .onUnreadable_ = [](const auto&, const auto&) {},
--- a/boragepier/directory/store_reader.h
+++ b/boragepier/directory/store_reader.h
@@ -29,6 +29,8 @@
   {
     /// Whether the topic is to be read from the store.
     std::function<bool(FeedTopic)> shouldRead_;
+    /// Receives the era of each response, before its rows are applied.
+    std::function<void(std::uint64_t)> onEra_;
     /// Whether this instance reads for others, so that failed calls are repeated soon.
     std::function<bool()> isRoot_;
     /// Receives the rows that changed and the time at which the store held nothing newer.
@@ -71,6 +73,7 @@
           return;
         }
         OnAnswered();
+        callbacks_.onEra_(aResponse.era_);
         Apply({ FeedTopic::Instances, false, startedAt, {} }, aResponse);
         done(std::nullopt);
       });
@@ -87,6 +90,23 @@
     }
   }
 
+  /// Replaces the pending calls, also those that the store still holds, because all rows must be
+  /// read. Their responses are ignored.
+  void ReadAnew()
+  {
+    for (const FeedTopic topic : kReadTopics) {
+      TopicState& state = StateOf(topic);
+      if (!state.reading_) {
+        continue;
+      }
+      if (const auto timer = std::exchange(state.nextRequest_, std::nullopt)) {
+        scheduler_.Cancel(*timer);
+      }
+      Request(topic, true);
+    }
+    Start();
+  }
+
   /// @return whether any topic is read from the store
   bool IsReading() const
   {
@@ -130,6 +150,7 @@
     bool reading_ = false; ///< a call to the store, or the delay before the next, is pending
     std::optional<TimerId> nextRequest_; ///< end of the delay before the next call, if pending
     Duration backoff_{};                 ///< delay before the last retry; 0 after a success
+    std::uint64_t callNumber_ = 0;       ///< of the last call
   };
 
   // A call to the store that was sent.
@@ -138,7 +159,8 @@
     FeedTopic topic_;
     bool changesOnly_; ///< reads the changes since a position rather than all rows
     MonotonicTime startedAt_;
-    Duration wait_; ///< longest time that the store holds the call
+    Duration wait_;                ///< longest time that the store holds the call
+    std::uint64_t callNumber_ = 0; ///< TopicState::callNumber_ when it was sent
   };
 
   TopicState& StateOf(FeedTopic aTopic) { return topics_[static_cast<std::size_t>(aTopic)]; }
@@ -153,7 +175,9 @@
     const bool changesOnly = aTopic == FeedTopic::Configuration
                                ? view_.IsSynced(aTopic) && view_.IsSynced(FeedTopic::Evacuations)
                                : view_.IsSynced(aTopic);
-    const PendingCall call{ aTopic, changesOnly, scheduler_.Now(), wait };
+    const PendingCall call{
+      aTopic, changesOnly, scheduler_.Now(), wait, ++StateOf(aTopic).callNumber_
+    };
     const auto done = [this, call](const FeedResponse& aResponse) { OnReply(call, aResponse); };
     if (call.changesOnly_) {
       feed_.Wait(aTopic, ReadPosition(aTopic), wait, done);
@@ -205,6 +229,7 @@
     evacuations.status_ = aResponse.status_;
     evacuations.position_ = aResponse.position_;
     evacuations.rows_ = aResponse.evacuations_;
+    evacuations.era_ = aResponse.era_;
     const auto changed =
       view_.ApplyResponse(FeedTopic::Evacuations, evacuations, aCall.changesOnly_, aObservedAt);
     if (!changed) {
@@ -221,6 +246,7 @@
     FeedResponse divided;
     divided.status_ = aResponse.status_;
     divided.position_ = ToPartPosition(aResponse.position_);
+    divided.era_ = aResponse.era_;
     for (const FeedRow& row : aResponse.rows_) {
       DecodedConfig decoded = UnreadableEntry{ "an internal error" };
       RunContained(ErrorScope::StoreEntry, [&] { decoded = feed_.DecodeConfig(row); });
@@ -236,6 +262,10 @@
   void OnReply(const PendingCall& aCall, const FeedResponse& aResponse)
   {
     TopicState& state = StateOf(aCall.topic_);
+    callbacks_.onEra_(aResponse.era_);
+    if (aCall.callNumber_ != state.callNumber_) {
+      return; // replaced by ReadAnew()
+    }
     Duration delay{};
     std::optional<std::size_t> changedCount;
     if (aResponse.status_ == FeedStatus::Ok) {
--- a/boragepier/directory/store_view.cc
+++ b/boragepier/directory/store_view.cc
@@ -23,6 +23,35 @@
 
 } // namespace
 
+bool
+StoreView::ObserveEra(std::uint64_t aEra)
+{
+  if (aEra <= era_) {
+    return false;
+  }
+  era_ = aEra;
+  bool hasRows = false;
+  for (TopicState& topic : topics_) {
+    if (topic.mirror_.IsEmpty() && !topic.relisted_) {
+      topic.era_ = aEra;
+      continue;
+    }
+    hasRows = true;
+    StartRelisting(topic);
+    topic.completePosition_ = 0;
+  }
+  return hasRows;
+}
+
+std::vector<FeedRow>
+StoreView::EnterEra(FeedTopic aTopic, FeedMirror&& aRows)
+{
+  TopicState& topic = StateOf(aTopic);
+  topic.era_ = era_;
+  topic.confirmedAt_.reset(); // by the store as it was before
+  return topic.mirror_.ReplaceWith(std::move(aRows));
+}
+
 std::optional<std::vector<FeedRow>>
 StoreView::ApplyResponse(FeedTopic aTopic,
                          const FeedResponse& aResponse,
@@ -30,15 +59,37 @@
                          MonotonicTime aObservedAt)
 {
   TopicState& topic = StateOf(aTopic);
+  const bool isNewEra = topic.era_ < era_;
+  if (aResponse.era_ != era_ || (isNewEra && aChangesOnly)) {
+    return std::nullopt;
+  }
   AbandonTransfer(topic);
-  if (aResponse.position_ < topic.mirror_.Position()) {
+  if (!isNewEra && aResponse.position_ < topic.mirror_.Position()) {
     return std::nullopt;
   }
+  std::vector<FeedRow> replaced;
+  if (isNewEra) {
+    FeedMirror rows;
+    if (aTopic == FeedTopic::Configuration && aResponse.rows_.empty()) {
+      // The copy has none, or none that can be read: the known one stays.
+      std::vector<FeedRow> known = topic.mirror_.LiveRows();
+      for (FeedRow& row : known) {
+        row.version_ = aResponse.position_;
+      }
+      rows.ApplySnapshot(known, aResponse.position_);
+    } else {
+      rows.ApplySnapshot(aResponse.rows_, aResponse.position_);
+    }
+    replaced = EnterEra(aTopic, std::move(rows));
+  }
   topic.synced_ = true;
   topic.confirmedAt_ = aObservedAt;
   topic.relisted_.reset();
   topic.completePosition_ = aResponse.position_;
   topic.partial_ = false;
+  if (isNewEra) {
+    return replaced;
+  }
   if (aTopic == FeedTopic::Configuration) {
     // The store has one row, which is read as a whole or not at all. Its removal changes nothing.
     return aResponse.rows_.empty()
@@ -102,11 +153,12 @@
 std::optional<std::vector<FeedRow>>
 StoreView::ApplyUpdate(FeedTopic aTopic,
                        const InstanceId& aSender,
+                       std::uint64_t aEra,
                        const PeerStoreUpdate::Topic& aUpdate,
                        MonotonicTime aObservedAt)
 {
   TopicState& topic = StateOf(aTopic);
-  if (aUpdate.position_ == 0 || aUpdate.from_ > SubscribePosition(aTopic, aSender)) {
+  if (aEra != era_ || aUpdate.position_ == 0 || aUpdate.from_ > SubscribePosition(aTopic, aSender)) {
     return std::nullopt;
   }
   if (topic.transferFrom_ && *topic.transferFrom_ != aSender) {
@@ -133,7 +185,10 @@
     return wasRelisting ? std::vector<FeedRow>() : changed;
   }
   topic.transferFrom_.reset();
-  if (topic.relisted_) {
+  if (topic.era_ < era_) {
+    const auto relisted = std::exchange(topic.relisted_, nullptr);
+    changed = EnterEra(aTopic, std::move(*relisted));
+  } else if (topic.relisted_) {
     if (target.Position() < topic.mirror_.Position()) {
       return std::vector<FeedRow>();
     }
@@ -206,7 +261,7 @@
   PeerStoreUpdate::Topic update;
   const std::uint64_t position = topic.completePosition_;
   const bool lacksRows = !topic.synced_ && position > aFrom;
-  if (!topic.confirmedAt_ || lacksRows || aFrom > position) {
+  if (topic.era_ < era_ || !topic.confirmedAt_ || lacksRows || aFrom > position) {
     return update; // position 0 tells the subscriber to ignore this topic
   }
   update.from_ = aFrom;
--- a/boragepier/directory/store_view.h
+++ b/boragepier/directory/store_view.h
@@ -40,13 +40,35 @@
 /// with messages of the same sender: another one may have passed the positions in between with
 /// other rows. They are not passed on before the last one either, because the transfer may be given
 /// up. The configuration is complete only if it agrees with its digest (see config_parts.h).
+///
+/// A store that was restored from an older copy gives positions and versions out again. They are
+/// ordered within an era only: once a newer era is known, all rows of each topic are collected anew
+/// and replace those of the older era together, also if their positions are lower. Until then the
+/// older ones stay in use, but they are neither confirmed nor passed on.
 class StoreView
 {
 public:
+  /// Records the era of a response of the store, or of a message of another instance. To be called
+  /// before its rows are applied.
+  /// @return whether the era is newer than that of rows that are known, so that all rows must be read
+  bool ObserveEra(std::uint64_t aEra);
+  /// @return the newest era observed; 0 if none was
+  std::uint64_t Era() const { return era_; }
+  /// @return the era of the rows of a topic
+  std::uint64_t Era(FeedTopic aTopic) const { return StateOf(aTopic).era_; }
+  /// @return whether rows of a routing topic are still those of an older era
+  bool IsBehindEra() const
+  {
+    return std::any_of(kFeedTopics.begin(), kFeedTopics.end(), [&](FeedTopic aTopic) {
+      return IsRoutingTopic(aTopic) && Era(aTopic) < era_;
+    });
+  }
+
   /// Applies a response of the store. Ends a transfer from another instance.
   /// @param aChangesOnly whether it holds the changes since Position(), not all rows
   /// @param aObservedAt time at which the store held nothing newer
-  /// @return the rows that changed, or nothing if the response is older than Position()
+  /// @return the rows that changed, or nothing if the response is older than Position() or Era(), or
+  ///   holds changes to rows of an older era
   std::optional<std::vector<FeedRow>> ApplyResponse(FeedTopic aTopic,
                                                     const FeedResponse& aResponse,
                                                     bool aChangesOnly,
@@ -55,12 +77,14 @@
   /// this instance may have (RemovalGap), all rows are collected anew, over several messages, and
   /// replace those known so far once they are complete.
   /// @param aSender instance that sent the message
+  /// @param aEra era of the message
   /// @param aObservedAt time at which the store held nothing newer than the sender's rows
   /// @return the rows that changed, or nothing if the message does not continue
-  /// SubscribePosition(),
+  /// SubscribePosition() or is of an older era,
   ///   or is a part of a transfer while another one is in progress
   std::optional<std::vector<FeedRow>> ApplyUpdate(FeedTopic aTopic,
                                                   const InstanceId& aSender,
+                                                  std::uint64_t aEra,
                                                   const PeerStoreUpdate::Topic& aUpdate,
                                                   MonotonicTime aObservedAt);
   /// Records that the store no longer has the changes since Position(), so that all rows must be
@@ -106,7 +130,7 @@
   /// @return time at which the routing topics were both known to be complete, if they ever were
   std::optional<MonotonicTime> ConfirmedAt() const;
 
-  /// Returns what a subscriber lacks of a topic.
+  /// Returns what a subscriber lacks of a topic. Rows of an older era than Era() are left out.
   /// @param aFrom position up to which it has the rows
   /// @param aMaxBytes limit on the size of the rows
   PeerStoreUpdate::Topic UpdateSince(FeedTopic aTopic,
@@ -118,6 +142,7 @@
   struct TopicState
   {
     FeedMirror mirror_;
+    std::uint64_t era_ = 0;                    ///< of the rows of the mirror
     bool synced_ = false;                      ///< the mirror has all rows up to its position
     std::optional<MonotonicTime> confirmedAt_; ///< when the store last held nothing newer
     /// The rows collected anew so far; null unless IsRelisting().
@@ -132,12 +157,15 @@
   static void AbandonTransfer(TopicState& aTopic);
   /// Begins to collect all rows anew. Those known so far stay in use.
   static void StartRelisting(TopicState& aTopic);
+  /// Replaces the rows of a topic by all rows of the store in a newer era.
+  std::vector<FeedRow> EnterEra(FeedTopic aTopic, FeedMirror&& aRows);
   TopicState& StateOf(FeedTopic aTopic) { return topics_[static_cast<std::size_t>(aTopic)]; }
   const TopicState& StateOf(FeedTopic aTopic) const
   {
     return topics_[static_cast<std::size_t>(aTopic)];
   }
 
+  std::uint64_t era_ = 0; ///< see Era()
   std::array<TopicState, kFeedTopicCount> topics_;
 };
 
--- a/boragepier/directory/subscriber_set.h
+++ b/boragepier/directory/subscriber_set.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 
 #include "boragepier/directory/directory_state.h"
 #include "boragepier/directory/directory_timing.h"
@@ -40,6 +41,7 @@
   }
 
   /// Adds a subscriber or renews its subscription, and sends it what it lacks.
+  /// @param aSubscribe its era has been observed by the StoreView
   void OnSubscribe(const PeerEndpoint& aSender,
                    const PeerSubscribe& aSubscribe,
                    ViewStatus aStatus,
@@ -49,9 +51,12 @@
     subscriber.endpoint_ = aSender;
     subscriber.heardAt_ = aNow;
     subscriber.sentAtMs_ = aSubscribe.sentAtMs_;
+    EnterEra(subscriber);
+    // Positions in an older era say nothing about the rows of this one.
+    const bool knowsEra = aSubscribe.era_ == view_.Era();
     for (std::size_t i = 0; i < kFeedTopicCount; ++i) {
       Progress& progress = subscriber.progress_[i];
-      const std::uint64_t received = aSubscribe.positions_[i];
+      const std::uint64_t received = knowsEra ? aSubscribe.positions_[i] : 0;
       // Rows that are not confirmed yet are probably on their way, unless the subscriber starts
       // again from a lower position.
       if (received >= progress.sent_ || received < progress.received_ ||
@@ -71,6 +76,7 @@
     const FeedPositions positions = view_.CompletePositions();
     const auto confirmedAt = view_.ConfirmedAt();
     for (auto& [id, subscriber] : subscribers_) {
+      EnterEra(subscriber);
       bool due = aStatus == ViewStatus::Fresh && confirmedAt &&
                  *confirmedAt >= subscriber.confirmedAt_ + timing_.minConfirmationAdvance_;
       for (std::size_t i = 0; i < positions.size(); ++i) {
@@ -119,14 +125,25 @@
     PeerEndpoint endpoint_;
     MonotonicTime heardAt_;      ///< arrival of its last PeerSubscribe
     std::uint64_t sentAtMs_ = 0; ///< PeerSubscribe::sentAtMs_ of that message
+    std::uint64_t era_ = 0;      ///< StoreView::Era() to which progress_ belongs
     std::array<Progress, kFeedTopicCount> progress_{};
     MonotonicTime confirmedAt_; ///< StoreView::ConfirmedAt() as last sent to it
   };
 
+  // A subscriber has no rows of a newer era yet.
+  void EnterEra(Subscriber& aSubscriber)
+  {
+    if (std::exchange(aSubscriber.era_, view_.Era()) != view_.Era()) {
+      aSubscriber.progress_ = {};
+    }
+  }
+
   void Send(Subscriber& aSubscriber, ViewStatus aStatus, MonotonicTime aNow)
   {
+    EnterEra(aSubscriber);
     const auto progressBefore = aSubscriber.progress_;
     PeerStoreUpdate update;
+    update.era_ = view_.Era();
     update.storeAnswers_ = aStatus == ViewStatus::Fresh;
     update.pending_ = aStatus == ViewStatus::Pending;
     update.subscribeSentAtMs_ = aSubscriber.sentAtMs_;
--- a/boragepier/peer/peer_codec.cc
+++ b/boragepier/peer/peer_codec.cc
@@ -136,7 +136,7 @@
 void
 VisitFields(auto& aVisit, PeerSubscribe& aValue)
 {
-  aVisit(aValue.sentAtMs_, aValue.positions_, aValue.registrations_);
+  aVisit(aValue.sentAtMs_, aValue.positions_, aValue.registrations_, aValue.era_);
 }
 
 void
@@ -166,7 +166,8 @@
          aValue.subscribeSentAtMs_,
          aValue.subscribeHeldMs_,
          aValue.observedForMs_,
-         aValue.topics_);
+         aValue.topics_,
+         aValue.era_);
 }
 
 void
--- a/boragepier/peer/peer_codec_test.cc
+++ b/boragepier/peer/peer_codec_test.cc
@@ -26,7 +26,7 @@
   const InstanceEntry instance{ InstanceId("i"), "10.0.0.1", 65535, 200, ZoneName("z") };
   InstanceEntry slowInstance = instance;
   slowInstance.relayCapacity_ = 12.5;
-  CheckRoundTrip(PeerSubscribe{ 123'456'789, { 1, 2, 3 }, { instance, slowInstance } });
+  CheckRoundTrip(PeerSubscribe{ 123'456'789, { 1, 2, 3 }, { instance, slowInstance }, 4 });
   CheckRoundTrip(PeerStoreUpdate{ true,
                                   false,
                                   7,
@@ -39,7 +39,8 @@
                                       { { "u-1", 9, true, "" }, { "u-2", 8, false, "{}" } },
                                       { { 0, 3 }, { 4, 9 } } },
                                     {},
-                                    {} } });
+                                    {} },
+                                  5 });
 
   ProcessEntry entry;
   entry.process_.id_ = "u-1";
@@ -87,14 +88,14 @@
 TEST(PeerCodec, RegistrationThatIsNotVisibleAsciiIsRejected)
 {
   const InstanceEntry sound{ InstanceId("i"), "127.0.0.1", 1, 1.5, ZoneName("z") };
-  DecodePeerMessage(EncodePeerMessage(PeerSubscribe{ 1, { 0, 0, 0 }, { sound } }));
+  DecodePeerMessage(EncodePeerMessage(PeerSubscribe{ 1, { 0, 0, 0 }, { sound }, 0 }));
   for (int field = 0; field < 3; ++field) {
     InstanceEntry entry = sound;
     entry.id_ = field == 0 ? InstanceId("\xff\xfe") : entry.id_;
     entry.address_ = field == 1 ? "\xff\xfe" : entry.address_;
     entry.zone_ = field == 2 ? ZoneName("\xff\xfe") : entry.zone_;
     CHECK_THROWS(PeerMessageError,
-                 DecodePeerMessage(EncodePeerMessage(PeerSubscribe{ 1, { 0, 0, 0 }, { entry } })));
+                 DecodePeerMessage(EncodePeerMessage(PeerSubscribe{ 1, { 0, 0, 0 }, { entry }, 0 })));
   }
 }
 
@@ -120,7 +121,7 @@
   const FeedRow row{ "k", 1, false, std::string(kMaxPeerRowBytes + 1, 'x') };
   CHECK_THROWS(
     PeerMessageError,
-    EncodePeerMessage(PeerStoreUpdate{ true, false, 0, 0, 0, { { 0, 1, 0, true, { row }, {} } } }));
+    EncodePeerMessage(PeerStoreUpdate{ true, false, 0, 0, 0, { { 0, 1, 0, true, { row }, {} } }, 0 }));
 }
 
 } // namespace boragepier::peer
--- a/boragepier/ports/directory_feed.h
+++ b/boragepier/ports/directory_feed.h
@@ -110,6 +110,9 @@
   /// Rows of Evacuations up to position_, by the name of the zone. They come with the rows of
   /// Configuration and are not read on their own.
   std::vector<FeedRow> evacuations_;
+  /// Increases when the store was restored from an older copy, after which positions and versions
+  /// are given out again. Also set if the status is not Ok; 0 if the store does not say it.
+  std::uint64_t era_ = 0;
 };
 
 using FeedCallback = std::function<void(FeedResponse)>;
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -161,6 +161,8 @@
   std::vector<std::uint64_t> positions_; ///< per topic, up to which the sender has all rows
   /// Instances that the receiver is asked to register in the store, usually none.
   std::vector<InstanceEntry> registrations_;
+  std::uint64_t era_ = 0; ///< newest era of the store that the sender knows (FeedResponse::era_);
+                          ///< the positions are positions in this era
   friend bool operator==(const PeerSubscribe&, const PeerSubscribe&) = default;
 };
 
@@ -191,6 +193,7 @@
   /// ageMs_ of that topic before the message.
   std::uint64_t observedForMs_ = 0;
   std::vector<Topic> topics_; ///< in the order of FeedTopic
+  std::uint64_t era_ = 0;     ///< era of the store to which all rows and positions belong
   friend bool operator==(const PeerStoreUpdate&, const PeerStoreUpdate&) = default;
 };
 
--- a/testing/bench/control_cost.cc
+++ b/testing/bench/control_cost.cc
@@ -181,7 +181,7 @@
   ServiceRouter router(InstanceId("i"), ZoneName("z"), 1);
   const double applyUs = MeasureMicroseconds([&](int aRound) {
     state.ApplyConfigParts(changes[static_cast<std::size_t>(aRound)]);
-    state.ActivateConfig();
+    state.ActivateConfig(0);
     router.Apply(*state.MakeRoutingTable(), kNow);
   });
   const double upstreamUs = MeasureMicroseconds([&](int aRound) {
--- a/testing/e2e/foreign_bytes_test.cc
+++ b/testing/e2e/foreign_bytes_test.cc
@@ -98,7 +98,7 @@
   session.Submit(
     { InstanceId("front-2"), "127.0.0.1", 1 },
     peer::EncodePeerMessage(PeerSubscribe{
-      1, { 0, 0, 0 }, { { InstanceId("\xff\xfe"), "127.0.0.1", 1, 1.0, ZoneName("a") } } }));
+      1, { 0, 0, 0 }, { { InstanceId("\xff\xfe"), "127.0.0.1", 1, 1.0, ZoneName("a") } }, 0 }));
   socket.Send(session.TakeOutput());
   socket.ReadToEnd(); // the message is refused as malformed
   CheckContains(SendAndReceive("GET /x HTTP/1.1\r\nHost: a\r\n\r\n"), "HTTP/1.1 503");
