--- a/boragepier/directory/directory_state.cc
+++ b/boragepier/directory/directory_state.cc
@@ -200,7 +200,8 @@
     return;
   }
   if (InGracePeriod(aNow)) {
-    if (!graceOfRestore_ && aSince < lastSeenBeforeOutage_ + MinOutage() && *observedSince_ < aUntil + MinOutage()) {
+    if (!graceOfRestore_ && aSince < lastSeenBeforeOutage_ + MinOutage() &&
+        *observedSince_ < aUntil + MinOutage()) {
       graceUntil_ = aNow;
       observedSince_ = aSince;
       RemoveMissingUpstreams(aNow);
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -183,8 +183,8 @@
     reader_.ReadAnew();
   }
 
-  // Whether this instance has rows of an older era and leaves its source, which knows the newer one,
-  // time to send the rows of that.
+  // Whether this instance has rows of an older era and leaves its source, which knows the newer
+  // one, time to send the rows of that.
   bool IsAwaitingEra() const
   {
     return sourceKnowsEra_ && view_.IsBehindEra() &&
@@ -313,7 +313,8 @@
       registrationInterval_ = std::clamp(2 * registrationInterval_,
                                          timing_.initialRegistrationInterval_,
                                          timing_.maxRegistrationInterval_);
-      if (ActsAsRoot() || now - syncStartedAt_ > timing_.registrationTimeout_) {
+      if (ActsAsRoot() ||
+          now - std::max(syncStartedAt_, eraObservedAt_) > timing_.registrationTimeout_) {
         registrar_.Write(std::span(&self_, 1));
       } else {
         registrations.push_back(self_);
--- a/boragepier/directory/feed_mirror.h
+++ b/boragepier/directory/feed_mirror.h
@@ -37,8 +37,8 @@
   /// copy that missed a removal is found by Digest().
   /// @return the rows that changed the mirror; none if aPosition is below Position()
   std::vector<FeedRow> ReplaceContent(std::span<const FeedRow> aRows, std::uint64_t aPosition);
-  /// Takes over the rows and the position of another mirror, also if its position is lower. Compares
-  /// by value, because versions do not tell which of two rows is newer.
+  /// Takes over the rows and the position of another mirror, also if its position is lower.
+  /// Compares by value, because versions do not tell which of two rows is newer.
   /// @param aOther rows of which those that differ from the rows of this mirror are returned
   /// @return the rows that changed the mirror, with the rows that aOther does not have as removed
   std::vector<FeedRow> ReplaceWith(FeedMirror&& aOther);
--- a/boragepier/directory/store_reader.h
+++ b/boragepier/directory/store_reader.h
@@ -90,8 +90,9 @@
     }
   }
 
-  /// Replaces the pending calls, also those that the store still holds, because all rows must be
-  /// read. Their responses are ignored.
+  /// Gives up the pending calls, also those that the store still holds, because all rows must be
+  /// read. Their responses are ignored. Topics that should still come from the store are read at
+  /// once.
   void ReadAnew()
   {
     for (const FeedTopic topic : kReadTopics) {
@@ -102,7 +103,8 @@
       if (const auto timer = std::exchange(state.nextRequest_, std::nullopt)) {
         scheduler_.Cancel(*timer);
       }
-      Request(topic, true);
+      ++state.callNumber_;
+      state.reading_ = false;
     }
     Start();
   }
--- a/boragepier/directory/store_view.cc
+++ b/boragepier/directory/store_view.cc
@@ -158,7 +158,8 @@
                        MonotonicTime aObservedAt)
 {
   TopicState& topic = StateOf(aTopic);
-  if (aEra != era_ || aUpdate.position_ == 0 || aUpdate.from_ > SubscribePosition(aTopic, aSender)) {
+  if (aEra != era_ || aUpdate.position_ == 0 ||
+      aUpdate.from_ > SubscribePosition(aTopic, aSender)) {
     return std::nullopt;
   }
   if (topic.transferFrom_ && *topic.transferFrom_ != aSender) {
--- a/boragepier/directory/store_view.h
+++ b/boragepier/directory/store_view.h
@@ -50,7 +50,8 @@
 public:
   /// Records the era of a response of the store, or of a message of another instance. To be called
   /// before its rows are applied.
-  /// @return whether the era is newer than that of rows that are known, so that all rows must be read
+  /// @return whether the era is newer than that of rows that are known, so that all rows must be
+  /// read
   bool ObserveEra(std::uint64_t aEra);
   /// @return the newest era observed; 0 if none was
   std::uint64_t Era() const { return era_; }
@@ -67,7 +68,8 @@
   /// Applies a response of the store. Ends a transfer from another instance.
   /// @param aChangesOnly whether it holds the changes since Position(), not all rows
   /// @param aObservedAt time at which the store held nothing newer
-  /// @return the rows that changed, or nothing if the response is older than Position() or Era(), or
+  /// @return the rows that changed, or nothing if the response is older than Position() or Era(),
+  /// or
   ///   holds changes to rows of an older era
   std::optional<std::vector<FeedRow>> ApplyResponse(FeedTopic aTopic,
                                                     const FeedResponse& aResponse,
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -313,13 +313,14 @@
              "zone-restored",
              "the evacuation of an availability zone was withdrawn; its upstreams receive requests",
              "no action needed" },
-  EventInfo{ EventId::StoreRestored,
-             LogLevel::Warn,
-             "store-restored",
-             "the store was restored from an older copy, as its new era tells; all entries are read "
-             "anew and replace the known ones",
-             "check that what was written since the copy has been written again; see \"A restored "
-             "store\" in docs/OPERATIONS.md" },
+  EventInfo{
+    EventId::StoreRestored,
+    LogLevel::Warn,
+    "store-restored",
+    "the store was restored from an older copy, as its new era tells; all entries are read "
+    "anew and replace the known ones",
+    "check that what was written since the copy has been written again; see \"A restored "
+    "store\" in docs/OPERATIONS.md" },
   EventInfo{ EventId::RequestRefused,
              LogLevel::Debug,
              "request-refused",
