Hold the limit of cold upstreams when entries repeat or lists differ

An entry that was known made an upstream cold again at each change of another one, though its probe had said that it is warm; a new start lost what a probe had said. Requests that waited all counted on the same next share, so all but one of them were refused late; each now counts those ahead of it. A rate of which one instance sends more than half of the tolerance is divided only up to that half. Selections are computed again only when the instances or the terms change, and nothing is hashed without a limit.

--- a/boragepier/decision/cold_limit.cc
+++ b/boragepier/decision/cold_limit.cc
@@ -1,6 +1,7 @@
 #include "boragepier/decision/cold_limit.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -19,37 +20,51 @@
 
 } // namespace
 
-void
+bool
 ColdShares::SetTerms(const ColdTerms& aTerms)
 {
-  if (aTerms != terms_) {
-    terms_ = aTerms;
-    Recompute();
+  if (aTerms == terms_) {
+    return false;
   }
+  terms_ = aTerms;
+  Recompute();
+  return true;
 }
 
-void
+bool
 ColdShares::SetFleet(const InstanceId& aSelf, std::span<const InstanceId> aInstances)
 {
-  self_ = HashOf(aSelf);
-  others_.clear();
+  if (!IsLimited()) {
+    return false;
+  }
+  std::vector<std::uint64_t> others;
+  others.reserve(aInstances.size());
   for (const InstanceId& instance : aInstances) {
     if (instance != aSelf) {
-      others_.push_back(HashOf(instance));
+      others.push_back(HashOf(instance));
     }
   }
+  const std::uint64_t self = HashOf(aSelf);
+  if (self == self_ && others == others_) {
+    return false;
+  }
+  self_ = self;
+  others_ = std::move(others);
   Recompute();
+  return true;
 }
 
 void
 ColdShares::Recompute()
 {
   // In one second a selected instance sends its share and the request that it saved up.
-  const double allowed = terms_.requestsPerSecond_ * terms_.overage_ + terms_.slack_;
-  const double saved = allowed / kSelectionFactor - terms_.requestsPerSecond_;
-  senderCount_ =
-    std::clamp<std::size_t>(static_cast<std::size_t>(std::max(0.0, saved)), 1, others_.size() + 1);
-  shareRate_ = terms_.requestsPerSecond_ / static_cast<double>(senderCount_);
+  const double rate = terms_.requestsPerSecond_;
+  const double factor = others_.empty() ? 1 : kSelectionFactor;
+  const double allowed = (rate * terms_.overage_ + terms_.slack_) / factor;
+  senderCount_ = std::clamp<std::size_t>(
+    static_cast<std::size_t>(std::max(0.0, allowed - rate)), 1, others_.size() + 1);
+  const auto senders = static_cast<double>(senderCount_);
+  shareRate_ = std::min(rate, std::max(allowed - senders, rate / factor)) / senders;
 }
 
 bool
--- a/boragepier/decision/cold_limit.h
+++ b/boragepier/decision/cold_limit.h
@@ -27,13 +27,17 @@
 /// selected by rendezvous hashing, each of which has an equal share of the rate and may save up one
 /// request. An instance whose list of instances is wrong may take itself for selected: the
 /// tolerance holds for twice the selected instances, as with two lists that have none of them in
-/// common.
+/// common. If the rate is too high for that, less of it is divided.
 class ColdShares
 {
 public:
-  void SetTerms(const ColdTerms& aTerms);
+  /// After the first terms with a limit, SetFleet() has to be called.
+  /// @return whether the selections or the shares may have changed
+  bool SetTerms(const ColdTerms& aTerms);
+  /// Keeps nothing, and costs nothing, while there is no limit.
   /// @param aInstances live instances; may be inexact
-  void SetFleet(const InstanceId& aSelf, std::span<const InstanceId> aInstances);
+  /// @return whether the selections or the shares have changed
+  bool SetFleet(const InstanceId& aSelf, std::span<const InstanceId> aInstances);
 
   /// @return whether there is a limit
   bool IsLimited() const { return terms_.requestsPerSecond_ > 0; }
@@ -58,13 +62,11 @@
 class ColdUpstream
 {
 public:
-  /// The upstream is cold until a time that is not shortened by an older source, such as its entry.
+  /// An entry of the upstream that was not known before says that it is cold until a time. Does not
+  /// shorten what another source said: entries may be relayed late.
   void ExtendTo(MonotonicTime aEnd, MonotonicTime aNow);
   /// The upstream itself has just said how long it stays cold; zero if it is warm.
   void SetRemaining(Duration aRemaining, MonotonicTime aNow);
-  /// The upstream has started anew.
-  void Reset() { *this = {}; }
-
   bool IsCold(MonotonicTime aNow) const { return aNow < end_; }
   MonotonicTime End() const { return end_; }
 
--- a/boragepier/decision/cold_limit_test.cc
+++ b/boragepier/decision/cold_limit_test.cc
@@ -121,6 +121,34 @@
   CHECK_COMPARE(static_cast<double>(sent.size()), >=, 0.9 * 5 * kTerms.requestsPerSecond_);
 }
 
+// Guards against two lists with nothing in common that exceed the tolerance of a high rate, of
+// which one selected instance alone sends more than half.
+TEST(ColdLimit, HighRatesAreReducedToHalfOfTheTolerance)
+{
+  ColdShares shares;
+  for (const double rate : { 1.0, 3.8, 12.0, 30.0, 400.0 }) {
+    const ColdTerms terms{ rate, 1.5, 8 };
+    shares.SetTerms(terms);
+    shares.SetFleet(InstanceId("i-0"), MakeInstances(0, 127));
+    const double inOneSecond = static_cast<double>(shares.SenderCount()) * (1 + shares.ShareRate());
+    CHECK_COMPARE(2 * inOneSecond, <=, rate * terms.overage_ + terms.slack_ + 1e-9);
+    CHECK_COMPARE(static_cast<double>(shares.SenderCount()) * shares.ShareRate(), >=, 0.5 * rate);
+  }
+}
+
+// Guards against the cost of hashing all instances at each change where there is no limit, and of
+// computing the selections again at each change of the upstreams.
+TEST(ColdLimit, OnlyChangesCount)
+{
+  ColdShares shares;
+  CHECK(!shares.SetFleet(InstanceId("i-0"), MakeInstances(0, 20)));
+  CHECK(shares.SetTerms(kTerms));
+  CHECK(!shares.SetTerms(kTerms));
+  CHECK(shares.SetFleet(InstanceId("i-0"), MakeInstances(0, 20)));
+  CHECK(!shares.SetFleet(InstanceId("i-0"), MakeInstances(0, 20)));
+  CHECK(shares.SetFleet(InstanceId("i-0"), MakeInstances(0, 21)));
+}
+
 // Guards against an instance that restarts and has saved up a request again.
 TEST(ColdLimit, InstanceThatHasJustStartedHasNothingSavedUp)
 {
--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -40,6 +40,12 @@
 // Assumed work of a work class without samples, as a share of the time to the latency target.
 constexpr double kDefaultWorkTargetShare = 0.35;
 
+ColdTerms
+ColdTermsOf(const ServiceConfig& aConfig)
+{
+  return { aConfig.coldRequestsPerSecond_, aConfig.coldOverage_, aConfig.coldSlack_ };
+}
+
 bool
 IsUpstreamFailure(const AttemptReport& aReport)
 {
@@ -66,6 +72,7 @@
   , localZone_(std::move(aLocalZone))
   , random_(aSeed)
 {
+  coldShares_.SetTerms(ColdTermsOf(config_));
   RecomputeDerivedState();
 }
 
@@ -73,6 +80,9 @@
 FreshProbeBalancer::SetConfig(ServiceConfig aConfig, MonotonicTime)
 {
   config_ = std::move(aConfig);
+  if (coldShares_.SetTerms(ColdTermsOf(config_))) {
+    ForgetColdSenders();
+  }
   RecomputeDerivedState();
 }
 
@@ -93,16 +103,17 @@
     Upstream& upstream = upstreams_[index];
     if (!isNew && endpoint.startNumber_ > upstream.endpoint_->startNumber_) {
       upstream.estimate_.Reset();
-      upstream.cold_.Reset();
     }
     if (!isNew && !IsSameStart(*upstream.endpoint_, endpoint)) {
       upstream.markedLeaving_ = false;
       upstream.pause_ = {};
     }
+    if (isNew || upstream.endpoint_->warmUpEnd_ != endpoint.warmUpEnd_) {
+      upstream.cold_.ExtendTo(endpoint.warmUpEnd_, aNow);
+    }
     if (isNew || *upstream.endpoint_ != endpoint) {
       upstream.endpoint_ = std::make_shared<const UpstreamEndpoint>(endpoint);
     }
-    upstream.cold_.ExtendTo(endpoint.warmUpEnd_, aNow);
     upstream.listed_ = true;
     listed_.push_back(index);
   }
@@ -119,7 +130,9 @@
   if (servingSince_ == MonotonicTime()) {
     servingSince_ = aNow;
   }
-  coldShares_.SetFleet(aSelf, aInstances);
+  if (coldShares_.SetFleet(aSelf, aInstances)) {
+    ForgetColdSenders();
+  }
   RecomputeDerivedState();
 }
 
@@ -154,11 +167,6 @@
   addFirstByHash(
     remote,
     std::max(kMinRemoteSubsetSize, kMaxSubsetSize - std::min(kMaxSubsetSize, subset_.size())));
-  coldShares_.SetTerms(
-    { config_.coldRequestsPerSecond_, config_.coldOverage_, config_.coldSlack_ });
-  for (const std::uint32_t index : listed_) {
-    upstreams_[index].coldSender_.reset();
-  }
   probeBudget_.SetRate(kProbeBudgetCompensation * config_.probesPerUpstreamSecond_,
                        listed_.size(),
                        instances_,
@@ -215,12 +223,26 @@
          !aUpstream.markedLeaving_;
 }
 
+void
+FreshProbeBalancer::ForgetColdSenders()
+{
+  for (Upstream& upstream : upstreams_) {
+    upstream.coldSender_.reset();
+  }
+}
+
 bool
 FreshProbeBalancer::IsColdAndLimited(const Upstream& aUpstream, MonotonicTime aNow) const
 {
   return coldShares_.IsLimited() && aUpstream.cold_.IsCold(aNow);
 }
 
+bool
+FreshProbeBalancer::IsLimitedWhileCold(UpstreamHandle aUpstream, MonotonicTime aNow) const
+{
+  return IsColdAndLimited(upstreams_.at(static_cast<std::size_t>(aUpstream)), aNow);
+}
+
 std::optional<MonotonicTime>
 FreshProbeBalancer::NextColdRequest(Upstream& aUpstream) const
 {
--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -51,6 +51,7 @@
   void MarkLeaving(UpstreamHandle aUpstream);
   Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
   Duration RetryAfterAllPause(MonotonicTime aNow);
+  bool IsLimitedWhileCold(UpstreamHandle aUpstream, MonotonicTime aNow) const;
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
   std::optional<MonotonicTime> NextRelease() const;
   bool CancelQueued(std::uint64_t aCallId, MonotonicTime aNow);
@@ -86,8 +87,8 @@
     double affinityRank_ = 0;
     bool markedLeaving_ = false; ///< by MarkLeaving(), for this start at this address
     UpstreamPause pause_;        ///< of this start at this address
-    ColdUpstream cold_;          ///< of this start
-    /// Whether this instance may send requests while the upstream is cold; nothing if not known
+    ColdUpstream cold_;
+    /// Whether this instance may send requests while the upstream is cold; nothing if not computed
     /// yet.
     std::optional<bool> coldSender_;
   };
@@ -141,14 +142,18 @@
   static bool IsInUse(const Upstream& aUpstream);
   /// @return whether an upstream is in use and may receive a request or a probe now
   static bool AcceptsRequests(const Upstream& aUpstream, MonotonicTime aNow);
+  /// Has coldSender_ computed again.
+  void ForgetColdSenders();
   /// @return whether an upstream is cold, and its requests are limited
   bool IsColdAndLimited(const Upstream& aUpstream, MonotonicTime aNow) const;
   /// @return when this instance may send the next request to a cold upstream; nothing if it may not
   std::optional<MonotonicTime> NextColdRequest(Upstream& aUpstream) const;
   /// @return whether an upstream that accepts requests may receive another one while it is cold
   bool HasColdRoom(Upstream& aUpstream, MonotonicTime aNow) const;
+  /// @return number of queued requests that are dispatched before a request, which may be queued
+  std::size_t CountAhead(const CallInfo& aCall) const;
   /// Decides about a request to which no upstream is open: waits for room at a cold one while an
-  /// answer in time is possible, or refuses it.
+  /// answer in time is possible behind those ahead of it, or refuses it.
   /// @return nothing if no upstream is cold, or if the request waits
   std::optional<RoutingDecision> DecideWithoutWarmUpstream(QueuedRequest& aQueued,
                                                            bool& aWaits,
--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -433,6 +433,19 @@
   return std::nullopt;
 }
 
+std::size_t
+FreshProbeBalancer::CountAhead(const CallInfo& aCall) const
+{
+  std::size_t ahead = 0;
+  for (const QueuedRequest& queued : queue_) {
+    if (queued.call_.id_ == aCall.id_ || queued.call_.priority_ > aCall.priority_) {
+      break;
+    }
+    ++ahead;
+  }
+  return ahead;
+}
+
 std::optional<RoutingDecision>
 FreshProbeBalancer::DecideWithoutWarmUpstream(QueuedRequest& aQueued,
                                               bool& aWaits,
@@ -440,6 +453,7 @@
 {
   std::optional<MonotonicTime> nextRequest;
   std::optional<MonotonicTime> firstWarm;
+  double ratePerSecond = 0;
   for (const std::uint32_t index : listed_) {
     Upstream& upstream = upstreams_[index];
     if (!AcceptsRequests(upstream, aNow) || !IsColdAndLimited(upstream, aNow)) {
@@ -448,16 +462,22 @@
     firstWarm = std::min(firstWarm.value_or(upstream.cold_.End()), upstream.cold_.End());
     if (const auto next = NextColdRequest(upstream)) {
       nextRequest = std::min(nextRequest.value_or(*next), *next);
+      ratePerSecond += coldShares_.ShareRate();
     }
   }
   if (!firstWarm) {
     return std::nullopt;
   }
-  const MonotonicTime open = std::min(nextRequest.value_or(*firstWarm), *firstWarm);
+  MonotonicTime open = *firstWarm;
+  if (nextRequest) {
+    const auto ahead = static_cast<double>(CountAhead(aQueued.call_));
+    open = std::min(open, *nextRequest + FromMilliseconds(1000 * ahead / ratePerSecond));
+  }
   const double serviceMs =
     slownessModel_.ServiceTimeMs(ExpectedWorkMs(aQueued.call_), kWarmUpSlowness);
   if (open + FromMilliseconds(serviceMs) <= aQueued.call_.targetTime_) {
-    aQueued.stageDeadline_ = open;
+    // Not later than the next share, which those ahead may leave to it.
+    aQueued.stageDeadline_ = std::min(open, nextRequest.value_or(open));
     aWaits = true;
     return std::nullopt;
   }
--- a/boragepier/decision/fresh_probe_balancer_test.cc
+++ b/boragepier/decision/fresh_probe_balancer_test.cc
@@ -505,6 +505,88 @@
   CHECK(Submit(MakeCallWithTarget(milliseconds(100))).kind_ != RoutingDecision::Kind::Refuse);
 }
 
+// Guards against an entry that was read earlier and makes an upstream cold again that has since
+// said that it is warm, whenever another entry changes.
+TEST(FreshProbeBalancer, KnownEntriesDoNotMakeUpstreamsColdAgain)
+{
+  ServiceConfig config = MakeConfig();
+  config.coldRequestsPerSecond_ = 4;
+  balancer_.SetConfig(config, now_);
+  std::vector endpoints{ MakeEndpoint("a-1", "a") };
+  endpoints[0].warmUpEnd_ = now_ + std::chrono::seconds(30);
+  balancer_.SetUpstreams(endpoints, now_);
+  CHECK(balancer_.IsLimitedWhileCold(UpstreamHandle{ 0 }, now_));
+  LoadReport load = MakeLoad(0);
+  load.coldRemaining_ = Duration(0);
+  balancer_.OnProbeEnded(UpstreamHandle{ 0 }, load, milliseconds(3), now_);
+  endpoints.push_back(MakeEndpoint("a-2", "a"));
+  balancer_.SetUpstreams(endpoints, now_);
+  CHECK(!balancer_.IsLimitedWhileCold(UpstreamHandle{ 0 }, now_));
+  endpoints[0].warmUpEnd_ = now_ + std::chrono::seconds(40);
+  balancer_.SetUpstreams(endpoints, now_);
+  CHECK(balancer_.IsLimitedWhileCold(UpstreamHandle{ 0 }, now_));
+}
+
+// An upstream that starts again under its id answers probes before its new entry arrives.
+TEST(FreshProbeBalancer, EntryOfANewStartDoesNotEndWhatItsProbeSaid)
+{
+  ServiceConfig config = MakeConfig();
+  config.coldRequestsPerSecond_ = 4;
+  balancer_.SetConfig(config, now_);
+  std::vector endpoints{ MakeEndpoint("a-1", "a") };
+  balancer_.SetUpstreams(endpoints, now_);
+  LoadReport load = MakeLoad(0);
+  load.coldRemaining_ = std::chrono::seconds(3);
+  balancer_.OnProbeEnded(UpstreamHandle{ 0 }, load, milliseconds(3), now_);
+  endpoints[0].startNumber_ = 2;
+  balancer_.SetUpstreams(endpoints, now_);
+  CHECK(balancer_.IsLimitedWhileCold(UpstreamHandle{ 0 }, now_));
+}
+
+// Guards against a queue whose requests all count on the same next share: all but one would wait in
+// vain and be refused late.
+TEST(FreshProbeBalancer, OnlyRequestsThatGetAShareInTimeWaitForColdUpstreams)
+{
+  ServiceConfig config = MakeConfig();
+  config.coldRequestsPerSecond_ = 4;
+  balancer_.SetConfig(config, now_);
+  std::vector endpoints{ MakeEndpoint("a-1", "a") };
+  endpoints[0].warmUpEnd_ = now_ + std::chrono::seconds(30);
+  balancer_.SetUpstreams(endpoints, now_);
+  const std::map<std::string, LoadReport> loads{ { "a-1", MakeLoad(0) } };
+  CHECK(Submit(MakeCall(Repeatability::AtMostOnce)).kind_ == RoutingDecision::Kind::Queued);
+  CHECK_EQUAL(1U, RunUntilReleased(loads, milliseconds(100)).size());
+  int waiting = 0;
+  Duration longestRetryAfter{};
+  for (int i = 0; i < 20; ++i) {
+    const RoutingDecision decision = Submit(MakeCallWithTarget(milliseconds(1500)));
+    if (decision.kind_ == RoutingDecision::Kind::Queued) {
+      ++waiting;
+    } else {
+      CHECK(decision.kind_ == RoutingDecision::Kind::Refuse);
+      CHECK(decision.reason_ == RefusalReason::UpstreamsCold);
+      longestRetryAfter = std::max(longestRetryAfter, decision.retryAfter_);
+    }
+  }
+  CHECK_COMPARE(waiting, >=, 2);
+  CHECK_COMPARE(waiting, <=, 6);
+  CHECK(longestRetryAfter >= milliseconds(700));
+  // Those that wait are served at the rate, and none is refused.
+  int served = 0;
+  for (int i = 0; i < 10 && balancer_.QueueLength() > 0; ++i) {
+    for (const ReleasedCall& call : RunUntilReleased(loads, milliseconds(400))) {
+      CHECK(call.decision_.kind_ == RoutingDecision::Kind::Dispatch);
+      AttemptReport report;
+      report.upstream_ = call.decision_.upstream_;
+      report.outcome_ = Outcome::Answered;
+      report.status_ = 200;
+      balancer_.OnAttemptEnded(report, now_);
+      ++served;
+    }
+  }
+  CHECK_EQUAL(waiting, served);
+}
+
 // The load of a zone that an operator empties: new and queued requests go to the other zones, and
 // if there is none, are refused at once.
 TEST(FreshProbeBalancer, UpstreamsOfEvacuatedZonesReceiveNothing)
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -178,6 +178,8 @@
   Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
   /// @return Retry-After of a request that is refused now; zero unless all upstreams pause
   Duration RetryAfterAllPause(MonotonicTime aNow);
+  /// @return whether requests to an upstream are limited because it is cold
+  static bool IsLimitedWhileCold(UpstreamHandle, MonotonicTime) { return false; }
 
   /// @return the requests that leave the queue now, to be dispatched or refused, in order
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
