Take requests back from an upstream that turns cold

Requests that wait for a connection to an upstream were all sent to it after a probe had said that it is cold; they are withdrawn and chosen again. A probe of an earlier start of the upstream says nothing about how long the present one is cold.

--- a/boragepier/entry/balancer_driver.h
+++ b/boragepier/entry/balancer_driver.h
@@ -147,15 +147,25 @@
     const bool fromOtherUpstream = aResult.outcome_ == Outcome::Answered &&
                                    !deps_.dialect_.isFromUpstream_(aResult.response_, aEndpoint);
     bool sameStart = false;
+    bool turnedCold = false;
     aService->WithBalancer([&](auto& aBalancer) {
       const bool leaving = fromOtherUpstream || feedback.draining_;
       sameStart = IsSameStart(aEndpoint, *aBalancer.Endpoint(aUpstream));
       if (leaving && sameStart) {
         aBalancer.MarkLeaving(aUpstream);
       }
+      if (feedback.load_ && !sameStart) {
+        feedback.load_->coldRemaining_.reset(); // of an earlier start
+      }
+      const bool wasCold = aBalancer.IsLimitedWhileCold(aUpstream, now);
       aBalancer.OnProbeEnded(
         aUpstream, fromOtherUpstream ? std::nullopt : feedback.load_, aResult.latency_, now);
+      turnedCold = !wasCold && aBalancer.IsLimitedWhileCold(aUpstream, now);
     });
+    if (turnedCold) {
+      // Requests that wait for a connection there were meant for a warm upstream.
+      deps_.sender_.Withdraw({ aEndpoint.address_, aEndpoint.port_ });
+    }
     if (feedback.pause_ && sameStart && !fromOtherUpstream) {
       BeginPause(aService, aUpstream, *feedback.pause_);
     }
