Keep requests of a key that moves between teams

A request that waited was rejected with 401 when its key was given to another team, or when the new configuration needs no keys; it now goes on for the team that has the key. Whether keys are required is read without the lock of the routing table, so that requests without teams cost what they did.

--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -193,14 +193,23 @@
     record_.team_ = team_->terms_.name_;
   }
 
-  // Whether the key of the caller was withdrawn, or given to another team, since the request came.
-  bool IsKeyWithdrawn() const
+  // Identifies the team again, because the key may have been given to another one since the request
+  // came. Returns false if the key was withdrawn.
+  bool RefreshTeam()
   {
     if (!callerKey_) {
-      return false;
+      return true;
+    }
+    auto team = deps_.router_.FindTeam(*callerKey_);
+    if (!team) {
+      return !deps_.router_.KeysRequired(); // callers may need none any more
     }
-    const auto team = deps_.router_.FindTeam(*callerKey_);
-    return !team || team->id_ != team_->id_;
+    if (team->id_ != team_->id_) {
+      requestInfo_.team_ = team->id_;
+      record_.team_ = team->terms_.name_;
+    }
+    team_ = std::move(team);
+    return true;
   }
 
   void ClaimKey()
@@ -347,7 +356,7 @@
       GiveUp(RefusalReason::DeadlineExpired);
       return;
     }
-    if (IsKeyWithdrawn()) {
+    if (!RefreshTeam()) {
       ReportUnsentAttempt(aDecision.upstream_);
       GiveUp(RefusalReason::KeyRejected);
       return;
@@ -405,7 +414,7 @@
     auto request = std::make_shared<http::Request>(exchange_->GetRequest());
     http::RemoveHopByHopFields(request->headers_);
     RemoveReservedFields(request->headers_);
-    if (deps_.router_.KeysRequired()) {
+    if (callerKey_ || deps_.router_.KeysRequired()) {
       request->headers_.Remove(dialect.callerKeyField_);
       request->headers_.Remove(dialect.teamField_);
     }
@@ -444,7 +453,7 @@
   {
     hedgeTimer_ = net::TimerId::None;
     const MonotonicTime now = Now();
-    if (finished_ || ActiveAttempts() != 1 || now >= requestInfo_.deadline_ || IsKeyWithdrawn()) {
+    if (finished_ || ActiveAttempts() != 1 || now >= requestInfo_.deadline_ || !RefreshTeam()) {
       return;
     }
     bool rechecksHedge = false;
--- a/boragepier/entry/service_router.cc
+++ b/boragepier/entry/service_router.cc
@@ -213,7 +213,9 @@
   if (aTable.keysRequired_) {
     snapshot->teams_ = aTable.teams_;
   }
+  const bool keysRequired = snapshot->teams_ != nullptr;
   const std::lock_guard lock(mutex_);
+  keysRequired_.store(keysRequired, std::memory_order_relaxed);
   snapshot_ = std::move(snapshot);
 }
 
--- a/boragepier/entry/service_router.h
+++ b/boragepier/entry/service_router.h
@@ -2,6 +2,7 @@
 #define BORAGEPIER_ENTRY_SERVICE_ROUTER_H
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -147,7 +148,7 @@
   /// @return whether there is any route or service
   bool HasConfiguration() const;
   /// @return whether callers identify themselves by keys, at least on some routes
-  bool KeysRequired() const { return CurrentSnapshot()->teams_ != nullptr; }
+  bool KeysRequired() const { return keysRequired_.load(std::memory_order_relaxed); }
   /// @return the team to which a key leads now, or null
   TeamDirectory::TeamPointer FindTeam(const KeyDigest& aKey) const;
 
@@ -205,6 +206,7 @@
   std::uint64_t builtRouteCount_ = 0; ///< likewise
   mutable std::mutex mutex_;          ///< guards snapshot_
   std::shared_ptr<const Snapshot> snapshot_;
+  std::atomic<bool> keysRequired_{ false }; ///< whether snapshot_ has teams; saves the lock
 };
 
 } // namespace boragepier
--- a/boragepier/entry/team_key_test.cc
+++ b/boragepier/entry/team_key_test.cc
@@ -222,6 +222,31 @@
   CheckRejected(*exchange);
 }
 
+// Guards against a request that is rejected though its key is still valid, and against one that
+// counts for a team which no longer has the key.
+TEST(TeamKey, RequestsGoOnForTheTeamThatHasTheKeyNow)
+{
+  Send(kTeamPath, { "key-n" });
+  teams_.SetKey(DigestOfKey("key-n"), TeamName("south"));
+  Apply(true);
+  sender_.Fail(0, Outcome::NotRun, AttemptFailure::ConnectFailed);
+  scheduler_.Advance(std::chrono::milliseconds(1));
+  CHECK_EQUAL(2U, sender_.sentRequests_.size());
+  CHECK(LastSent().Get(kTeamField) == "south");
+}
+
+// Guards against requests that wait and are rejected because callers need no keys any more, and
+// against a key that is then passed on.
+TEST(TeamKey, RequestsGoOnWhenKeysAreNoLongerRequired)
+{
+  Send(kTeamPath, { "key-n" });
+  Apply(false);
+  sender_.Fail(0, Outcome::NotRun, AttemptFailure::ConnectFailed);
+  scheduler_.Advance(std::chrono::milliseconds(1));
+  CHECK_EQUAL(2U, sender_.sentRequests_.size());
+  CHECK(!LastSent().Get(kKeyField));
+}
+
 // A retry after an unchanged or another configuration goes on.
 TEST(TeamKey, RetriesGoOnWithAValidKey)
 {
