Derive Retry-After from the cause of a refusal

A request that upstreams refused while they reported free slots was answered with the default of 1 s, which is past the latency target of its caller. ReturnAdvisor tells such refusals from those for lack of room, by what the upstreams said with the refusal and just before it, and names the time: at once for a refusal by chance, an unreachable upstream or a missing configuration; for lack of room when the queues are served, with consecutive callers spread at the rate at which slots become free. Only for callers that come back (WireDialect::callersReturn_) and the policy fresh-probes.

An attempt that upstreams certainly did not run no longer counts towards the attempts of the route if it was refused by chance.

--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -39,6 +39,9 @@
 constexpr double kProbeBudgetCompensation = 1.45;
 // Assumed work of a work class without samples, as a share of the time to the latency target.
 constexpr double kDefaultWorkTargetShare = 0.35;
+// Further attempts of a request that upstreams refused by chance: none of them has run it, so they
+// do not count towards the limit of the route.
+constexpr unsigned kAttemptsAfterChance = 4;
 
 bool
 IsUpstreamFailure(const AttemptReport& aReport)
@@ -260,8 +263,8 @@
                                    kDefaultWorkTargetShare * std::max(0.0, targetMs));
 }
 
-void
-FreshProbeBalancer::UpdateModels(const AttemptReport& aReport, MonotonicTime aNow)
+std::vector<FreshProbeBalancer::OutstandingAttempt>::iterator
+FreshProbeBalancer::FindEnded(const AttemptReport& aReport, MonotonicTime aNow)
 {
   const auto index = static_cast<std::uint32_t>(aReport.upstream_);
   const MonotonicTime sentAt = aNow - aReport.latency_;
@@ -273,6 +276,14 @@
       closest = attempt;
     }
   }
+  return closest;
+}
+
+void
+FreshProbeBalancer::UpdateModels(const AttemptReport& aReport, MonotonicTime aNow)
+{
+  const auto index = static_cast<std::uint32_t>(aReport.upstream_);
+  const auto closest = FindEnded(aReport, aNow);
   if (closest == outstanding_.end()) {
     return;
   }
@@ -315,6 +326,7 @@
   Upstream& upstream = upstreams_.at(static_cast<std::size_t>(aReport.upstream_));
   upstream.estimate_.OnAttemptEnded(aReport.latency_, aNow);
   upstream.pause_.OnAttemptEnded(aNow - aReport.latency_, ReachedUpstream(aReport));
+  NoteRefusal(aReport, aNow);
   UpdateModels(aReport, aNow);
   if (aReport.draining_) {
     MarkLeaving(aReport.upstream_);
@@ -348,8 +360,13 @@
   const auto reason = RetryReasonOf(aReport);
   const bool safeToRepeat =
     aCall.repeatability_ == Repeatability::Repeatable || aReport.outcome_ == Outcome::NotRun;
+  const unsigned attemptLimit = aCall.maxAttempts_ + (aReport.failure_ == AttemptFailure::Refused &&
+                                                          WasRefusedByChance(aCall, aNow)
+                                                        ? kAttemptsAfterChance
+                                                        : 0);
   if (!reason || !safeToRepeat || aNow >= aCall.deadline_ ||
-      aCall.triedUpstreams_.size() >= aCall.maxAttempts_ || !retryBudget_.TrySpend(aNow)) {
+      aCall.triedUpstreams_.size() >= attemptLimit ||
+      !retryBudget_.TrySpend(aNow, ReservedForOthers(aCall, aNow))) {
     return {};
   }
   return { true, *reason };
--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -12,6 +12,7 @@
 #include "boragepier/decision/cold_limit.h"
 #include "boragepier/decision/occupancy_model.h"
 #include "boragepier/decision/probe_budget.h"
+#include "boragepier/decision/return_advice.h"
 #include "boragepier/decision/service_balancer.h"
 #include "boragepier/decision/slowness_model.h"
 #include "boragepier/decision/upstream_estimate.h"
@@ -51,6 +52,10 @@
   void MarkLeaving(UpstreamHandle aUpstream);
   Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
   Duration RetryAfterAllPause(MonotonicTime aNow);
+  ReturnAdvice Advise(const CallInfo& aCall,
+                      RefusalCause aCause,
+                      Duration aRetryAfter,
+                      MonotonicTime aNow);
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
   std::optional<MonotonicTime> NextRelease() const;
   bool CancelQueued(std::uint64_t aCallId, MonotonicTime aNow);
@@ -90,6 +95,7 @@
     /// Whether this instance may send requests while the upstream is cold; nothing if not known
     /// yet.
     std::optional<bool> coldSender_;
+    RefusedWith latestRefusal_ = RefusedWith::UnknownRoom; ///< of a request of this instance
   };
 
   /// Upstreams that have been probed for a queued request.
@@ -135,6 +141,7 @@
     double expectedResponseMs_ = 0; ///< response time expected when it was sent
     double workDoneMs_ = 0;         ///< estimated work done until progressAt_
     MonotonicTime progressAt_;      ///< last update of workDoneMs_
+    bool freeSlotReported_ = false; ///< a fresh report showed a free slot when it was sent
   };
 
   /// @return whether an upstream is listed and not leaving
@@ -208,6 +215,17 @@
   void Enqueue(QueuedRequest aQueued);
   /// Adds an upstream to pendingProbes_ unless its report is new or the probe budget is spent.
   void RequestProbe(std::uint32_t aIndex, MonotonicTime aNow);
+  /// @return the attempt in flight that has ended, or the end of outstanding_
+  std::vector<OutstandingAttempt>::iterator FindEnded(const AttemptReport& aReport,
+                                                      MonotonicTime aNow);
+  /// Records whether an upstream that refused a request had said that it has a free slot.
+  void NoteRefusal(const AttemptReport& aReport, MonotonicTime aNow);
+  RoomEstimate EstimateRoom(const CallInfo& aCall, MonotonicTime aNow) const;
+  /// @return whether the latest attempt of a request was refused by chance
+  bool WasRefusedByChance(const CallInfo& aCall, MonotonicTime aNow) const;
+  /// @return the share of the retry budget that is left to requests whose callers cannot come back
+  /// after a refusal; 0 for one of these
+  double ReservedForOthers(const CallInfo& aCall, MonotonicTime aNow) const;
   /// Updates failures, work and occupancy with the result of an attempt.
   void UpdateModels(const AttemptReport& aReport, MonotonicTime aNow);
   /// Recomputes what follows from the configuration, the upstreams and the instances.
@@ -231,6 +249,7 @@
   OccupancyModel occupancyModel_;
   double meanWorkMs_ = 0; ///< moving average over all answered requests, for explain records
   WindowBudget retryBudget_;
+  ReturnAdvisor returnAdvisor_;
   ProbeBudget probeBudget_;
   std::vector<QueuedRequest> queue_;        ///< by priority, then by arrival
   std::deque<std::uint32_t> pendingProbes_; ///< for NextProbe(); already charged to the budget
--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -345,7 +345,8 @@
                            slowness,
                            aScored.responseMs_,
                            0,
-                           aNow });
+                           aNow,
+                           aScored.reportFresh_ && aScored.freeSlot_ });
   estimate.OnDispatch(aNow);
   upstreams_[aScored.index_].pause_.OnDispatch();
   upstreams_[aScored.index_].cold_.OnDispatch(aNow);
--- a/boragepier/decision/service_balancer.cc
+++ b/boragepier/decision/service_balancer.cc
@@ -61,6 +61,12 @@
   return impl_->RetryAfterAllPause(aNow);
 }
 
+ReturnAdvice
+ServiceBalancer::Advise(const CallInfo&, RefusalCause aCause, Duration aRetryAfter, MonotonicTime)
+{
+  return { aCause, aRetryAfter };
+}
+
 std::vector<ReleasedCall>
 ServiceBalancer::Release(MonotonicTime aNow)
 {
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -12,6 +12,7 @@
 #include "boragepier/base/time.h"
 #include "boragepier/config/service_config.h"
 #include "boragepier/config/upstream_endpoint.h"
+#include "boragepier/decision/return_advice.h"
 
 namespace boragepier {
 
@@ -40,6 +41,12 @@
   std::uint64_t team_ = 0;
   /// Submitted again because its attempt was withdrawn before it was sent.
   bool moved_ = false;
+  /// The caller honours Retry-After and sends a refused request again, to another instance mostly.
+  /// FreshProbeBalancer only.
+  bool callerReturns_ = false;
+  /// The caller sends this request again after a refusal. FreshProbeBalancer only.
+  bool returned_ = false;
+  bool mayHaveRun_ = false; ///< an upstream has run an earlier attempt, or may have
   /// Upstreams of earlier attempts in order, avoided while there are others.
   std::vector<UpstreamHandle> triedUpstreams_;
 };
@@ -178,6 +185,13 @@
   Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
   /// @return Retry-After of a request that is refused now; zero unless all upstreams pause
   Duration RetryAfterAllPause(MonotonicTime aNow);
+  /// Advises the caller of a request that is refused now when to come back.
+  /// @param aCause as it follows from the reason of the refusal
+  /// @param aRetryAfter as decided with the refusal; zero if unknown
+  ReturnAdvice Advise(const CallInfo& aCall,
+                      RefusalCause aCause,
+                      Duration aRetryAfter,
+                      MonotonicTime aNow);
 
   /// @return the requests that leave the queue now, to be dispatched or refused, in order
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
--- a/boragepier/decision/window_budget.cc
+++ b/boragepier/decision/window_budget.cc
@@ -49,6 +49,12 @@
 
 bool
 WindowBudget::CanSpend(MonotonicTime aNow)
+{
+  return FitsInto(1, aNow);
+}
+
+bool
+WindowBudget::FitsInto(double aShare, MonotonicTime aNow)
 {
   const std::int64_t currentInterval = CurrentBucket(aNow).intervalNumber_;
   double requests = 0;
@@ -63,13 +69,13 @@
     requests += age < static_cast<std::int64_t>(kBuckets) ? bucket.requests_ : 0;
   }
   const double instanceSlack = kUsedSlackShare * fleetSlack_ / static_cast<double>(instances_);
-  return extraAttempts + 1 <= kUsedRatioShare * ratio_ * requests + instanceSlack;
+  return extraAttempts + 1 <= aShare * (kUsedRatioShare * ratio_ * requests + instanceSlack);
 }
 
 bool
-WindowBudget::TrySpend(MonotonicTime aNow)
+WindowBudget::TrySpend(MonotonicTime aNow, double aReservedShare)
 {
-  if (!CanSpend(aNow)) {
+  if (!FitsInto(1 - aReservedShare, aNow)) {
     return false;
   }
   ++CurrentBucket(aNow).extraAttempts_;
--- a/boragepier/decision/window_budget.h
+++ b/boragepier/decision/window_budget.h
@@ -30,8 +30,9 @@
   /// @return whether TrySpend() would succeed
   bool CanSpend(MonotonicTime aNow);
   /// Counts one extra attempt if the limit allows it.
+  /// @param aReservedShare share of the limit that is left to others, from 0 to 1
   /// @return false if it does not; the attempt must not be sent then
-  bool TrySpend(MonotonicTime aNow);
+  bool TrySpend(MonotonicTime aNow, double aReservedShare = 0);
 
 private:
   static constexpr std::size_t kBuckets = 20;
@@ -45,6 +46,7 @@
   };
 
   Bucket& CurrentBucket(MonotonicTime aNow);
+  bool FitsInto(double aShare, MonotonicTime aNow);
 
   double ratio_ = 0;
   double fleetSlack_ = 0;
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -170,6 +170,7 @@
     requestInfo_.bodyBytes_ = request.body_.size();
     requestInfo_.repeatability_ = callOptions_.repeatability_;
     requestInfo_.trafficClass_ = serviceConfig_->trafficClass_;
+    requestInfo_.callerReturns_ = deps_.dialect_.callersReturn_;
     if (team_) {
       requestInfo_.team_ = team_->id_;
       requestInfo_.priority_ = team_->terms_.priority_.value_or(requestInfo_.priority_);
@@ -526,6 +527,7 @@
       mayHaveRun_ = true;
       lastUnknownFailure_ = aReport.failure_;
     }
+    requestInfo_.mayHaveRun_ = requestInfo_.mayHaveRun_ || aReport.outcome_ != Outcome::NotRun;
     std::shared_ptr<const UpstreamEndpoint> leaving;
     service_->WithBalancer([&](auto& aBalancer) {
       aBalancer.OnAttemptEnded(aReport, now);
@@ -625,11 +627,27 @@
   void Refuse(RefusalReason aReason, Outcome aOutcome)
   {
     record_.refusal_ = aReason;
-    record_.retryAfter_ = retryAfter_;
-    exchange_->Respond(MakeRefusalResponse(aReason, aOutcome, record_.id_, retryAfter_));
+    const ReturnAdvice advice = AdviseReturn(aReason);
+    record_.retryAfter_ = advice.retryAfter_;
+    record_.returnCause_ = advice.cause_;
+    exchange_->Respond(MakeRefusalResponse(aReason, aOutcome, record_.id_, advice.retryAfter_));
     Finish(aOutcome);
   }
 
+  ReturnAdvice AdviseReturn(RefusalReason aReason)
+  {
+    const RefusalCause cause = RefusalCauseOf(aReason);
+    if (!deps_.dialect_.callersReturn_ || cause == RefusalCause::None) {
+      return { cause, retryAfter_ };
+    }
+    if (!service_) {
+      Random random(requestInfo_.id_);
+      return AdviseWithoutBalancer(cause, random);
+    }
+    return service_->WithBalancer(
+      [&](auto& aBalancer) { return aBalancer.Advise(requestInfo_, cause, retryAfter_, Now()); });
+  }
+
   // Releases the claim of a request that was not run, cancels what is still active and reports the
   // end of the request.
   void Finish(Outcome aOutcome)
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -88,6 +88,7 @@
       { "queuedMs", aRecord.queueTime_ },
       { "deadlineMs", aRecord.deadline_ },
       { "retryAfterMs", aRecord.retryAfter_ },
+      { "retryAdvice", ToString(aRecord.returnCause_) },
       { "attempts", aRecord.attempts_.size() },
       { "candidates", aRecord.refusedCandidates_.size() },
       { "slow", summary.slowUpstreams_ },
--- a/boragepier/entry/wire_dialect.h
+++ b/boragepier/entry/wire_dialect.h
@@ -57,6 +57,10 @@
   /// Name of the team of the caller, set towards upstreams.
   std::string teamField_;
 
+  /// Callers honour Retry-After, also with a fraction of a second, and send a refused request again
+  /// to another instance, with the time that is left as its deadline.
+  bool callersReturn_ = false;
+
   /// Reads the state of the upstream from its response to a request or a probe.
   UpstreamFeedback (*parseFeedback_)(const http::Response&) = nullptr;
   /// @return whether a response to a probe comes from the probed upstream; also true if it does not
--- a/boragepier/telemetry/explain.cc
+++ b/boragepier/telemetry/explain.cc
@@ -87,6 +87,8 @@
            { "attempts", std::move(attempts) },
            { "refusedCandidates", CandidatesToJson(aRecord.refusedCandidates_) },
            { "refusal", aRecord.refusal_ ? json(ToString(*aRecord.refusal_)) : json(nullptr) },
+           { "retryAdvice", ToString(aRecord.returnCause_) },
+           { "retryAfterMs", ToMilliseconds(aRecord.retryAfter_) },
            { "outcome", ToString(aRecord.outcome_) },
            { "latencyMs", ToMilliseconds(aRecord.latency_) } };
 }
--- a/boragepier/telemetry/explain.h
+++ b/boragepier/telemetry/explain.h
@@ -41,11 +41,12 @@
   std::string method_;
   std::string path_; ///< without the query
   WallTime arrival_;
-  Duration deadline_{};             ///< time allowed by the caller
-  Duration queueTime_{};            ///< time in the admission queue
-  Duration retryAfter_{};           ///< Retry-After of a refusal; zero if unknown
-  std::uint64_t configVersion_ = 0; ///< of the configuration used for the request
-  bool replayed_ = false;           ///< the answer recorded for the idempotency key was returned
+  Duration deadline_{};                           ///< time allowed by the caller
+  Duration queueTime_{};                          ///< time in the admission queue
+  Duration retryAfter_{};                         ///< Retry-After of a refusal; zero if unknown
+  RefusalCause returnCause_ = RefusalCause::None; ///< why the caller is to come back then
+  std::uint64_t configVersion_ = 0;               ///< of the configuration used for the request
+  bool replayed_ = false; ///< the answer recorded for the idempotency key was returned
   std::vector<ExplainAttempt> attempts_;
   /// Candidates of the choice that ended in the refusal.
   std::vector<CandidateInfo> refusedCandidates_;
