Recognise requests that callers send again after a refusal

Callers that come back after a refusal were refused again by their place in the queue: the latency target counted from the arrival of the repeated request. ReturnDetector learns the usual time limit of each route's callers; a request with clearly less was first sent that much earlier. Its target counts from then, it goes before requests of its priority that were sent later, and it is not refused for being late while one that came later can be refused instead.

--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -258,7 +258,7 @@
 double
 FreshProbeBalancer::ExpectedWorkMs(const CallInfo& aCall) const
 {
-  const double targetMs = ToMilliseconds(aCall.targetTime_ - aCall.arrival_);
+  const double targetMs = ToMilliseconds(aCall.targetTime_ - aCall.arrival_ + aCall.sentBefore_);
   return workEstimator_.MeanWorkMs(aCall.workClass_,
                                    kDefaultWorkTargetShare * std::max(0.0, targetMs));
 }
--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -13,6 +13,7 @@
 #include "boragepier/decision/occupancy_model.h"
 #include "boragepier/decision/probe_budget.h"
 #include "boragepier/decision/return_advice.h"
+#include "boragepier/decision/return_detector.h"
 #include "boragepier/decision/service_balancer.h"
 #include "boragepier/decision/slowness_model.h"
 #include "boragepier/decision/upstream_estimate.h"
@@ -52,6 +53,7 @@
   void MarkLeaving(UpstreamHandle aUpstream);
   Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
   Duration RetryAfterAllPause(MonotonicTime aNow);
+  void RecogniseReturn(CallInfo& aCall, Duration aLatencyTarget, MonotonicTime aNow);
   ReturnAdvice Advise(const CallInfo& aCall,
                       RefusalCause aCause,
                       Duration aRetryAfter,
@@ -201,8 +203,8 @@
                          const ScoredUpstream& aScored,
                          MonotonicTime aNow) const;
   /// @return whether a request that would be late should be shed rather than dispatched
-  static bool ShouldShedIfLate(const QueuedRequest& aQueued,
-                               std::span<const ScoredUpstream> aRanked);
+  bool ShouldShedIfLate(const QueuedRequest& aQueued,
+                        std::span<const ScoredUpstream> aRanked) const;
   /// @return whether even an upstream of normal speed would hardly answer within the latency target
   bool IsPastLatestStart(const QueuedRequest& aQueued, MonotonicTime aNow) const;
   /// @return expected wait behind the queued requests ahead of this one; nothing if unknown
@@ -211,7 +213,12 @@
   RoutingDecision Dispatch(const ScoredUpstream& aScored,
                            const CallInfo& aCall,
                            MonotonicTime aNow);
-  /// Inserts a request behind those of the same or a more urgent priority.
+  /// @return whether a queued request goes before another one
+  static bool IsAhead(const CallInfo& aQueued, const CallInfo& aCall);
+  /// @return whether a request is kept although it will be late: its caller has come back after a
+  /// refusal, and a request that came later can be refused instead
+  bool IsKeptAlthoughLate(const CallInfo& aCall) const;
+  /// Inserts a request behind those that go before it.
   void Enqueue(QueuedRequest aQueued);
   /// Adds an upstream to pendingProbes_ unless its report is new or the probe budget is spent.
   void RequestProbe(std::uint32_t aIndex, MonotonicTime aNow);
@@ -250,6 +257,7 @@
   double meanWorkMs_ = 0; ///< moving average over all answered requests, for explain records
   WindowBudget retryBudget_;
   ReturnAdvisor returnAdvisor_;
+  ReturnDetector returnDetector_;
   ProbeBudget probeBudget_;
   std::vector<QueuedRequest> queue_;        ///< by priority, then by arrival
   std::deque<std::uint32_t> pendingProbes_; ///< for NextProbe(); already charged to the budget
--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -81,7 +81,7 @@
 double
 TargetMs(const CallInfo& aCall)
 {
-  return std::max(1.0, ToMilliseconds(aCall.targetTime_ - aCall.arrival_));
+  return std::max(1.0, ToMilliseconds(aCall.targetTime_ - aCall.arrival_ + aCall.sentBefore_));
 }
 
 } // namespace
@@ -280,11 +280,11 @@
 
 bool
 FreshProbeBalancer::ShouldShedIfLate(const QueuedRequest& aQueued,
-                                     std::span<const ScoredUpstream> aRanked)
+                                     std::span<const ScoredUpstream> aRanked) const
 {
   // A late request that starts on a slow machine occupies a slot of normal speed when the machine
   // recovers. While upstreams of normal speed are full, this would make further requests late.
-  return aQueued.call_.triedUpstreams_.empty() &&
+  return aQueued.call_.triedUpstreams_.empty() && !IsKeptAlthoughLate(aQueued.call_) &&
          std::any_of(aRanked.begin(), aRanked.end(), [](const ScoredUpstream& aScored) {
            return aScored.fullAtNormalSpeed_;
          });
@@ -304,7 +304,7 @@
     return std::nullopt;
   }
   const auto ahead = std::count_if(queue_.begin(), queue_.end(), [&](const QueuedRequest& aQueued) {
-    return aQueued.call_.priority_ <= aCall.priority_;
+    return IsAhead(aQueued.call_, aCall);
   });
   return FromMilliseconds(dispatchIntervalMs_ * static_cast<double>(ahead));
 }
@@ -358,7 +358,7 @@
 {
   const auto position =
     std::find_if(queue_.begin(), queue_.end(), [&](const QueuedRequest& aOther) {
-      return aOther.call_.priority_ > aQueued.call_.priority_;
+      return !IsAhead(aOther.call_, aQueued.call_);
     });
   queue_.insert(position, std::move(aQueued));
 }
@@ -384,7 +384,8 @@
   }
   if (const auto wait = ExpectedQueueWait(aCall); firstAttempt && wait && *wait > Duration(0)) {
     const double normalServiceMs = slownessModel_.ServiceTimeMs(ExpectedWorkMs(aCall), 1);
-    if (aNow + *wait + FromMilliseconds(normalServiceMs) > aCall.targetTime_) {
+    if (aNow + *wait + FromMilliseconds(normalServiceMs) > aCall.targetTime_ &&
+        !IsKeptAlthoughLate(aCall)) {
       return Refuse(RefusalReason::Overloaded, *wait);
     }
   }
@@ -480,7 +481,7 @@
       const double normalServiceMs = slownessModel_.ServiceTimeMs(ExpectedWorkMs(queued.call_), 1);
       if (queue_.size() > 1 &&
           aNow + FromMilliseconds(normalServiceMs) > queued.call_.targetTime_ &&
-          queued.call_.triedUpstreams_.empty()) {
+          queued.call_.triedUpstreams_.empty() && !IsKeptAlthoughLate(queued.call_)) {
         decision =
           Refuse(RefusalReason::Overloaded, ExpectedQueueWait(queued.call_).value_or(Duration()));
       } else if (aNow >= queued.stageDeadline_ + kQueueReprobeInterval) {
--- a/boragepier/decision/fresh_probe_balancer_returns.cc
+++ b/boragepier/decision/fresh_probe_balancer_returns.cc
@@ -91,6 +91,36 @@
   return canReturn ? kReservedBudgetShare : 0;
 }
 
+void
+FreshProbeBalancer::RecogniseReturn(CallInfo& aCall, Duration aLatencyTarget, MonotonicTime aNow)
+{
+  aCall.sentBefore_ =
+    returnDetector_.OnRequest(aCall.workClass_, aCall.deadline_ - aCall.arrival_, aNow);
+  aCall.returned_ = aCall.sentBefore_ > Duration(0);
+  if (aCall.returned_) {
+    const MonotonicTime firstSent = aCall.arrival_ - aCall.sentBefore_;
+    aCall.targetTime_ = std::min(aCall.deadline_, firstSent + aLatencyTarget);
+  }
+}
+
+bool
+FreshProbeBalancer::IsAhead(const CallInfo& aQueued, const CallInfo& aCall)
+{
+  if (aQueued.priority_ != aCall.priority_ || !aCall.callerReturns_) {
+    return aQueued.priority_ <= aCall.priority_;
+  }
+  return aQueued.arrival_ - aQueued.sentBefore_ <= aCall.arrival_ - aCall.sentBefore_;
+}
+
+bool
+FreshProbeBalancer::IsKeptAlthoughLate(const CallInfo& aCall) const
+{
+  return aCall.returned_ &&
+         std::any_of(queue_.begin(), queue_.end(), [&](const QueuedRequest& aQueued) {
+           return aQueued.call_.id_ != aCall.id_ && !IsAhead(aQueued.call_, aCall);
+         });
+}
+
 ReturnAdvice
 FreshProbeBalancer::Advise(const CallInfo& aCall,
                            RefusalCause aCause,
--- a/boragepier/decision/service_balancer.cc
+++ b/boragepier/decision/service_balancer.cc
@@ -61,6 +61,11 @@
   return impl_->RetryAfterAllPause(aNow);
 }
 
+void
+ServiceBalancer::RecogniseReturn(CallInfo&, Duration, MonotonicTime)
+{
+}
+
 ReturnAdvice
 ServiceBalancer::Advise(const CallInfo&, RefusalCause aCause, Duration aRetryAfter, MonotonicTime)
 {
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -46,6 +46,7 @@
   bool callerReturns_ = false;
   /// The caller sends this request again after a refusal. FreshProbeBalancer only.
   bool returned_ = false;
+  Duration sentBefore_{};   ///< from the first time that the caller sent this request to arrival_
   bool mayHaveRun_ = false; ///< an upstream has run an earlier attempt, or may have
   /// Upstreams of earlier attempts in order, avoided while there are others.
   std::vector<UpstreamHandle> triedUpstreams_;
@@ -185,6 +186,11 @@
   Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
   /// @return Retry-After of a request that is refused now; zero unless all upstreams pause
   Duration RetryAfterAllPause(MonotonicTime aNow);
+  /// Recognises a request that its caller sends again after a refusal. Sets returned_ and
+  /// sentBefore_, and counts its latency target from the first time that it was sent.
+  /// @param aCall a new request
+  /// @param aLatencyTarget of its route
+  void RecogniseReturn(CallInfo& aCall, Duration aLatencyTarget, MonotonicTime aNow);
   /// Advises the caller of a request that is refused now when to come back.
   /// @param aCause as it follows from the reason of the refusal
   /// @param aRetryAfter as decided with the refusal; zero if unknown
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -171,6 +171,12 @@
     requestInfo_.repeatability_ = callOptions_.repeatability_;
     requestInfo_.trafficClass_ = serviceConfig_->trafficClass_;
     requestInfo_.callerReturns_ = deps_.dialect_.callersReturn_;
+    if (match.route_ && deps_.dialect_.callersReturn_ &&
+        request.headers_.Get(deps_.dialect_.deadlineField_)) {
+      service_->WithBalancer([&](auto& aBalancer) {
+        aBalancer.RecogniseReturn(requestInfo_, match.route_->Config().latencyTarget_, Now());
+      });
+    }
     if (team_) {
       requestInfo_.team_ = team_->id_;
       requestInfo_.priority_ = team_->terms_.priority_.value_or(requestInfo_.priority_);
