--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -12,6 +12,8 @@
 #include "boragepier/decision/cold_limit.h"
 #include "boragepier/decision/occupancy_model.h"
 #include "boragepier/decision/probe_budget.h"
+#include "boragepier/decision/return_advice.h"
+#include "boragepier/decision/return_detector.h"
 #include "boragepier/decision/service_balancer.h"
 #include "boragepier/decision/slowness_model.h"
 #include "boragepier/decision/upstream_estimate.h"
@@ -52,6 +54,11 @@
   Duration BeginPause(UpstreamHandle aUpstream, Duration aDuration, MonotonicTime aNow);
   Duration RetryAfterAllPause(MonotonicTime aNow);
   bool IsLimitedWhileCold(UpstreamHandle aUpstream, MonotonicTime aNow) const;
+  void RecogniseReturn(CallInfo& aCall, Duration aLatencyTarget, MonotonicTime aNow);
+  ReturnAdvice Advise(const CallInfo& aCall,
+                      RefusalCause aCause,
+                      Duration aRetryAfter,
+                      MonotonicTime aNow);
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
   std::optional<MonotonicTime> NextRelease() const;
   bool CancelQueued(std::uint64_t aCallId, MonotonicTime aNow);
@@ -91,6 +98,7 @@
     /// Whether this instance may send requests while the upstream is cold; nothing if not computed
     /// yet.
     std::optional<bool> coldSender_;
+    RefusedWith latestRefusal_ = RefusedWith::UnknownRoom; ///< of a request of this instance
   };
 
   /// Upstreams that have been probed for a queued request.
@@ -136,6 +144,7 @@
     double expectedResponseMs_ = 0; ///< response time expected when it was sent
     double workDoneMs_ = 0;         ///< estimated work done until progressAt_
     MonotonicTime progressAt_;      ///< last update of workDoneMs_
+    bool freeSlotReported_ = false; ///< a fresh report showed a free slot when it was sent
   };
 
   /// @return whether an upstream is listed and not leaving
@@ -199,8 +208,8 @@
                          const ScoredUpstream& aScored,
                          MonotonicTime aNow) const;
   /// @return whether a request that would be late should be shed rather than dispatched
-  static bool ShouldShedIfLate(const QueuedRequest& aQueued,
-                               std::span<const ScoredUpstream> aRanked);
+  bool ShouldShedIfLate(const QueuedRequest& aQueued,
+                        std::span<const ScoredUpstream> aRanked) const;
   /// @return whether even an upstream of normal speed would hardly answer within the latency target
   bool IsPastLatestStart(const QueuedRequest& aQueued, MonotonicTime aNow) const;
   /// @return expected wait behind the queued requests ahead of this one; nothing if unknown
@@ -209,10 +218,26 @@
   RoutingDecision Dispatch(const ScoredUpstream& aScored,
                            const CallInfo& aCall,
                            MonotonicTime aNow);
-  /// Inserts a request behind those of the same or a more urgent priority.
+  /// @return whether a queued request goes before another one
+  static bool IsAhead(const CallInfo& aQueued, const CallInfo& aCall);
+  /// @return whether a request is kept although it will be late: its caller has come back after a
+  /// refusal, and a request that came later can be refused instead
+  bool IsKeptAlthoughLate(const CallInfo& aCall) const;
+  /// Inserts a request behind those that go before it.
   void Enqueue(QueuedRequest aQueued);
   /// Adds an upstream to pendingProbes_ unless its report is new or the probe budget is spent.
   void RequestProbe(std::uint32_t aIndex, MonotonicTime aNow);
+  /// @return the attempt in flight that has ended, or the end of outstanding_
+  std::vector<OutstandingAttempt>::iterator FindEnded(const AttemptReport& aReport,
+                                                      MonotonicTime aNow);
+  /// Records whether an upstream that refused a request had said that it has a free slot.
+  void NoteRefusal(const AttemptReport& aReport, MonotonicTime aNow);
+  RoomEstimate EstimateRoom(const CallInfo& aCall, MonotonicTime aNow) const;
+  /// @return whether the latest attempt of a request was refused by chance
+  bool WasRefusedByChance(const CallInfo& aCall, MonotonicTime aNow) const;
+  /// @return the share of the retry budget that is left to requests whose callers cannot come back
+  /// after a refusal; 0 for one of these
+  double ReservedForOthers(const CallInfo& aCall, MonotonicTime aNow) const;
   /// Updates failures, work and occupancy with the result of an attempt.
   void UpdateModels(const AttemptReport& aReport, MonotonicTime aNow);
   /// Recomputes what follows from the configuration, the upstreams and the instances.
@@ -236,6 +261,8 @@
   OccupancyModel occupancyModel_;
   double meanWorkMs_ = 0; ///< moving average over all answered requests, for explain records
   WindowBudget retryBudget_;
+  ReturnAdvisor returnAdvisor_;
+  ReturnDetector returnDetector_;
   ProbeBudget probeBudget_;
   std::vector<QueuedRequest> queue_;        ///< by priority, then by arrival
   std::deque<std::uint32_t> pendingProbes_; ///< for NextProbe(); already charged to the budget
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -12,6 +12,7 @@
 #include "boragepier/base/time.h"
 #include "boragepier/config/service_config.h"
 #include "boragepier/config/upstream_endpoint.h"
+#include "boragepier/decision/return_advice.h"
 
 namespace boragepier {
 
@@ -40,6 +41,13 @@
   std::uint64_t team_ = 0;
   /// Submitted again because its attempt was withdrawn before it was sent.
   bool moved_ = false;
+  /// The caller honours Retry-After and sends a refused request again, to another instance mostly.
+  /// FreshProbeBalancer only.
+  bool callerReturns_ = false;
+  /// The caller sends this request again after a refusal. FreshProbeBalancer only.
+  bool returned_ = false;
+  Duration sentBefore_{};   ///< from the first time that the caller sent this request to arrival_
+  bool mayHaveRun_ = false; ///< an upstream has run an earlier attempt, or may have
   /// Upstreams of earlier attempts in order, avoided while there are others.
   std::vector<UpstreamHandle> triedUpstreams_;
 };
@@ -180,6 +188,18 @@
   Duration RetryAfterAllPause(MonotonicTime aNow);
   /// @return whether requests to an upstream are limited because it is cold
   static bool IsLimitedWhileCold(UpstreamHandle, MonotonicTime) { return false; }
+  /// Recognises a request that its caller sends again after a refusal. Sets returned_ and
+  /// sentBefore_, and counts its latency target from the first time that it was sent.
+  /// @param aCall a new request
+  /// @param aLatencyTarget of its route
+  void RecogniseReturn(CallInfo& aCall, Duration aLatencyTarget, MonotonicTime aNow);
+  /// Advises the caller of a request that is refused now when to come back.
+  /// @param aCause as it follows from the reason of the refusal
+  /// @param aRetryAfter as decided with the refusal; zero if unknown
+  ReturnAdvice Advise(const CallInfo& aCall,
+                      RefusalCause aCause,
+                      Duration aRetryAfter,
+                      MonotonicTime aNow);
 
   /// @return the requests that leave the queue now, to be dispatched or refused, in order
   std::vector<ReleasedCall> Release(MonotonicTime aNow);
