--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -51,6 +51,9 @@
   /// Receives the instance that is the source from now on, or nothing if the store is read instead.
   using SourceCallback = std::function<void(const std::optional<InstanceId>&)>;
 
+  /// Receives a message and its sender.
+  using MessageCallback = std::function<void(const PeerEndpoint&, const PeerMessage&)>;
+
   /// @param aScheduler must outlive this object, like aFeed and aPeers
   /// @param aFeed calls to the store
   /// @param aPeers messages to and from other instances
@@ -100,6 +103,14 @@
   /// Called when the origin of the data changes; set before Start().
   void OnSourceChanged(SourceCallback aCallback) { onSourceChanged_ = std::move(aCallback); }
 
+  /// Receives the messages that do not concern the directory; set before Start().
+  void OnOtherMessage(MessageCallback aCallback) { onOtherMessage_ = std::move(aCallback); }
+  /// Called when an instance cannot be reached; set before Start().
+  void OnPeerUnreachable(PeerUnreachableCallback aCallback)
+  {
+    onPeerUnreachable_ = std::move(aCallback);
+  }
+
   /// Starts to follow the store, directly or through a source.
   /// @param aFleetStarts all instances start now, and none is listed yet. Those with more capacity
   /// then begin earlier, so that the others find relays in the list.
@@ -370,6 +381,9 @@
 
   void OnUnreachable(const InstanceId& aPeer)
   {
+    if (onPeerUnreachable_) {
+      onPeerUnreachable_(aPeer);
+    }
     subscribers_.Remove(aPeer);
     // A source that starts at the same time may not listen yet, so it is tried again.
     if (!follower_.IsCurrent(aPeer) || IsAwaitingFirstData()) {
@@ -389,6 +403,8 @@
       OnSubscribe(aSender, *subscribe);
     } else if (const auto* const storeUpdate = std::get_if<PeerStoreUpdate>(&aMessage)) {
       OnStoreUpdate(aSender, *storeUpdate);
+    } else if (onOtherMessage_) {
+      onOtherMessage_(aSender, aMessage);
     }
   }
 
@@ -615,6 +631,8 @@
   EventCallback onEvent_;
   StoreReachableCallback onStoreReachableChanged_;
   SourceCallback onSourceChanged_;
+  MessageCallback onOtherMessage_;
+  PeerUnreachableCallback onPeerUnreachable_;
 };
 
 } // namespace boragepier
--- a/boragepier/peer/peer_codec.cc
+++ b/boragepier/peer/peer_codec.cc
@@ -169,6 +169,30 @@
          aValue.topics_);
 }
 
+void
+VisitFields(auto& aVisit, PeerQuotaRequest::Item& aValue)
+{
+  aVisit(aValue.team_, aValue.share_, aValue.wanted_);
+}
+
+void
+VisitFields(auto& aVisit, PeerQuotaRequest& aValue)
+{
+  aVisit(aValue.sequence_, aValue.items_);
+}
+
+void
+VisitFields(auto& aVisit, PeerQuotaGrant::Item& aValue)
+{
+  aVisit(aValue.team_, aValue.share_, aValue.granted_, aValue.deniedForMs_);
+}
+
+void
+VisitFields(auto& aVisit, PeerQuotaGrant& aValue)
+{
+  aVisit(aValue.sequence_, aValue.items_);
+}
+
 void
 Require(bool aCondition, const char* aMessage)
 {
--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -194,6 +194,38 @@
   friend bool operator==(const PeerStoreUpdate&, const PeerStoreUpdate&) = default;
 };
 
+/// Asks the owner of shares of the quotas of teams for credit.
+struct PeerQuotaRequest
+{
+  struct Item
+  {
+    std::uint64_t team_ = 0;
+    std::uint32_t share_ = 0;
+    std::uint32_t wanted_ = 0; ///< requests
+    friend bool operator==(const Item&, const Item&) = default;
+  };
+  std::uint64_t sequence_ = 0; ///< unique among the requests of the sender
+  std::vector<Item> items_;
+  friend bool operator==(const PeerQuotaRequest&, const PeerQuotaRequest&) = default;
+};
+
+/// Answers a PeerQuotaRequest.
+struct PeerQuotaGrant
+{
+  struct Item
+  {
+    std::uint64_t team_ = 0;
+    std::uint32_t share_ = 0;
+    std::uint32_t granted_ = 0;     ///< requests
+    std::uint32_t deniedForMs_ = 0; ///< time in which the receiver should not ask again; 0 if it got
+                                    ///< all that it wanted
+    friend bool operator==(const Item&, const Item&) = default;
+  };
+  std::uint64_t sequence_ = 0; ///< of the request
+  std::vector<Item> items_;
+  friend bool operator==(const PeerQuotaGrant&, const PeerQuotaGrant&) = default;
+};
+
 /// A message between two instances. The order of the alternatives is part of the protocol.
 using PeerMessage = std::variant<PeerDigest,
                                  PeerKeyVersions,
@@ -203,7 +235,9 @@
                                  PeerDepartures,
                                  PeerMembers,
                                  PeerSubscribe,
-                                 PeerStoreUpdate>;
+                                 PeerStoreUpdate,
+                                 PeerQuotaRequest,
+                                 PeerQuotaGrant>;
 
 } // namespace boragepier
 
--- /dev/null
+++ b/boragepier/quota/quota_agent_test.cc
@@ -0,0 +1,1 @@
+#include <CppUTest/TestHarness.h>
--- /dev/null
+++ b/boragepier/quota/quota_ownership.h
@@ -0,0 +1,93 @@
+#ifndef BORAGEPIER_QUOTA_QUOTA_OWNERSHIP_H
+#define BORAGEPIER_QUOTA_QUOTA_OWNERSHIP_H
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "boragepier/base/ids.h"
+#include "boragepier/base/time.h"
+#include "boragepier/ports/directory_feed.h"
+#include "boragepier/ports/peer_message.h"
+
+namespace boragepier {
+
+/// One share of the quota of a team.
+struct QuotaShareId
+{
+  std::uint64_t team_ = 0; ///< TeamIdOf() its name
+  std::uint32_t share_ = 0;
+
+  // clang-tidy 14 reports a false positive for the defaulted comparison.
+  friend auto operator<=>(const QuotaShareId&,
+                          const QuotaShareId&) = default; // NOLINT(modernize-use-nullptr)
+};
+
+/// From when on an owner may grant a share. Both times can be in the future.
+struct QuotaTenure
+{
+  MonotonicTime grantsFrom_;
+  /// From when on the credit of the share counts, unless the owner already has a bucket for it.
+  MonotonicTime refillsFrom_;
+};
+
+/// Selects the owner of each share by rendezvous hashing among the instances with the most
+/// capacity, so that instances with the same list agree. Reads no clock and does no I/O.
+///
+/// The lists of the instances differ for some time after a change. A new owner therefore waits for
+/// kSettleTime after it, in which the former owner, and all that ask it, learn of the change.
+class QuotaOwnership
+{
+public:
+  /// Time in which a change of the list of instances reaches all of them.
+  static constexpr Duration kSettleTime = std::chrono::seconds(2);
+
+  /// @param aSelf this instance
+  explicit QuotaOwnership(InstanceId aSelf);
+
+  /// Replaces the list of instances.
+  void SetInstances(std::span<const InstanceEntry> aInstances, MonotonicTime aNow);
+
+  /// @return the owner of a share, or null if no instance is known. Valid until SetInstances().
+  const PeerEndpoint* OwnerOf(const QuotaShareId& aShare) const;
+  /// @return whether this instance is the owner
+  bool Owns(const QuotaShareId& aShare) const
+  {
+    const PeerEndpoint* const owner = OwnerOf(aShare);
+    return owner != nullptr && IsSelf(*owner);
+  }
+  bool IsSelf(const PeerEndpoint& aOwner) const { return aOwner.id_ == self_; }
+  /// @return from when on this instance grants a share, or nothing if another instance owns it
+  std::optional<QuotaTenure> TenureOf(const QuotaShareId& aShare, MonotonicTime aNow);
+
+private:
+  /// An instance that can own shares.
+  struct Candidate
+  {
+    PeerEndpoint endpoint_;
+    std::uint64_t hash_ = 0; ///< of the id
+
+    friend bool operator==(const Candidate&, const Candidate&) = default;
+  };
+  using Candidates = std::vector<Candidate>;
+
+  struct FormerList
+  {
+    Candidates candidates_;
+    MonotonicTime replacedAt_;
+  };
+
+  static const Candidate* OwnerAmong(const Candidates& aCandidates, const QuotaShareId& aShare);
+
+  const InstanceId self_;
+  Candidates candidates_;
+  MonotonicTime refillsFrom_{};     ///< of shares whose owner has changed with candidates_
+  std::deque<FormerList> formerly_; ///< replaced within kSettleTime, oldest first
+};
+
+} // namespace boragepier
+
+#endif
