Keep the quotas of teams over all instances

A team's quota is divided into shares, each granted by the instance that owns it. An instance asks the owners for credit when a request needs it, and refuses with quota-exceeded when all shares are used up.

--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -67,6 +67,9 @@
   }
 
 private:
+  /// Longest time for which a request waits for credit from the quota of its team.
+  static constexpr Duration kMaxQuotaWait = std::chrono::milliseconds(250);
+
   /// An attempt that was handed to the sender.
   struct Attempt
   {
@@ -120,6 +123,74 @@
       Refuse(refused.Reason(), Outcome::NotRun);
       return;
     }
+    if (deps_.quotas_ != nullptr && team_ && team_->terms_.ratePerSecond_ > 0) {
+      AskForQuota();
+    } else {
+      Proceed();
+    }
+  }
+
+  // Takes credit from the quota of the team, before the request waits for anything else.
+  void AskForQuota()
+  {
+    const MonotonicTime now = Now();
+    const MonotonicTime waitUntil = std::min(requestInfo_.deadline_, now + kMaxQuotaWait);
+    const QuotaVerdict verdict = deps_.quotas_->Admit(
+      *team_,
+      now,
+      waitUntil,
+      [&scheduler = deps_.scheduler_, &quotas = *deps_.quotas_, weak = this->weak_from_this()](
+        const QuotaVerdict& aVerdict) {
+        // The request ends in its own thread, so only that one may hold it.
+        scheduler.Post([&scheduler, &quotas, weak, aVerdict] {
+          if (const auto self = weak.lock()) {
+            self->Run([&] { self->OnQuotaVerdict(aVerdict); });
+          } else if (aVerdict.kind_ == QuotaVerdict::Kind::Admitted) {
+            quotas.Return(aVerdict.credit_, scheduler.Now());
+          }
+        });
+      });
+    if (verdict.kind_ != QuotaVerdict::Kind::Waits) {
+      OnQuotaVerdict(verdict);
+      return;
+    }
+    quotaTimer_ = deps_.scheduler_.After(waitUntil - now, [self = this->shared_from_this()] {
+      self->quotaTimer_ = net::TimerId::None;
+      self->Run([&] { self->OnQuotaVerdict({}); });
+    });
+  }
+
+  void OnQuotaVerdict(const QuotaVerdict& aVerdict)
+  {
+    CancelTimer(quotaTimer_);
+    if (aVerdict.kind_ == QuotaVerdict::Kind::Admitted) {
+      quotaCredit_ = aVerdict.credit_;
+    }
+    if (finished_ || quotaDecided_) {
+      ReturnQuotaCredit();
+      return;
+    }
+    quotaDecided_ = true;
+    if (!quotaCredit_) {
+      retryAfter_ = aVerdict.retryAfter_;
+      Refuse(DeadlinePassed() ? RefusalReason::DeadlineExpired : RefusalReason::QuotaExceeded,
+             Outcome::NotRun);
+    } else if (IsKeyWithdrawn()) {
+      Refuse(RefusalReason::KeyRejected, Outcome::NotRun);
+    } else {
+      Proceed();
+    }
+  }
+
+  void ReturnQuotaCredit()
+  {
+    if (const auto credit = std::exchange(quotaCredit_, std::nullopt)) {
+      deps_.quotas_->Return(*credit, Now());
+    }
+  }
+
+  void Proceed()
+  {
     if (requestInfo_.repeatability_ == Repeatability::AtMostOnce && callOptions_.idempotencyKey_) {
       ClaimKey();
     } else {
@@ -643,6 +714,10 @@
       return;
     }
     finished_ = true;
+    if (attempts_.empty()) {
+      ReturnQuotaCredit();
+    }
+    CancelTimer(quotaTimer_);
     CancelTimer(queueDeadlineTimer_);
     CancelTimer(hedgeTimer_);
     CancelAttempts();
@@ -768,6 +843,9 @@
   std::optional<http::Response> lastServerErrorResponse_; ///< of a repeatable request
   /// Of the last attempt with outcome Unknown.
   AttemptFailure lastUnknownFailure_ = AttemptFailure::None;
+  std::optional<QuotaCredit> quotaCredit_;       ///< taken for this request and not returned
+  net::TimerId quotaTimer_ = net::TimerId::None; ///< active while the request waits for credit
+  bool quotaDecided_ = false;
   net::TimerId queueDeadlineTimer_ = net::TimerId::None; ///< active while the request is queued
   net::TimerId hedgeTimer_ = net::TimerId::None;
   bool mayHaveRun_ = false; ///< an attempt ended with outcome Unknown
--- a/boragepier/entry/control_thread_base.h
+++ b/boragepier/entry/control_thread_base.h
@@ -11,6 +11,7 @@
 #include "boragepier/config/settings.h"
 #include "boragepier/control/control_status.h"
 #include "boragepier/net/event_loop.h"
+#include "boragepier/quota/quota_gate.h"
 #include "boragepier/state/config_record.h"
 #include "boragepier/state/routing_table.h"
 
@@ -55,6 +56,8 @@
   virtual void BeginShutdown() = 0;
   /// Applies the limits of changed settings. Does nothing unless overridden. Thread-safe.
   virtual void Reload(const Settings& /*aSettings*/) {}
+  /// @return keeps the quotas of teams; null if this control thread doesn't
+  virtual QuotaGate* Quotas() { return nullptr; }
   /// @return whether the control thread has made progress within kResponseTimeout. Thread-safe.
   virtual bool Responsive() const = 0;
   /// Queries the state of the control thread and waits for the result. Thread-safe.
--- a/boragepier/entry/directory_events.cc
+++ b/boragepier/entry/directory_events.cc
@@ -49,6 +49,12 @@
            aSettings.coldSlack_ };
 }
 
+QuotaRules
+QuotaRulesFrom(const Settings& aSettings)
+{
+  return { aSettings.quotaWindow_, aSettings.quotaOverage_, aSettings.quotaSlack_ };
+}
+
 double
 RelayCapacity(const Settings& aSettings)
 {
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -18,6 +18,7 @@
 #include "boragepier/http/client.h"
 #include "boragepier/net/event_loop.h"
 #include "boragepier/peer/http2_transport.h"
+#include "boragepier/quota/quota_agent.h"
 #include "boragepier/telemetry/log.h"
 #include "boragepier/telemetry/metrics.h"
 
@@ -32,6 +33,10 @@
 FleetSettings
 FleetLimitsFrom(const Settings& aSettings);
 
+/// @return how the requests of teams are counted, as the settings state
+QuotaRules
+QuotaRulesFrom(const Settings& aSettings);
+
 /// @return the capacity of the instance for relaying updates to other instances, in megabits per
 /// second: the smaller of its link bandwidth and what its processor cores can relay. A core counts
 /// as 1,000 Mbit/s.
@@ -64,6 +69,7 @@
     , client_(loop_)
     , feed_(aFeedFactory(client_, aSettings))
     , peers_(loop_, RelayLimits(aSettings.descriptors_))
+    , quotas_(loop_, peers_, aSettings.id_, QuotaRulesFrom(aSettings), std::random_device()())
   {
     client_.SetMaxConnections(aSettings.descriptors_.storeConnections_);
   }
@@ -99,6 +105,10 @@
       Log(EventId::DirectorySource, { { "source", source_ } });
     });
     watch_->OnRoutingChanged([this](auto aTable) { OnRoutingTable(std::move(aTable)); });
+    watch_->OnOtherMessage([this](const PeerEndpoint& aSender, const PeerMessage& aMessage) {
+      quotas_.OnMessage(aSender, aMessage);
+    });
+    watch_->OnPeerUnreachable([this](const InstanceId& aPeer) { quotas_.OnUnreachable(aPeer); });
     loop_.Post([this] {
       watch_->Start(settings_.fleetStarts_);
       RunEverySecond();
@@ -135,9 +145,14 @@
 
   void Reload(const Settings& aSettings) override
   {
-    loop_.Post([this, limits = FleetLimitsFrom(aSettings)] { watch_->SetFleetSettings(limits); });
+    loop_.Post([this, limits = FleetLimitsFrom(aSettings), rules = QuotaRulesFrom(aSettings)] {
+      watch_->SetFleetSettings(limits);
+      quotas_.SetRules(rules);
+    });
   }
 
+  QuotaGate* Quotas() override { return &quotas_; }
+
   bool Responsive() const override
   {
     const MonotonicTime lastTick{ Duration(lastTickNs_) };
@@ -176,6 +191,8 @@
   void OnRoutingTable(std::shared_ptr<const RoutingTable> aTable)
   {
     metrics_.SetInstanceCount(aTable->instances_.size());
+    quotas_.SetInstances(watch_->State().Instances());
+    quotas_.SetTeams(aTable->keysRequired_ ? aTable->teams_ : nullptr);
     for (const ServiceRoute& route : aTable->services_) {
       metrics_.Service(route.config_.name_).SetConfigVersion(route.version_);
     }
@@ -189,6 +206,7 @@
     lastTickNs_ = now.time_since_epoch().count();
     loop_.After(kTickInterval, [this] { RunEverySecond(); });
     ReportSuppressedEvents();
+    quotas_.DropUnused();
     periodicTask_();
   }
 
@@ -219,6 +237,7 @@
   http::Client client_;
   std::unique_ptr<F> feed_;
   peer::Http2Transport peers_;
+  QuotaAgent<net::EventLoop, peer::Http2Transport> quotas_;
   std::unique_ptr<Watch> watch_;
   std::string source_ = "store"; ///< as last reported by watch_; control thread only
   std::atomic<MonotonicTime::rep> lastTickNs_ = 0; ///< time of the last tick, in the loop's clock
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -50,7 +50,8 @@
              router_,
              telemetry_,
              RequestIdPrefix(aSettings.id_),
-             aPlatformBinding.dialect_)
+             aPlatformBinding.dialect_,
+             control_->Quotas())
 {
   LogInternalErrors();
   metrics_.SetDescriptorLimit(settings_.descriptors_.limit_);
--- a/boragepier/entry/pipeline_dependencies.h
+++ b/boragepier/entry/pipeline_dependencies.h
@@ -12,6 +12,7 @@
 #include "boragepier/http/client.h"
 #include "boragepier/net/event_loop.h"
 #include "boragepier/ports/scheduler.h"
+#include "boragepier/quota/quota_gate.h"
 #include "boragepier/state/claim_service.h"
 
 namespace boragepier {
@@ -61,6 +62,7 @@
   CallObserver& observer_;
   std::function<WallTime()> wallClockNow_; ///< for records that outlive the process
   const WireDialect& dialect_ = NativeDialect();
+  QuotaGate* quotas_ = nullptr; ///< null if the quotas of teams are not kept
 };
 
 } // namespace boragepier
--- a/boragepier/entry/refusal.cc
+++ b/boragepier/entry/refusal.cc
@@ -55,7 +55,7 @@
     response.headers_.Add(kRequestIdHeader, aRequestId.View());
     problem["request-id"] = aRequestId.Text();
   }
-  if (response.status_ == 503) {
+  if (response.status_ == 503 || response.status_ == 429) {
     response.headers_.Add("Retry-After",
                           aReason == RefusalReason::ShuttingDown
                             ? std::string(kOtherInstanceRetryAfterSeconds)
--- a/boragepier/entry/refusal.h
+++ b/boragepier/entry/refusal.h
@@ -12,7 +12,8 @@
 /// @param aReason determines the status
 /// @param aOutcome whether the request was run, as reported to the caller
 /// @param aRequestId id of the request; empty if it was refused before an id was assigned
-/// @param aRetryAfter time until capacity is expected; zero if unknown. Sent only with status 503,
+/// @param aRetryAfter time until capacity is expected; zero if unknown. Sent with status 429 and
+/// 503 only,
 ///   in seconds with fractions
 /// @return a response with a body of type application/problem+json
 http::Response
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -54,14 +54,15 @@
                              ServiceRouter& aRouter,
                              CallObserver& aObserver,
                              std::string aIdPrefix,
-                             const WireDialect& aDialect)
+                             const WireDialect& aDialect,
+                             QuotaGate* aQuotas)
   : settings_(aSettings)
   , bodyBudget_(std::make_shared<http::BodyBudget>(BodyBudgetBytes(aSettings)))
   , client_(loop_, bodyBudget_)
   , platform_(loop_, client_, PlatformOptionsFrom(aSettings))
   , table_(platform_)
   , claims_(table_, aSettings.id_, MakeEntropySeededRandom())
-  , pipeline_({ loop_, client_, claims_, aRouter, aObserver, WallClockNow, aDialect },
+  , pipeline_({ loop_, client_, claims_, aRouter, aObserver, WallClockNow, aDialect, aQuotas },
               std::move(aIdPrefix),
               1)
   , server_(
--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -31,11 +31,13 @@
   /// @param aObserver must outlive this object
   /// @param aIdPrefix prefix of every request id of this thread
   /// @param aDialect must outlive this object
+  /// @param aQuotas quotas of teams; must outlive this object; null if they are not kept
   TrafficThread(const Settings& aSettings,
                 ServiceRouter& aRouter,
                 CallObserver& aObserver,
                 std::string aIdPrefix,
-                const WireDialect& aDialect);
+                const WireDialect& aDialect,
+                QuotaGate* aQuotas);
   ~TrafficThread();
   TrafficThread(const TrafficThread&) = delete;
   TrafficThread& operator=(const TrafficThread&) = delete;
--- a/boragepier/quota/quota_agent.h
+++ b/boragepier/quota/quota_agent.h
@@ -36,9 +36,9 @@
   struct Counters
   {
     QuotaLedger::Counters asked_;
-    std::uint64_t messagesSent_ = 0;   ///< to other instances, questions and answers
-    std::uint64_t grantsGiven_ = 0;    ///< requests for which this instance granted credit
-    std::uint64_t denialsGiven_ = 0;   ///< answers of this instance that denied credit
+    std::uint64_t messagesSent_ = 0; ///< to other instances, questions and answers
+    std::uint64_t grantsGiven_ = 0;  ///< requests for which this instance granted credit
+    std::uint64_t denialsGiven_ = 0; ///< answers of this instance that denied credit
   };
 
   /// @param aScheduler must outlive this object, like aPeers
@@ -68,9 +68,7 @@
       aTeam.id_, PlanQuota(aTeam.terms_, rules_), aNow, aWaitUntil, std::move(aCallback));
     if (verdict.kind_ == QuotaVerdict::Kind::Waits && ledger_.HasQuestions() &&
         !std::exchange(posted_, true)) {
-      scheduler_.Post([this] {
-        RunContained(ErrorScope::Task, [this] { AskOwners(); });
-      });
+      scheduler_.Post([this] { RunContained(ErrorScope::Task, [this] { AskOwners(); }); });
     }
     return verdict;
   }
@@ -115,9 +113,7 @@
   /// Processes that an instance cannot be reached.
   void OnUnreachable(const InstanceId& aPeer)
   {
-    Update([&](auto& aVerdicts) {
-      ledger_.OnUnreachable(aPeer, scheduler_.Now(), aVerdicts);
-    });
+    Update([&](auto& aVerdicts) { ledger_.OnUnreachable(aPeer, scheduler_.Now(), aVerdicts); });
   }
 
   /// Drops what was not used for a while. To be called about once a second.
@@ -202,11 +198,11 @@
     grant.sequence_ = aRequest.sequence_;
     for (const PeerQuotaRequest::Item& item : aRequest.items_) {
       const QuotaDecision decision = Decide(item, now);
-      grant.items_.push_back({ item.team_,
-                               item.share_,
-                               decision.granted_,
-                               static_cast<std::uint32_t>(
-                                 std::ceil(ToMilliseconds(decision.deniedFor_))) });
+      grant.items_.push_back(
+        { item.team_,
+          item.share_,
+          decision.granted_,
+          static_cast<std::uint32_t>(std::ceil(ToMilliseconds(decision.deniedFor_))) });
       counters_.grantsGiven_ += decision.granted_;
       counters_.denialsGiven_ += decision.granted_ < item.wanted_ ? 1 : 0;
     }
@@ -217,8 +213,7 @@
   {
     const QuotaDecision unknown{ 0, std::chrono::milliseconds(kUnknownShareDenialMs) };
     const QuotaShareId share{ aItem.team_, aItem.share_ };
-    const auto tenure = ownership_.TenureOf(share, aNow);
-    if (!tenure || !teams_ || aItem.wanted_ == 0) {
+    if (!teams_ || aItem.wanted_ == 0) {
       return unknown;
     }
     const auto team = teams_->Teams().find(aItem.team_);
@@ -226,9 +221,11 @@
       return unknown;
     }
     const QuotaPlan plan = PlanQuota(team->second->terms_, rules_);
-    return aItem.share_ < plan.shareCount_
-             ? owner_.Take(share, plan, *tenure, aItem.wanted_, aNow)
-             : unknown;
+    if (aItem.share_ >= plan.shareCount_) {
+      return unknown;
+    }
+    const auto tenure = ownership_.TenureOf(share, aNow);
+    return tenure ? owner_.Take(share, plan, *tenure, aItem.wanted_, aNow) : unknown;
   }
 
   // Returns whether the message may arrive.
@@ -272,9 +269,9 @@
   S& scheduler_;
   P& peers_;
   const InstanceId self_;
-  std::mutex mutex_;       ///< guards the members up to ledger_; held for short times only
-  bool posted_ = false;    ///< AskOwners() is about to run
-  QuotaRules rules_;       ///< written in the thread of the scheduler only
+  std::mutex mutex_;    ///< guards the members up to ledger_; held for short times only
+  bool posted_ = false; ///< AskOwners() is about to run
+  QuotaRules rules_;    ///< written in the thread of the scheduler only
   QuotaOwnership ownership_;
   QuotaLedger ledger_;
   QuotaOwner owner_;
--- a/boragepier/quota/quota_fakes.h
+++ b/boragepier/quota/quota_fakes.h
@@ -78,7 +78,8 @@
   std::uint64_t messages_ = 0;
 };
 
-/// PeerTransport of one instance. A message to an instance that is not running makes it unreachable.
+/// PeerTransport of one instance. A message to an instance that is not running makes it
+/// unreachable.
 class QuotaTransport
 {
 public:
@@ -111,8 +112,7 @@
     }
     ++network_.messages_;
     network_.scheduler_.After(
-      network_.delay_,
-      [this, to = aPeer.id_, message = std::make_shared<PeerMessage>(aMessage)] {
+      network_.delay_, [this, to = aPeer.id_, message = std::make_shared<PeerMessage>(aMessage)] {
         Deliver(to, *message);
       });
     return 1;
--- a/boragepier/quota/quota_fleet_test.cc
+++ b/boragepier/quota/quota_fleet_test.cc
@@ -54,7 +54,7 @@
 {
   Team team_;
   double usualRate_ = 0;
-  double rate_ = 0; ///< now
+  double rate_ = 0;            ///< now
   std::vector<int> instances_; ///< that its callers use
   double bound_ = 0;
   std::deque<MonotonicTime> admitted_; ///< within the last window
@@ -133,7 +133,10 @@
     stopped_.push_back(std::move(slot)); // timers refer to it
   }
 
-  double Uniform() { return std::ldexp(static_cast<double>(random_() >> 11U), -53); }
+  double Uniform()
+  {
+    return std::ldexp(static_cast<double>(random_() >> 11U), -53);
+  }
 
   int Poisson(double aMean)
   {
@@ -158,8 +161,8 @@
 
   void Request(TeamLoad & aTeam)
   {
-    const auto& slot = instances_[static_cast<std::size_t>(
-      aTeam.instances_[random_() % aTeam.instances_.size()])];
+    const auto& slot =
+      instances_[static_cast<std::size_t>(aTeam.instances_[random_() % aTeam.instances_.size()])];
     if (!slot || slot->scheduler_.IsFrozen()) {
       return; // the caller turns to another instance
     }
@@ -172,16 +175,19 @@
       }
     };
     auto& agent = slot->agent_;
-    const QuotaVerdict verdict = agent.Admit(
-      aTeam.team_, now, now + kMaxWait, [this, &aTeam, &agent, ended, refuse](const auto& aVerdict) {
-        if (aVerdict.kind_ != QuotaVerdict::Kind::Admitted) {
-          refuse();
-        } else if (std::exchange(*ended, true)) {
-          agent.Return(aVerdict.credit_, scheduler_.Now());
-        } else {
-          OnAdmitted(aTeam);
-        }
-      });
+    const QuotaVerdict verdict =
+      agent.Admit(aTeam.team_,
+                  now,
+                  now + kMaxWait,
+                  [this, &aTeam, &agent, ended, refuse](const auto& aVerdict) {
+                    if (aVerdict.kind_ != QuotaVerdict::Kind::Admitted) {
+                      refuse();
+                    } else if (std::exchange(*ended, true)) {
+                      agent.Return(aVerdict.credit_, scheduler_.Now());
+                    } else {
+                      OnAdmitted(aTeam);
+                    }
+                  });
     if (verdict.kind_ == QuotaVerdict::Kind::Admitted) {
       *ended = true;
       OnAdmitted(aTeam);
@@ -250,8 +256,8 @@
     double worst = 0;
     for (const TeamLoad& team : teams_) {
       if (team.rate_ <= team.usualRate_ && team.asked_ > 100) {
-        worst = std::max(worst,
-                         static_cast<double>(team.refused_) / static_cast<double>(team.asked_));
+        worst =
+          std::max(worst, static_cast<double>(team.refused_) / static_cast<double>(team.asked_));
       }
     }
     return worst;
--- a/boragepier/quota/quota_ledger.cc
+++ b/boragepier/quota/quota_ledger.cc
@@ -246,8 +246,8 @@
       counters_.granted_ += granted;
       state.nextShare_ = item.share_;
     }
-    const Duration deniedFor = std::chrono::milliseconds(std::min<std::uint32_t>(
-      item.deniedForMs_, std::numeric_limits<std::int32_t>::max()));
+    const Duration deniedFor = std::chrono::milliseconds(
+      std::min<std::uint32_t>(item.deniedForMs_, std::numeric_limits<std::int32_t>::max()));
     state.deniedUntil_[item.share_] = aNow + deniedFor;
     if (granted == 0 || deniedFor > Duration(0)) {
       ++counters_.denials_;
@@ -325,10 +325,7 @@
 }
 
 void
-QuotaLedger::Serve(std::uint64_t aTeam,
-                   TeamState& aState,
-                   MonotonicTime aNow,
-                   Verdicts& aVerdicts)
+QuotaLedger::Serve(std::uint64_t aTeam, TeamState& aState, MonotonicTime aNow, Verdicts& aVerdicts)
 {
   std::size_t served = 0;
   for (Waiter& waiter : aState.waiters_) {
--- a/boragepier/quota/quota_ledger.h
+++ b/boragepier/quota/quota_ledger.h
@@ -20,8 +20,8 @@
 
 namespace boragepier {
 
-/// Credit that one instance holds, the requests that wait for credit, and what it asks of the owners
-/// of shares. Reads no clock and does no I/O.
+/// Credit that one instance holds, the requests that wait for credit, and what it asks of the
+/// owners of shares. Reads no clock and does no I/O.
 ///
 /// Credit is asked for when a request needs it, for as many requests as are expected before it
 /// ends. The end is counted from the time of the question, so a delayed grant does not extend it.
@@ -61,8 +61,8 @@
   QuotaLedger(const InstanceId& aSelf, std::uint64_t aSeed);
 
   /// Takes credit for a request; see QuotaGate. If the result is Waits, TakeQuestions() is due. The
-  /// verdict follows when an owner answers or counts as silent, and may be later than aWaitUntil; it
-  /// is a refusal then.
+  /// verdict follows when an owner answers or counts as silent, and may be later than aWaitUntil;
+  /// it is a refusal then.
   QuotaVerdict Admit(std::uint64_t aTeam,
                      const QuotaPlan& aPlan,
                      MonotonicTime aNow,
@@ -110,14 +110,14 @@
   struct TeamState
   {
     std::uint32_t shareCount_ = 1;
-    std::uint32_t nextShare_ = 0;     ///< that is asked first
+    std::uint32_t nextShare_ = 0; ///< that is asked first
     Duration creditLifetime_{};
-    std::vector<Credit> credits_;     ///< in no order
-    std::vector<Waiter> waiters_;     ///< in the order of their arrival
-    std::uint64_t askedBy_ = 0;       ///< sequence number of the open question; 0 without one
-    bool due_ = false;                ///< in due_
-    double demand_ = 0;               ///< requests per second, recently
-    MonotonicTime demandAt_{};        ///< of the last request
+    std::vector<Credit> credits_; ///< in no order
+    std::vector<Waiter> waiters_; ///< in the order of their arrival
+    std::uint64_t askedBy_ = 0;   ///< sequence number of the open question; 0 without one
+    bool due_ = false;            ///< in due_
+    double demand_ = 0;           ///< requests per second, recently
+    MonotonicTime demandAt_{};    ///< of the last request
     /// Times before which the shares are not asked.
     std::array<MonotonicTime, QuotaPlan::kMaxShares> deniedUntil_{};
   };
@@ -127,8 +127,8 @@
   {
     InstanceId owner_;
     MonotonicTime askedAt_;
-    MonotonicTime endsAt_; ///< when the question is forgotten
-    bool silent_ = false;  ///< the answer is late
+    MonotonicTime endsAt_;                      ///< when the question is forgotten
+    bool silent_ = false;                       ///< the answer is late
     std::vector<PeerQuotaRequest::Item> items_; ///< without an answer
   };
 
--- a/boragepier/quota/quota_owner.cc
+++ b/boragepier/quota/quota_owner.cc
@@ -64,8 +64,8 @@
     const Duration interval = FromSeconds(1 / bucket.rate_);
     const MonotonicTime creditAt =
       aNow + std::max(Duration(0), FromSeconds((1 - bucket.credit_) / bucket.rate_));
-    bucket.nextTurn_ = std::clamp(
-      bucket.nextTurn_ + interval, creditAt, std::max(creditAt, aNow + kMaxDenial));
+    bucket.nextTurn_ =
+      std::clamp(bucket.nextTurn_ + interval, creditAt, std::max(creditAt, aNow + kMaxDenial));
     decision.deniedFor_ = std::min(kMaxDenial, bucket.nextTurn_ - aNow);
   }
   return decision;
--- a/boragepier/quota/quota_owner.h
+++ b/boragepier/quota/quota_owner.h
@@ -19,8 +19,8 @@
   Duration deniedFor_{};
 };
 
-/// Grants credit from the shares that one instance owns: a token bucket for each. Reads no clock and
-/// does no I/O.
+/// Grants credit from the shares that one instance owns: a token bucket for each. Reads no clock
+/// and does no I/O.
 class QuotaOwner
 {
 public:
@@ -45,7 +45,8 @@
     std::erase_if(buckets_, [&](const auto& aEntry) { return !aOwned(aEntry.first); });
   }
 
-  /// Forgets the buckets that are full, so that unused ones take no memory. A new one holds no more.
+  /// Forgets the buckets that are full, so that unused ones take no memory. A new one holds no
+  /// more.
   void DropFull(MonotonicTime aNow);
 
   std::size_t BucketCount() const { return buckets_.size(); }
--- a/boragepier/quota/quota_ownership.cc
+++ b/boragepier/quota/quota_ownership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 #include <utility>
 
 #include <xxhash.h>
@@ -44,12 +45,12 @@
   for (const InstanceEntry& instance : aInstances) {
     if (all || isLarge(instance)) {
       candidates.push_back({ { instance.id_, instance.address_, instance.port_ },
+                             instance.zone_,
                              XXH3_64bits(instance.id_.View().data(), instance.id_.View().size()) });
     }
   }
-  std::ranges::sort(candidates, {}, [](const Candidate& aCandidate) {
-    return aCandidate.endpoint_.id_.View();
-  });
+  std::ranges::sort(
+    candidates, {}, [](const Candidate& aCandidate) { return aCandidate.endpoint_.id_.View(); });
   if (candidates == candidates_) {
     return;
   }
@@ -64,9 +65,21 @@
 const QuotaOwnership::Candidate*
 QuotaOwnership::OwnerAmong(const Candidates& aCandidates, const QuotaShareId& aShare)
 {
-  const auto owner = std::ranges::max_element(
-    aCandidates, {}, [&](const Candidate& aCandidate) { return WeightOf(aCandidate.hash_, aShare); });
-  return owner == aCandidates.end() ? nullptr : &*owner;
+  std::vector<const Candidate*> owners; // of the shares up to this one
+  for (QuotaShareId share{ aShare.team_, 0 }; share.share_ <= aShare.share_; ++share.share_) {
+    const auto rank = [&](const Candidate& aCandidate) {
+      const bool newInstance = std::ranges::find(owners, &aCandidate) == owners.end();
+      const bool newZone = std::ranges::none_of(
+        owners, [&](const Candidate* aOwner) { return aOwner->zone_ == aCandidate.zone_; });
+      return std::make_tuple(newInstance, newZone, WeightOf(aCandidate.hash_, share));
+    };
+    const auto owner = std::ranges::max_element(aCandidates, {}, rank);
+    if (owner == aCandidates.end()) {
+      return nullptr;
+    }
+    owners.push_back(&*owner);
+  }
+  return owners.empty() ? nullptr : owners.back();
 }
 
 const PeerEndpoint*
@@ -79,8 +92,7 @@
 std::optional<QuotaTenure>
 QuotaOwnership::TenureOf(const QuotaShareId& aShare, MonotonicTime aNow)
 {
-  const PeerEndpoint* const owner = OwnerOf(aShare);
-  if (owner == nullptr || !IsSelf(*owner)) {
+  if (!Owns(aShare)) {
     return std::nullopt;
   }
   while (!formerly_.empty() && formerly_.front().replacedAt_ + kSettleTime <= aNow) {
--- a/boragepier/quota/quota_ownership.h
+++ b/boragepier/quota/quota_ownership.h
@@ -35,7 +35,9 @@
 };
 
 /// Selects the owner of each share by rendezvous hashing among the instances with the most
-/// capacity, so that instances with the same list agree. Reads no clock and does no I/O.
+/// capacity, so that instances with the same list agree. The shares of a team have owners in
+/// different availability zones, or at least different owners, as far as there are any. Reads no
+/// clock and does no I/O.
 ///
 /// The lists of the instances differ for some time after a change. A new owner therefore waits for
 /// kSettleTime after it, in which the former owner, and all that ask it, learn of the change.
@@ -51,6 +53,7 @@
   /// Replaces the list of instances.
   void SetInstances(std::span<const InstanceEntry> aInstances, MonotonicTime aNow);
 
+  /// @param aShare a share below QuotaPlan::kMaxShares
   /// @return the owner of a share, or null if no instance is known. Valid until SetInstances().
   const PeerEndpoint* OwnerOf(const QuotaShareId& aShare) const;
   /// @return whether this instance is the owner
@@ -68,6 +71,7 @@
   struct Candidate
   {
     PeerEndpoint endpoint_;
+    ZoneName zone_;
     std::uint64_t hash_ = 0; ///< of the id
 
     friend bool operator==(const Candidate&, const Candidate&) = default;
--- a/boragepier/state/gossip.cc
+++ b/boragepier/state/gossip.cc
@@ -58,9 +58,11 @@
   receiveBudget_.Take(aBytes, aNow);
   std::visit(
     [&]<typename Content>(Content& aContent) {
-      // The other two types are handled by DirectoryWatch.
+      // The other types are handled by DirectoryWatch and QuotaAgent.
       if constexpr (!std::is_same_v<Content, PeerSubscribe> &&
-                    !std::is_same_v<Content, PeerStoreUpdate>) {
+                    !std::is_same_v<Content, PeerStoreUpdate> &&
+                    !std::is_same_v<Content, PeerQuotaRequest> &&
+                    !std::is_same_v<Content, PeerQuotaGrant>) {
         Handle(aSender, aContent);
       }
     },
