--- /dev/null
+++ b/boragepier/quota/quota_ownership.cc
@@ -0,0 +1,110 @@
+#include "boragepier/quota/quota_ownership.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace boragepier {
+
+namespace {
+
+// Instances with less capacity than this part of the largest own no shares, unless there are fewer
+// than kMinOwners others.
+constexpr double kMinCapacity = 0.5;
+constexpr std::ptrdiff_t kMinOwners = 4;
+
+std::uint64_t
+WeightOf(std::uint64_t aInstanceHash, const QuotaShareId& aShare)
+{
+  const std::array<std::uint64_t, 3> key{ aInstanceHash, aShare.team_, aShare.share_ };
+  return XXH3_64bits(key.data(), sizeof(key));
+}
+
+} // namespace
+
+QuotaOwnership::QuotaOwnership(InstanceId aSelf)
+  : self_(std::move(aSelf))
+{
+}
+
+void
+QuotaOwnership::SetInstances(std::span<const InstanceEntry> aInstances, MonotonicTime aNow)
+{
+  double largest = 0;
+  for (const InstanceEntry& instance : aInstances) {
+    largest = std::max(largest, instance.relayCapacity_);
+  }
+  const auto isLarge = [largest](const InstanceEntry& aInstance) {
+    return aInstance.relayCapacity_ >= largest * kMinCapacity;
+  };
+  const bool all = std::ranges::count_if(aInstances, isLarge) < kMinOwners;
+  Candidates candidates;
+  for (const InstanceEntry& instance : aInstances) {
+    if (all || isLarge(instance)) {
+      candidates.push_back({ { instance.id_, instance.address_, instance.port_ },
+                             instance.zone_,
+                             XXH3_64bits(instance.id_.View().data(), instance.id_.View().size()) });
+    }
+  }
+  std::ranges::sort(
+    candidates, {}, [](const Candidate& aCandidate) { return aCandidate.endpoint_.id_.View(); });
+  if (candidates == candidates_) {
+    return;
+  }
+  std::swap(candidates, candidates_);
+  refillsFrom_ = aNow;
+  if (!candidates.empty()) {
+    formerly_.push_back({ std::move(candidates), aNow });
+    refillsFrom_ += kSettleTime;
+  }
+}
+
+const QuotaOwnership::Candidate*
+QuotaOwnership::OwnerAmong(const Candidates& aCandidates, const QuotaShareId& aShare)
+{
+  std::vector<const Candidate*> owners; // of the shares up to this one
+  for (QuotaShareId share{ aShare.team_, 0 }; share.share_ <= aShare.share_; ++share.share_) {
+    const auto rank = [&](const Candidate& aCandidate) {
+      const bool newInstance = std::ranges::find(owners, &aCandidate) == owners.end();
+      const bool newZone = std::ranges::none_of(
+        owners, [&](const Candidate* aOwner) { return aOwner->zone_ == aCandidate.zone_; });
+      return std::make_tuple(newInstance, newZone, WeightOf(aCandidate.hash_, share));
+    };
+    const auto owner = std::ranges::max_element(aCandidates, {}, rank);
+    if (owner == aCandidates.end()) {
+      return nullptr;
+    }
+    owners.push_back(&*owner);
+  }
+  return owners.empty() ? nullptr : owners.back();
+}
+
+const PeerEndpoint*
+QuotaOwnership::OwnerOf(const QuotaShareId& aShare) const
+{
+  const Candidate* const owner = OwnerAmong(candidates_, aShare);
+  return owner != nullptr ? &owner->endpoint_ : nullptr;
+}
+
+std::optional<QuotaTenure>
+QuotaOwnership::TenureOf(const QuotaShareId& aShare, MonotonicTime aNow)
+{
+  if (!Owns(aShare)) {
+    return std::nullopt;
+  }
+  while (!formerly_.empty() && formerly_.front().replacedAt_ + kSettleTime <= aNow) {
+    formerly_.pop_front();
+  }
+  for (auto former = formerly_.rbegin(); former != formerly_.rend(); ++former) {
+    if (const Candidate* const before = OwnerAmong(former->candidates_, aShare);
+        before != nullptr && !IsSelf(before->endpoint_)) {
+      return QuotaTenure{ former->replacedAt_ + kSettleTime, refillsFrom_ };
+    }
+  }
+  return QuotaTenure{ aNow, refillsFrom_ };
+}
+
+} // namespace boragepier
