Show teams, cold and evacuated upstreams to operators

Counters of requests and refusals by team (the first 200 of the process, the others as one), the team in request-ended, request-refused, explain records and boragepierctl log, cold and evacuated upstreams in explain records and the status. Without teams the lines of the log are as before. Values of labels are escaped, because the names of teams may hold any text.

--- a/apps/boragepierctl/ctl_test.cc
+++ b/apps/boragepierctl/ctl_test.cc
@@ -340,11 +340,15 @@
   record.id_ = RequestId("i-2-7");
   record.method_ = "GET";
   record.path_ = "/orders/1";
+  record.team_ = TeamName("north");
+  CandidateInfo candidate;
+  candidate.evacuated_ = true;
+  candidate.coldFor_ = std::chrono::milliseconds(1500);
   record.attempts_.push_back({ .upstream_ = UpstreamId("u-1"),
                                .retryReason_ = RetryReason::ConnectFailed,
                                .outcome_ = Outcome::Answered,
                                .status_ = 200,
-                               .candidates_ = { CandidateInfo() } });
+                               .candidates_ = { candidate } });
   second.explain_.Add(record);
   const auto explain = [&](std::vector<std::string> aMoreArguments) {
     aMoreArguments.insert(
@@ -354,6 +358,8 @@
   };
   CheckResult(explain({ "i-2-7" }), ExitCode::Ok, "attempt 1 at u-1 (connect-failed)");
   CheckResult(explain({ "--last", "5" }), ExitCode::Ok, "i-2-7 GET /orders/1");
+  CheckResult(explain({ "i-2-7" }), ExitCode::Ok, " team=north ");
+  CheckResult(explain({ "i-2-7" }), ExitCode::Ok, " evacuated cold=1500ms");
   CHECK(json::parse(explain({ "i-2-7", "--json" }).output_).at("requestId") == "i-2-7");
   CheckResult(explain({ "i-9" }), ExitCode::RequestUnknown, "none of 2 instances");
   CheckResult(explain({ "--last", "999" }), ExitCode::InstanceProblem, "last=N");
--- a/apps/boragepierctl/explain_text.cc
+++ b/apps/boragepierctl/explain_text.cc
@@ -27,7 +27,13 @@
             << "ms own=" << candidate.at("ownOutstanding").get<std::uint64_t>()
             << " others=" << candidate.at("othersEstimate").get<double>()
             << " standing=" << candidate.at("standing").get<double>()
-            << (candidate.at("leaving").get<bool>() ? " leaving" : "") << "\n";
+            << (candidate.at("leaving").get<bool>() ? " leaving" : "")
+            << (candidate.value("evacuated", false) ? " evacuated" : "");
+    // Instances of an earlier release do not report it.
+    if (const double coldMs = candidate.value("coldMs", 0.0); coldMs > 0) {
+      aOutput << " cold=" << coldMs << "ms";
+    }
+    aOutput << "\n";
   }
 }
 
@@ -55,8 +61,11 @@
 WriteExplainText(const json& aRecord, std::ostream& aOutput)
 {
   aOutput << StringField(aRecord, "requestId") << " " << StringField(aRecord, "method") << " "
-          << StringField(aRecord, "path") << " service=" << StringField(aRecord, "service")
-          << " outcome=" << StringField(aRecord, "outcome");
+          << StringField(aRecord, "path") << " service=" << StringField(aRecord, "service");
+  if (const std::string team = aRecord.value("team", ""); !team.empty()) {
+    aOutput << " team=" << team;
+  }
+  aOutput << " outcome=" << StringField(aRecord, "outcome");
   if (!aRecord.at("refusal").is_null()) {
     aOutput << " refusal=" << StringField(aRecord, "refusal");
   }
--- a/apps/boragepierctl/inspect_command.cc
+++ b/apps/boragepierctl/inspect_command.cc
@@ -58,6 +58,12 @@
     aOutput << " peers=" << status.peers_;
     for (const ServiceStatus& service : status.services_) {
       aOutput << " " << service.name_.View() << "=" << service.version_;
+      if (service.evacuatedUpstreams_ > 0) {
+        aOutput << " evacuated=" << service.evacuatedUpstreams_;
+      }
+      if (service.coldUpstreams_ > 0) {
+        aOutput << " cold=" << service.coldUpstreams_;
+      }
       versions[service.name_].insert(service.version_);
     }
     aOutput << "\n";
--- a/apps/boragepierctl/log_analysis.cc
+++ b/apps/boragepierctl/log_analysis.cc
@@ -91,9 +91,12 @@
 std::string
 DescribeRequestEnd(const LogLine& aLine)
 {
-  std::string text = "request to " + TextField(aLine, "service") + " " + TextField(aLine, "path") +
-                     " ended after " + FormatMs(aLine.Number("latencyMs")) + " of " +
-                     FormatMs(aLine.Number("deadlineMs")) + ": " + TextField(aLine, "outcome");
+  std::string text = "request to " + TextField(aLine, "service") + " " + TextField(aLine, "path");
+  if (!aLine.Field("team").empty()) {
+    text += " of team " + TextField(aLine, "team");
+  }
+  text += " ended after " + FormatMs(aLine.Number("latencyMs")) + " of " +
+          FormatMs(aLine.Number("deadlineMs")) + ": " + TextField(aLine, "outcome");
   if (aLine.Field("reason") != "none") {
     text += ", " + TextField(aLine, "reason");
   }
@@ -336,6 +339,9 @@
       ++tables["requests by reason"][reason + " " + TextField(line, "outcome")];
       ++tables["requests by service"]
               [line.Field("service").empty() ? "(none)" : TextField(line, "service")];
+      if (!line.Field("team").empty()) {
+        ++tables["requests by team and reason"][TextField(line, "team") + " " + reason];
+      }
       ++tables["requests by second"][line.time_.substr(0, 19) + "Z"];
     } else if (IsEvent(line, EventId::AttemptEnded) && line.Field("failure") != "none" &&
                line.Field("failure") != "cancelled") {
--- a/apps/boragepierctl/log_analysis_test.cc
+++ b/apps/boragepierctl/log_analysis_test.cc
@@ -147,6 +147,21 @@
   CHECK(Contains(text.str(), "2 requests ended, 40 events left out"));
 }
 
+// Guards against a team over its limits that cannot be told from the logs.
+TEST(LogAnalysis, TeamsAreShown)
+{
+  const auto lines =
+    ParseLog("2026-01-21T04:06:26.199Z INFO event=6007 name=request-ended request=r service=s "
+             "team=north path=/a config=7 outcome=not-run reason=quota-exceeded abandoned=false\n");
+  std::ostringstream text;
+  WriteLogSummary(lines, false, text);
+  CHECK(Contains(text.str(), "failed requests by team and reason"));
+  CHECK(Contains(text.str(), "1  north quota-exceeded"));
+  std::ostringstream trace;
+  WriteRequestTrace(TraceRequest(lines, "r"), trace);
+  CHECK(Contains(trace.str(), "request to s /a of team north ended"));
+}
+
 // Guards against a split whose shares cannot be told from the logs.
 TEST(LogAnalysis, SummaryCountsRequestsByRouteVersionAndService)
 {
--- a/boragepier/admin/admin_server_test.cc
+++ b/boragepier/admin/admin_server_test.cc
@@ -26,7 +26,7 @@
   status.zone_ = ZoneName("a");
   status.ready_ = aReady;
   status.notReadyReason_ = aReady ? "" : "no configuration";
-  status.services_ = { { ServiceName("orders"), 7, 5, 1 } };
+  status.services_ = { { ServiceName("orders"), 7, 5, 3, 2, 1 } };
   return status;
 }
 
--- a/boragepier/admin/instance_status.cc
+++ b/boragepier/admin/instance_status.cc
@@ -20,7 +20,9 @@
     services.push_back({ { "name", service.name_.Text() },
                          { "version", service.version_ },
                          { "upstreams", service.upstreams_ },
-                         { "leavingUpstreams", service.leavingUpstreams_ } });
+                         { "leavingUpstreams", service.leavingUpstreams_ },
+                         { "evacuatedUpstreams", service.evacuatedUpstreams_ },
+                         { "coldUpstreams", service.coldUpstreams_ } });
   }
   const json status{
     { "instance", aStatus.id_.Text() },  { "zone", aStatus.zone_.Text() },
@@ -48,7 +50,10 @@
       status.services_.push_back({ ServiceName(service.at("name").get<std::string>()),
                                    service.at("version").get<std::uint64_t>(),
                                    service.at("upstreams").get<std::uint64_t>(),
-                                   service.at("leavingUpstreams").get<std::uint64_t>() });
+                                   service.at("leavingUpstreams").get<std::uint64_t>(),
+                                   // Instances of an earlier release do not report the others.
+                                   service.value("evacuatedUpstreams", std::uint64_t{ 0 }),
+                                   service.value("coldUpstreams", std::uint64_t{ 0 }) });
     }
     return status;
   } catch (const json::exception& error) {
--- a/boragepier/admin/instance_status.h
+++ b/boragepier/admin/instance_status.h
@@ -25,6 +25,9 @@
   std::uint64_t version_ = 0;          ///< of the active configuration
   std::uint64_t upstreams_ = 0;        ///< known upstreams, including leaving ones
   std::uint64_t leavingUpstreams_ = 0; ///< upstreams that receive no new requests
+  /// Of these, those in evacuated availability zones.
+  std::uint64_t evacuatedUpstreams_ = 0;
+  std::uint64_t coldUpstreams_ = 0; ///< upstreams whose requests are limited because they are cold
 
   friend bool operator==(const ServiceStatus&, const ServiceStatus&) = default;
 };
--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -432,6 +432,10 @@
     info.othersEstimate_ = estimate.InFlight() - estimate.OwnOutstanding();
     info.healthWeight_ = 1 - estimate.FailureProbability(aNow);
     info.leaving_ = !IsInUse(upstream);
+    info.evacuated_ = upstream.endpoint_->evacuated_;
+    if (IsColdAndLimited(upstream, aNow)) {
+      info.coldFor_ = upstream.cold_.End() - aNow;
+    }
     if (upstream.pause_.StateAt(aNow) == UpstreamPause::State::Paused) {
       info.pausedFor_ = upstream.pause_.End() - aNow;
     }
--- a/boragepier/decision/service_balancer.h
+++ b/boragepier/decision/service_balancer.h
@@ -109,6 +109,8 @@
   double expectedWaitMs_ = 0;        ///< expected wait of a new request for a slot
   double healthWeight_ = 1;          ///< 1 for a healthy upstream, 0 for an ejected one
   bool leaving_ = false;             ///< receives no new requests
+  bool evacuated_ = false;           ///< its zone is evacuated
+  Duration coldFor_{};               ///< time left in which its requests are limited
   Duration pausedFor_{};             ///< time left of the pause that it asked for
   double slowness_ = 0;              ///< as reported; 0 without a report
   Duration reportAge_{};             ///< valid if slowness_ is not 0
--- a/boragepier/decision/service_balancer_upstreams.cc
+++ b/boragepier/decision/service_balancer_upstreams.cc
@@ -191,6 +191,7 @@
       loadEstimator_.ExpectedWaitServiceTimes(index, aNow) * loadEstimator_.ServiceTimeMs(index);
     info.healthWeight_ = outlierEjection_.HealthWeight(index, aNow);
     info.leaving_ = !IsInUse(index);
+    info.evacuated_ = upstreams_[index].endpoint_->evacuated_;
     if (upstream.pause_.StateAt(aNow) == UpstreamPause::State::Paused) {
       info.pausedFor_ = upstream.pause_.End() - aNow;
     }
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -79,6 +79,7 @@
     { { "request", aRecord.id_ },
       { "service", aRecord.service_ },
       { "route", aRecord.route_ },
+      LogField::IfNotEmpty("team", aRecord.team_.View()),
       { "path", aRecord.path_ },
       { "config", aRecord.configVersion_ },
       { "outcome", aRecord.outcome_ },
@@ -100,6 +101,7 @@
   Log(event,
       { { "service", aRecord.service_ },
         { "reason", *aRecord.refusal_ },
+        LogField::IfNotEmpty("team", aRecord.team_.View()),
         { "request", aRecord.id_ },
         { "attempts", aRecord.attempts_.size() } });
 }
@@ -131,6 +133,9 @@
       service.OnAttemptFailure(attempt.failure_);
     }
   }
+  if (!aRecord.team_.Empty()) {
+    metrics_.OnTeamRequest(aRecord.team_, aRecord.refusal_);
+  }
   LogRequestEnd(aRecord, aAbandoned);
   explain_.Add(std::move(aRecord));
 }
--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -193,6 +193,10 @@
       std::count_if(candidates.begin(), candidates.end(), [](const auto& aCandidate) {
         return aCandidate.leaving_;
       }));
+    for (const CandidateInfo& candidate : candidates) {
+      serviceStatus.evacuatedUpstreams_ += candidate.evacuated_ ? 1 : 0;
+      serviceStatus.coldUpstreams_ += candidate.coldFor_ > Duration(0) ? 1 : 0;
+    }
     status.services_.push_back(std::move(serviceStatus));
   }
   return status;
--- a/boragepier/telemetry/explain.cc
+++ b/boragepier/telemetry/explain.cc
@@ -47,6 +47,8 @@
                       { "expectedWaitMs", candidate.expectedWaitMs_ },
                       { "standing", candidate.healthWeight_ },
                       { "leaving", candidate.leaving_ },
+                      { "evacuated", candidate.evacuated_ },
+                      { "coldMs", ToMilliseconds(candidate.coldFor_) },
                       { "pausedMs", ToMilliseconds(candidate.pausedFor_) } });
   }
   return array;
--- a/boragepier/telemetry/log.cc
+++ b/boragepier/telemetry/log.cc
@@ -194,8 +194,10 @@
   AppendNumber(line, static_cast<int>(aInfo.id_));
   line.append(" name=").append(aInfo.name_);
   for (const LogField& field : aFields) {
-    line += ' ';
-    field.AppendTo(line);
+    if (!field.IsLeftOut()) {
+      line += ' ';
+      field.AppendTo(line);
+    }
   }
   return line;
 }
--- a/boragepier/telemetry/log.h
+++ b/boragepier/telemetry/log.h
@@ -92,6 +92,13 @@
   {
   }
 
+  /// @return a field that is left out of the line if its value is empty
+  static LogField IfNotEmpty(std::string_view aKey, std::string_view aValue)
+  {
+    return { aValue.empty() ? std::string_view() : aKey, aValue };
+  }
+
+  bool IsLeftOut() const { return key_.empty(); }
   /// @return the value if it is text, otherwise an empty view
   std::string_view Text() const;
   /// Appends `key=value`. Text is truncated to 256 bytes, and quoted if it is empty or contains
--- a/boragepier/telemetry/metrics.cc
+++ b/boragepier/telemetry/metrics.cc
@@ -113,6 +113,21 @@
   }
 }
 
+void
+Metrics::OnTeamRequest(const TeamName& aTeam, std::optional<RefusalReason> aRefusal)
+{
+  const std::lock_guard lock(mutex_);
+  auto team = teams_.find(aTeam.View());
+  if (team == teams_.end() && teams_.size() < kMaxTeamCounters) {
+    team = teams_.try_emplace(aTeam.Text()).first;
+  }
+  TeamCounters& counters = team == teams_.end() ? otherTeams_ : team->second;
+  ++counters.requests_;
+  if (aRefusal) {
+    ++counters.refusals_[*aRefusal];
+  }
+}
+
 void
 Metrics::SetBodyMemory(const BodyMemory& aMemory)
 {
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -173,6 +174,11 @@
   /// @param aRoute name of the route
   /// @param aService service that was selected for the request
   void OnSplitRequest(std::string_view aRoute, const ServiceName& aService);
+  /// Counts a completed request of a team. The teams after the first kMaxTeamCounters are counted
+  /// together, because a team is never removed.
+  /// @param aTeam name of a team of the configuration
+  /// @param aRefusal nothing if an answer was passed on
+  void OnTeamRequest(const TeamName& aTeam, std::optional<RefusalReason> aRefusal);
   /// Counts a request that was read completely and got no complete response.
   void OnUnanswered(UnansweredCause aCause) { unanswered_.Add(aCause); }
   /// Counts a routing table that was applied.
@@ -209,11 +215,20 @@
   friend class PrometheusWriter;
 
   static constexpr std::size_t kMaxSplitCounters = 1000;
+  static constexpr std::size_t kMaxTeamCounters = 200;
 
-  mutable std::mutex mutex_; ///< guards services_ and splitRequests_
+  struct TeamCounters
+  {
+    std::uint64_t requests_ = 0;
+    std::map<RefusalReason, std::uint64_t> refusals_; ///< by the reasons that have occurred
+  };
+
+  mutable std::mutex mutex_; ///< guards services_, splitRequests_ and the counters of teams
   std::unordered_map<ServiceName, std::unique_ptr<ServiceMetrics>> services_;
   /// Number of requests by route and service.
   std::map<std::pair<std::string, std::string>, std::uint64_t> splitRequests_;
+  std::map<std::string, TeamCounters, std::less<>> teams_;
+  TeamCounters otherTeams_; ///< of all teams that have no counters of their own
   EnumCounters<UnansweredCause, kUnansweredCauseCount> unanswered_;
   std::atomic<std::uint64_t> routingTableCount_ = 0;
   std::atomic<std::uint64_t> builtRouteCount_ = 0;
--- a/boragepier/telemetry/metrics_test.cc
+++ b/boragepier/telemetry/metrics_test.cc
@@ -128,6 +128,25 @@
   CHECK(text.find("route=\"r1000\"") == std::string::npos);
 }
 
+// Guards against memory and output that grow with every team that a configuration ever had, and
+// against a name that forges a line.
+TEST(Metrics, TeamsAreCountedWithinABound)
+{
+  Metrics metrics;
+  metrics.OnTeamRequest(TeamName("a\"b\\c\nd"), std::nullopt);
+  for (int i = 0; i < 300; ++i) {
+    metrics.OnTeamRequest(TeamName("t" + std::to_string(i)), std::nullopt);
+    metrics.OnTeamRequest(TeamName("t" + std::to_string(i)), RefusalReason::Overloaded);
+  }
+  const std::string text = metrics.WritePrometheus(MonotonicTime());
+  CheckContains(text, R"(boragepier_team_requests_total{team="a\"b\\c\nd"} 1)");
+  CheckContains(text, "boragepier_team_requests_total{team=\"t198\"} 2\n");
+  CheckContains(text, "boragepier_team_refusals_total{team=\"t198\",reason=\"overloaded\"} 1\n");
+  CheckContains(text, "boragepier_team_requests_total{team=\"\"} 202\n");
+  CheckContains(text, "boragepier_team_refusals_total{team=\"\",reason=\"overloaded\"} 101\n");
+  CHECK(text.find("team=\"t199\"") == std::string::npos);
+}
+
 TEST(Metrics, ProbeBudgetShareCoversTheLastCompleteWindow)
 {
   Metrics metrics;
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -59,6 +59,13 @@
   MetricInfo{ "boragepier_split_requests_total",
               "counter",
               "requests of routes with several services, by the service selected" },
+  MetricInfo{ "boragepier_team_requests_total",
+              "counter",
+              "requests of callers with the key of a team; the teams after the first 200 of the "
+              "process count as the empty name" },
+  MetricInfo{ "boragepier_team_refusals_total",
+              "counter",
+              "refused ones of these, by the reasons that have occurred" },
   MetricInfo{ "boragepier_config_version",
               "gauge",
               "version of the configuration in force; 0 without a configuration" },
@@ -119,6 +126,22 @@
   return static_cast<double>(aCounter.load(std::memory_order_relaxed));
 }
 
+// Label values may hold any text.
+void
+AppendLabelValue(std::string& aText, std::string_view aValue)
+{
+  for (const char character : aValue) {
+    if (character == '\n') {
+      aText += "\\n";
+      continue;
+    }
+    if (character == '\\' || character == '"') {
+      aText += '\\';
+    }
+    aText += character;
+  }
+}
+
 } // namespace
 
 std::span<const MetricInfo>
@@ -160,7 +183,9 @@
   text_ += aName;
   std::string_view separator = "{";
   for (const auto& [label, value] : aLabels) {
-    text_.append(separator).append(label).append("=\"").append(value).append("\"");
+    text_.append(separator).append(label).append("=\"");
+    AppendLabelValue(text_, value);
+    text_.append("\"");
     separator = ",";
   }
   text_.append(aLabels.size() > 0 ? "} " : " ").append(FormatNumber(aValue)).append("\n");
@@ -309,6 +334,34 @@
   }
 }
 
+void
+PrometheusWriter::WriteTeams()
+{
+  constexpr std::string_view kRequests = "boragepier_team_requests_total";
+  constexpr std::string_view kRefusals = "boragepier_team_refusals_total";
+  const std::lock_guard lock(metrics_.mutex_);
+  const auto visitTeams = [&](auto aVisit) {
+    for (const auto& [name, counters] : metrics_.teams_) {
+      aVisit(std::string_view(name), counters);
+    }
+    if (metrics_.otherTeams_.requests_ > 0) {
+      aVisit(std::string_view(), metrics_.otherTeams_);
+    }
+  };
+  WriteHeader(kRequests);
+  visitTeams([&](std::string_view aName, const auto& aCounters) {
+    WriteSample(kRequests, { { "team", aName } }, static_cast<double>(aCounters.requests_));
+  });
+  WriteHeader(kRefusals);
+  visitTeams([&](std::string_view aName, const auto& aCounters) {
+    for (const auto& [reason, count] : aCounters.refusals_) {
+      WriteSample(kRefusals,
+                  { { "team", aName }, { "reason", ToString(reason) } },
+                  static_cast<double>(count));
+    }
+  });
+}
+
 void
 PrometheusWriter::WriteServices()
 {
@@ -351,6 +404,7 @@
   WriteUnanswered();
   WriteInternalErrors();
   WriteSplitRequests();
+  WriteTeams();
   WriteServices();
   return std::move(text_);
 }
--- a/boragepier/telemetry/prometheus_writer.h
+++ b/boragepier/telemetry/prometheus_writer.h
@@ -54,6 +54,7 @@
   void WriteUnanswered();
   void WriteInternalErrors();
   void WriteSplitRequests();
+  void WriteTeams();
   void WriteServices();
 
   const Metrics& metrics_;
