Ask the owner in the own availability zone first, report refused teams

Owners of the shares of a team are in different availability zones, questions to one owner are at least 15 ms apart, and counters and an event name what happens.

--- a/boragepier/entry/directory_events.cc
+++ b/boragepier/entry/directory_events.cc
@@ -49,6 +49,13 @@
            aSettings.coldSlack_ };
 }
 
+void
+LogTeamRefused(const TeamName& aTeam, const InstanceId& aOwner, Duration aRetryAfter)
+{
+  Log(EventId::TeamQuotaExceeded,
+      { { "team", aTeam }, { "owner", aOwner }, { "credit", 0 }, { "retryAfterMs", aRetryAfter } });
+}
+
 QuotaRules
 QuotaRulesFrom(const Settings& aSettings)
 {
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -33,6 +33,12 @@
 FleetSettings
 FleetLimitsFrom(const Settings& aSettings);
 
+/// Logs that requests of a team are refused because its quota is used up.
+/// @param aOwner instance that will have credit first
+/// @param aRetryAfter when it will
+void
+LogTeamRefused(const TeamName& aTeam, const InstanceId& aOwner, Duration aRetryAfter);
+
 /// @return how the requests of teams are counted, as the settings state
 QuotaRules
 QuotaRulesFrom(const Settings& aSettings);
@@ -69,7 +75,12 @@
     , client_(loop_)
     , feed_(aFeedFactory(client_, aSettings))
     , peers_(loop_, RelayLimits(aSettings.descriptors_))
-    , quotas_(loop_, peers_, aSettings.id_, QuotaRulesFrom(aSettings), std::random_device()())
+    , quotas_(loop_,
+              peers_,
+              aSettings.id_,
+              aSettings.zone_,
+              QuotaRulesFrom(aSettings),
+              std::random_device()())
   {
     client_.SetMaxConnections(aSettings.descriptors_.storeConnections_);
   }
@@ -108,6 +119,7 @@
     watch_->OnOtherMessage([this](const PeerEndpoint& aSender, const PeerMessage& aMessage) {
       quotas_.OnMessage(aSender, aMessage);
     });
+    quotas_.OnTeamRefused(LogTeamRefused);
     watch_->OnPeerUnreachable([this](const InstanceId& aPeer) { quotas_.OnUnreachable(aPeer); });
     loop_.Post([this] {
       watch_->Start(settings_.fleetStarts_);
@@ -206,10 +218,20 @@
     lastTickNs_ = now.time_since_epoch().count();
     loop_.After(kTickInterval, [this] { RunEverySecond(); });
     ReportSuppressedEvents();
-    quotas_.DropUnused();
+    quotas_.Tick();
+    ReportQuotas();
     periodicTask_();
   }
 
+  void ReportQuotas()
+  {
+    const auto counters = quotas_.GetCounters();
+    metrics_.SetQuotas({ counters.messagesSent_,
+                         counters.grantsGiven_,
+                         counters.denialsGiven_,
+                         counters.asked_.silences_ });
+  }
+
   void ReportUsage(MonotonicTime aNow)
   {
     const Duration cpuTime = ThreadCpuTime();
--- a/boragepier/quota/quota_agent.h
+++ b/boragepier/quota/quota_agent.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -42,18 +43,24 @@
   };
 
   /// @param aScheduler must outlive this object, like aPeers
+  /// Receives a team of which requests are refused, the owner of the share that will have credit
+  /// first, and when it will.
+  using RefusedCallback = std::function<void(const TeamName&, const InstanceId&, Duration)>;
+
   /// @param aSelf this instance
+  /// @param aZone its availability zone
   /// @param aSeed seed of random choices
   QuotaAgent(S& aScheduler,
              P& aPeers,
              InstanceId aSelf,
+             ZoneName aZone,
              const QuotaRules& aRules,
              std::uint64_t aSeed)
     : scheduler_(aScheduler)
     , peers_(aPeers)
     , self_(std::move(aSelf))
     , rules_(aRules)
-    , ownership_(self_)
+    , ownership_(self_, std::move(aZone))
     , ledger_(self_, aSeed)
   {
   }
@@ -116,13 +123,30 @@
     Update([&](auto& aVerdicts) { ledger_.OnUnreachable(aPeer, scheduler_.Now(), aVerdicts); });
   }
 
-  /// Drops what was not used for a while. To be called about once a second.
-  void DropUnused()
+  /// Called for a team of which requests are refused, at most once a minute; set before the first
+  /// Admit().
+  void OnTeamRefused(RefusedCallback aCallback) { onTeamRefused_ = std::move(aCallback); }
+
+  /// Reports the teams that were refused, and drops what was not used for a while. To be called
+  /// about once a second.
+  void Tick()
   {
     const MonotonicTime now = scheduler_.Now();
     owner_.DropFull(now);
-    const std::lock_guard lock(mutex_);
-    ledger_.DropUnused(now);
+    std::vector<QuotaLedger::Report> reports;
+    {
+      const std::lock_guard lock(mutex_);
+      ledger_.DropUnused(now);
+      reports = ledger_.TakeReports();
+    }
+    for (const QuotaLedger::Report& report : reports) {
+      const TeamDirectory::TeamPointer team = FindTeam(report.share_.team_);
+      const PeerEndpoint* const owner = ownership_.OwnerOf(report.share_);
+      if (team && onTeamRefused_) {
+        onTeamRefused_(
+          team->terms_.name_, owner != nullptr ? owner->id_ : InstanceId(), report.retryAfter_);
+      }
+    }
   }
 
   Counters GetCounters()
@@ -213,14 +237,11 @@
   {
     const QuotaDecision unknown{ 0, std::chrono::milliseconds(kUnknownShareDenialMs) };
     const QuotaShareId share{ aItem.team_, aItem.share_ };
-    if (!teams_ || aItem.wanted_ == 0) {
-      return unknown;
-    }
-    const auto team = teams_->Teams().find(aItem.team_);
-    if (team == teams_->Teams().end() || team->second->terms_.ratePerSecond_ <= 0) {
+    const TeamDirectory::TeamPointer team = FindTeam(aItem.team_);
+    if (!team || team->terms_.ratePerSecond_ <= 0 || aItem.wanted_ == 0) {
       return unknown;
     }
-    const QuotaPlan plan = PlanQuota(team->second->terms_, rules_);
+    const QuotaPlan plan = PlanQuota(team->terms_, rules_);
     if (aItem.share_ >= plan.shareCount_) {
       return unknown;
     }
@@ -228,6 +249,15 @@
     return tenure ? owner_.Take(share, plan, *tenure, aItem.wanted_, aNow) : unknown;
   }
 
+  TeamDirectory::TeamPointer FindTeam(std::uint64_t aId) const
+  {
+    if (!teams_) {
+      return nullptr;
+    }
+    const auto found = teams_->Teams().find(aId);
+    return found != teams_->Teams().end() ? found->second : nullptr;
+  }
+
   // Returns whether the message may arrive.
   bool Send(const PeerEndpoint& aPeer, const PeerMessage& aMessage)
   {
@@ -277,6 +307,7 @@
   QuotaOwner owner_;
   std::shared_ptr<const TeamDirectory> teams_;
   std::optional<MonotonicTime> timerAt_; ///< when the next timer runs
+  RefusedCallback onTeamRefused_;
   Counters counters_;
 };
 
--- a/boragepier/quota/quota_fleet_test.cc
+++ b/boragepier/quota/quota_fleet_test.cc
@@ -34,7 +34,7 @@
            std::uint64_t aSeed)
     : scheduler_(aScheduler)
     , peers_(aNetwork, scheduler_)
-    , agent_(scheduler_, peers_, aEntry.id_, aRules, aSeed)
+    , agent_(scheduler_, peers_, aEntry.id_, aEntry.zone_, aRules, aSeed)
   {
     peers_.Start(
       { aEntry.id_, aEntry.address_, aEntry.port_ },
@@ -86,7 +86,7 @@
       entries_.push_back({ InstanceId("i-" + std::to_string(i)),
                            "127.0.0.1",
                            7,
-                           i % 4 == 0 ? 200.0 : 10.0 + i % 30,
+                           i % 5 == 0 ? 200.0 : 10.0 + i % 30,
                            ZoneName("z" + std::to_string(i % 4)) });
     }
     double sum = 0;
@@ -213,7 +213,7 @@
       if (++step % 100 == 0) {
         for (const auto& instance : instances_) {
           if (instance && !instance->scheduler_.IsFrozen()) {
-            instance->agent_.DropUnused();
+            instance->agent_.Tick();
           }
         }
       }
--- a/boragepier/quota/quota_ledger.cc
+++ b/boragepier/quota/quota_ledger.cc
@@ -33,7 +33,8 @@
   : random_(aSeed)
   // Answers to questions of an earlier start of the instance must not match.
   , nextSequence_((random_() >> 8U) + 1)
-  , firstShare_(static_cast<std::uint32_t>(XXH3_64bits(aSelf.View().data(), aSelf.View().size())))
+  , order_(static_cast<std::uint32_t>(XXH3_64bits(aSelf.View().data(), aSelf.View().size()) %
+                                      QuotaPlan::kMaxShares))
 {
 }
 
@@ -70,12 +71,30 @@
   return static_cast<std::uint32_t>(std::clamp(std::max(expected, waiting), 1.0, kMaxWanted));
 }
 
+bool
+QuotaLedger::HasShareToAsk(const TeamState& aState, MonotonicTime aNow)
+{
+  const auto end = aState.deniedUntil_.begin() + aState.shareCount_;
+  return std::any_of(
+    aState.deniedUntil_.begin(), end, [aNow](MonotonicTime aTime) { return aTime <= aNow; });
+}
+
 std::optional<std::uint32_t>
-QuotaLedger::NextShare(const TeamState& aState, MonotonicTime aNow) const
+QuotaLedger::NextShare(const TeamState& aState,
+                       std::optional<std::uint32_t> aNearShare,
+                       MonotonicTime aNow) const
 {
-  for (std::uint32_t i = 0; i < aState.shareCount_; ++i) {
-    const std::uint32_t share = (aState.nextShare_ + i) % aState.shareCount_;
-    if (aState.deniedUntil_[share] <= aNow) {
+  const auto isAsked = [&](std::uint32_t aShare) {
+    return aShare < aState.shareCount_ && aState.deniedUntil_[aShare] <= aNow;
+  };
+  if (aNow < aState.grantedAt_ + kPreferenceTime && isAsked(aState.grantedShare_)) {
+    return aState.grantedShare_;
+  }
+  if (aNearShare && isAsked(*aNearShare)) {
+    return aNearShare;
+  }
+  for (std::uint32_t i = 0; i < QuotaPlan::kMaxShares; ++i) {
+    if (const std::uint32_t share = i ^ order_; isAsked(share)) {
       return share;
     }
   }
@@ -83,11 +102,16 @@
 }
 
 Duration
-QuotaLedger::RetryAfter(const TeamState& aState, MonotonicTime aNow)
+QuotaLedger::OnRefused(std::uint64_t aTeam, TeamState& aState, MonotonicTime aNow)
 {
-  const auto end = aState.deniedUntil_.begin() + aState.shareCount_;
-  const Duration wait =
-    std::max(kMinRetryAfter, *std::min_element(aState.deniedUntil_.begin(), end) - aNow);
+  ++counters_.refusals_;
+  const auto begin = aState.deniedUntil_.begin();
+  const auto first = std::min_element(begin, begin + aState.shareCount_);
+  const Duration wait = std::max(kMinRetryAfter, *first - aNow);
+  if (aNow >= aState.reportAt_) {
+    aState.reportAt_ = aNow + kReportInterval;
+    reports_.push_back({ { aTeam, static_cast<std::uint32_t>(first - begin) }, wait });
+  }
   const double spread = std::ldexp(static_cast<double>(random_() >> 11U), -53);
   return FromMilliseconds(ToMilliseconds(wait) * (1 + kRetrySpread * spread));
 }
@@ -103,7 +127,6 @@
   TeamState& state = entry->second;
   if (isNew) {
     state.demandAt_ = aNow;
-    state.nextShare_ = static_cast<std::uint32_t>((firstShare_ ^ aTeam) % QuotaPlan::kMaxShares);
   }
   state.shareCount_ = aPlan.shareCount_;
   state.creditLifetime_ = aPlan.creditLifetime_;
@@ -114,9 +137,8 @@
     verdict.credit_.team_ = aTeam;
     return verdict;
   }
-  if (state.askedBy_ == 0 && !state.due_ && !NextShare(state, aNow)) {
-    ++counters_.refusals_;
-    verdict.retryAfter_ = RetryAfter(state, aNow);
+  if (state.askedBy_ == 0 && !state.due_ && !HasShareToAsk(state, aNow)) {
+    verdict.retryAfter_ = OnRefused(aTeam, state, aNow);
     return verdict;
   }
   verdict.kind_ = QuotaVerdict::Kind::Waits;
@@ -150,6 +172,9 @@
                            MonotonicTime aNow,
                            Verdicts& aVerdicts)
 {
+  heldUntil_.reset();
+  std::erase_if(askedAt_,
+                [aNow](const auto& aEntry) { return aEntry.second + kQuestionInterval <= aNow; });
   std::map<InstanceId, Question> questions;
   for (const std::uint64_t team : std::exchange(due_, {})) {
     const auto entry = teams_.find(team);
@@ -158,42 +183,38 @@
     }
     TeamState& state = entry->second;
     state.due_ = false;
-    Serve(team, state, aNow, aVerdicts); // returned credit
-    const PeerEndpoint* owner = nullptr;
-    QuotaShareId id{ team, 0 };
-    while (!state.waiters_.empty() && owner == nullptr) {
-      const auto share = NextShare(state, aNow);
-      if (!share) {
-        break;
-      }
-      id.share_ = *share;
-      owner = aOwnership.OwnerOf(id);
-      const auto silent = owner != nullptr ? silentUntil_.find(owner->id_) : silentUntil_.end();
-      if (owner == nullptr) {
-        state.deniedUntil_[*share] = aNow + kSilentPause;
-      } else if (silent != silentUntil_.end() && silent->second > aNow) {
-        state.deniedUntil_[*share] = silent->second;
-        owner = nullptr;
-      }
+    Serve(team, state, aNow, aVerdicts); // credit may have been returned
+    if (!state.due_) {
+      continue;
     }
-    if (owner == nullptr) {
-      Refuse(state, aNow, aVerdicts);
+    const QuotaOwnership::Owners owners = aOwnership.OwnersOf(team);
+    const auto share = ShareToAsk(state, owners, aNow);
+    if (!share) {
+      state.due_ = false;
+      due_.pop_back();
+      Refuse(team, state, aNow, aVerdicts);
       continue;
     }
-    const auto [question, isNew] = questions.try_emplace(owner->id_);
-    if (isNew || question->second.request_.items_.size() == kMaxPeerItems) {
-      // A full message is replaced only if thousands of teams wait at once; they ask again later.
-      question->second.owner_ = *owner;
+    const PeerEndpoint& owner = *owners.endpoints_.at(*share);
+    const auto recent = askedAt_.find(owner.id_);
+    if (recent != askedAt_.end() && !aOwnership.IsSelf(owner)) {
+      const MonotonicTime until = recent->second + kQuestionInterval;
+      heldUntil_ = heldUntil_ ? std::min(*heldUntil_, until) : until;
+      continue; // remains in due_
     }
-    if (question->second.request_.items_.size() >= kMaxPeerItems) {
-      Ask(team, state);
+    Question& question = questions[owner.id_];
+    if (question.request_.items_.size() == kMaxPeerItems) {
+      heldUntil_ = heldUntil_.value_or(aNow + kQuestionInterval);
       continue;
     }
-    if (isNew) {
-      question->second.request_.sequence_ = nextSequence_++;
+    if (question.request_.items_.empty()) {
+      question.owner_ = owner;
+      question.request_.sequence_ = nextSequence_++;
     }
-    state.askedBy_ = question->second.request_.sequence_;
-    question->second.request_.items_.push_back({ team, id.share_, Wanted(state, aNow) });
+    question.request_.items_.push_back({ team, *share, Wanted(state, aNow) });
+    state.askedBy_ = question.request_.sequence_;
+    state.due_ = false;
+    due_.pop_back();
   }
 
   std::vector<Question> result;
@@ -205,12 +226,33 @@
       open.endsAt_ = std::max(open.endsAt_, aNow + teams_[item.team_].creditLifetime_);
     }
     open.items_ = question.request_.items_;
+    askedAt_[id] = aNow;
     ++counters_.questions_;
     result.push_back(std::move(question));
   }
   return result;
 }
 
+std::optional<std::uint32_t>
+QuotaLedger::ShareToAsk(TeamState& aState,
+                        const QuotaOwnership::Owners& aOwners,
+                        MonotonicTime aNow) const
+{
+  while (const auto share = NextShare(aState, aOwners.nearShare_, aNow)) {
+    const PeerEndpoint* const owner = aOwners.endpoints_.at(*share);
+    if (owner == nullptr) {
+      aState.deniedUntil_[*share] = aNow + kSilentPause;
+      continue;
+    }
+    const auto silent = silentUntil_.find(owner->id_);
+    if (silent == silentUntil_.end() || silent->second <= aNow) {
+      return share;
+    }
+    aState.deniedUntil_[*share] = silent->second;
+  }
+  return std::nullopt;
+}
+
 void
 QuotaLedger::OnGrant(const InstanceId& aOwner,
                      const PeerQuotaGrant& aGrant,
@@ -244,7 +286,8 @@
     if (granted > 0 && endsAt > aNow) {
       state.credits_.push_back({ endsAt, granted });
       counters_.granted_ += granted;
-      state.nextShare_ = item.share_;
+      state.grantedShare_ = item.share_;
+      state.grantedAt_ = aNow;
     }
     const Duration deniedFor = std::chrono::milliseconds(
       std::min<std::uint32_t>(item.deniedForMs_, std::numeric_limits<std::int32_t>::max()));
@@ -315,7 +358,7 @@
 std::optional<MonotonicTime>
 QuotaLedger::NextDue() const
 {
-  std::optional<MonotonicTime> due;
+  std::optional<MonotonicTime> due = heldUntil_;
   const auto consider = [&due](MonotonicTime aTime) { due = due ? std::min(*due, aTime) : aTime; };
   for (const auto& [sequence, question] : questions_) {
     consider(question.silent_ ? question.endsAt_
@@ -331,8 +374,7 @@
   for (Waiter& waiter : aState.waiters_) {
     QuotaVerdict verdict;
     if (waiter.until_ <= aNow) {
-      ++counters_.refusals_;
-      verdict.retryAfter_ = RetryAfter(aState, aNow);
+      verdict.retryAfter_ = OnRefused(aTeam, aState, aNow);
     } else if (TakeCredit(aState, aNow, verdict.credit_.endsAt_)) {
       verdict.kind_ = QuotaVerdict::Kind::Admitted;
       verdict.credit_.team_ = aTeam;
@@ -347,20 +389,19 @@
   if (aState.waiters_.empty() || aState.askedBy_ != 0) {
     return;
   }
-  if (NextShare(aState, aNow)) {
+  if (HasShareToAsk(aState, aNow)) {
     Ask(aTeam, aState);
   } else {
-    Refuse(aState, aNow, aVerdicts);
+    Refuse(aTeam, aState, aNow, aVerdicts);
   }
 }
 
 void
-QuotaLedger::Refuse(TeamState& aState, MonotonicTime aNow, Verdicts& aVerdicts)
+QuotaLedger::Refuse(std::uint64_t aTeam, TeamState& aState, MonotonicTime aNow, Verdicts& aVerdicts)
 {
   for (Waiter& waiter : aState.waiters_) {
     QuotaVerdict verdict;
-    verdict.retryAfter_ = RetryAfter(aState, aNow);
-    ++counters_.refusals_;
+    verdict.retryAfter_ = OnRefused(aTeam, aState, aNow);
     aVerdicts.emplace_back(std::move(waiter.callback_), verdict);
   }
   aState.waiters_.clear();
--- a/boragepier/quota/quota_ledger.h
+++ b/boragepier/quota/quota_ledger.h
@@ -25,8 +25,9 @@
 ///
 /// Credit is asked for when a request needs it, for as many requests as are expected before it
 /// ends. The end is counted from the time of the question, so a delayed grant does not extend it.
-/// The shares of a team are asked one after the other, each not before the time that its owner
-/// stated; a request is refused when all are used up, without a message if that is known.
+/// The shares of a team are asked one after the other, first the one that granted last, then that
+/// of the own availability zone, each not before the time that its owner stated; a request is
+/// refused when all are used up, without a message if that is known.
 class QuotaLedger
 {
 public:
@@ -35,6 +36,14 @@
   /// Time in which a silent owner is not asked.
   static constexpr Duration kSilentPause = std::chrono::seconds(1);
 
+  /// Shortest time between two messages to the same owner. Peers disconnect an instance that sends
+  /// more than 100 a second.
+  static constexpr Duration kQuestionInterval = std::chrono::milliseconds(15);
+  /// Time for which a share is preferred after it has granted credit.
+  static constexpr Duration kPreferenceTime = std::chrono::seconds(1);
+  /// Time after which the refusals of a team are reported again.
+  static constexpr Duration kReportInterval = std::chrono::seconds(60);
+
   /// Verdicts on requests that waited, to be passed on.
   using Verdicts = std::vector<std::pair<QuotaCallback, QuotaVerdict>>;
 
@@ -45,6 +54,13 @@
     PeerQuotaRequest request_;
   };
 
+  /// A team of which requests are refused.
+  struct Report
+  {
+    QuotaShareId share_; ///< that will have credit first
+    Duration retryAfter_{};
+  };
+
   /// Counters since the start.
   struct Counters
   {
@@ -90,6 +106,9 @@
   /// Drops what was not used for a while.
   void DropUnused(MonotonicTime aNow);
 
+  /// @return the teams that were refused credit, each once in kReportInterval
+  std::vector<Report> TakeReports() { return std::exchange(reports_, {}); }
+
   bool HasQuestions() const { return !due_.empty(); }
   const Counters& GetCounters() const { return counters_; }
   std::size_t TeamCount() const { return teams_.size(); }
@@ -110,7 +129,9 @@
   struct TeamState
   {
     std::uint32_t shareCount_ = 1;
-    std::uint32_t nextShare_ = 0; ///< that is asked first
+    std::uint32_t grantedShare_ = 0; ///< that granted credit last
+    MonotonicTime grantedAt_{};      ///< when it did so
+    MonotonicTime reportAt_{};       ///< from when on refusals are reported
     Duration creditLifetime_{};
     std::vector<Credit> credits_; ///< in no order
     std::vector<Waiter> waiters_; ///< in the order of their arrival
@@ -135,11 +156,17 @@
   static bool TakeCredit(TeamState& aState, MonotonicTime aNow, MonotonicTime& aEndsAt);
   static void ObserveDemand(TeamState& aState, MonotonicTime aNow);
   static std::uint32_t Wanted(const TeamState& aState, MonotonicTime aNow);
-  std::optional<std::uint32_t> NextShare(const TeamState& aState, MonotonicTime aNow) const;
-  Duration RetryAfter(const TeamState& aState, MonotonicTime aNow);
+  static bool HasShareToAsk(const TeamState& aState, MonotonicTime aNow);
+  std::optional<std::uint32_t> NextShare(const TeamState& aState,
+                                         std::optional<std::uint32_t> aNearShare,
+                                         MonotonicTime aNow) const;
+  Duration OnRefused(std::uint64_t aTeam, TeamState& aState, MonotonicTime aNow);
+  std::optional<std::uint32_t> ShareToAsk(TeamState& aState,
+                                          const QuotaOwnership::Owners& aOwners,
+                                          MonotonicTime aNow) const;
   void Ask(std::uint64_t aTeam, TeamState& aState);
   void Serve(std::uint64_t aTeam, TeamState& aState, MonotonicTime aNow, Verdicts& aVerdicts);
-  void Refuse(TeamState& aState, MonotonicTime aNow, Verdicts& aVerdicts);
+  void Refuse(std::uint64_t aTeam, TeamState& aState, MonotonicTime aNow, Verdicts& aVerdicts);
   void OnSilent(std::uint64_t aSequence,
                 OpenQuestion& aQuestion,
                 MonotonicTime aNow,
@@ -147,11 +174,15 @@
 
   Random random_;
   std::uint64_t nextSequence_;
-  std::uint32_t firstShare_; ///< differs among instances, so that they don't all ask the same
+  /// Differs among instances, so that they turn to different shares.
+  std::uint32_t order_;
   std::unordered_map<std::uint64_t, TeamState> teams_;
   std::vector<std::uint64_t> due_; ///< teams with waiting requests and no open question
   std::map<std::uint64_t, OpenQuestion> questions_; ///< by sequence number, so by time
   std::map<InstanceId, MonotonicTime> silentUntil_; ///< owners that are not asked
+  std::map<InstanceId, MonotonicTime> askedAt_;     ///< owners that were asked recently
+  std::optional<MonotonicTime> heldUntil_;          ///< when teams in due_ can be asked for
+  std::vector<Report> reports_;
   Counters counters_;
 };
 
--- a/boragepier/quota/quota_ownership.cc
+++ b/boragepier/quota/quota_ownership.cc
@@ -25,8 +25,9 @@
 
 } // namespace
 
-QuotaOwnership::QuotaOwnership(InstanceId aSelf)
+QuotaOwnership::QuotaOwnership(InstanceId aSelf, ZoneName aZone)
   : self_(std::move(aSelf))
+  , zone_(std::move(aZone))
 {
 }
 
@@ -62,30 +63,49 @@
   }
 }
 
-const QuotaOwnership::Candidate*
-QuotaOwnership::OwnerAmong(const Candidates& aCandidates, const QuotaShareId& aShare)
+QuotaOwnership::OwnerCandidates
+QuotaOwnership::OwnersAmong(const Candidates& aCandidates, std::uint64_t aTeam)
 {
-  std::vector<const Candidate*> owners; // of the shares up to this one
-  for (QuotaShareId share{ aShare.team_, 0 }; share.share_ <= aShare.share_; ++share.share_) {
+  OwnerCandidates owners{};
+  for (std::uint32_t share = 0; share < owners.size(); ++share) {
+    const std::span<const Candidate* const> earlier = std::span(owners).first(share);
     const auto rank = [&](const Candidate& aCandidate) {
-      const bool newInstance = std::ranges::find(owners, &aCandidate) == owners.end();
+      const bool newInstance = std::ranges::find(earlier, &aCandidate) == earlier.end();
       const bool newZone = std::ranges::none_of(
-        owners, [&](const Candidate* aOwner) { return aOwner->zone_ == aCandidate.zone_; });
-      return std::make_tuple(newInstance, newZone, WeightOf(aCandidate.hash_, share));
+        earlier, [&](const Candidate* aOwner) { return aOwner->zone_ == aCandidate.zone_; });
+      return std::make_tuple(newInstance, newZone, WeightOf(aCandidate.hash_, { aTeam, share }));
     };
     const auto owner = std::ranges::max_element(aCandidates, {}, rank);
     if (owner == aCandidates.end()) {
-      return nullptr;
+      break;
     }
-    owners.push_back(&*owner);
+    owners[share] = &*owner;
   }
-  return owners.empty() ? nullptr : owners.back();
+  return owners;
+}
+
+QuotaOwnership::Owners
+QuotaOwnership::OwnersOf(std::uint64_t aTeam) const
+{
+  Owners owners;
+  const OwnerCandidates candidates = OwnersAmong(candidates_, aTeam);
+  for (std::uint32_t share = 0; share < candidates.size(); ++share) {
+    const Candidate* const owner = candidates[share];
+    if (owner == nullptr) {
+      break;
+    }
+    owners.endpoints_[share] = &owner->endpoint_;
+    if (owner->zone_ == zone_ && !owners.nearShare_) {
+      owners.nearShare_ = share;
+    }
+  }
+  return owners;
 }
 
 const PeerEndpoint*
 QuotaOwnership::OwnerOf(const QuotaShareId& aShare) const
 {
-  const Candidate* const owner = OwnerAmong(candidates_, aShare);
+  const Candidate* const owner = OwnersAmong(candidates_, aShare.team_).at(aShare.share_);
   return owner != nullptr ? &owner->endpoint_ : nullptr;
 }
 
@@ -99,7 +119,8 @@
     formerly_.pop_front();
   }
   for (auto former = formerly_.rbegin(); former != formerly_.rend(); ++former) {
-    if (const Candidate* const before = OwnerAmong(former->candidates_, aShare);
+    if (const Candidate* const before =
+          OwnersAmong(former->candidates_, aShare.team_).at(aShare.share_);
         before != nullptr && !IsSelf(before->endpoint_)) {
       return QuotaTenure{ former->replacedAt_ + kSettleTime, refillsFrom_ };
     }
--- a/boragepier/quota/quota_ownership.h
+++ b/boragepier/quota/quota_ownership.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEPIER_QUOTA_QUOTA_OWNERSHIP_H
 #define BORAGEPIER_QUOTA_QUOTA_OWNERSHIP_H
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -12,6 +13,7 @@
 #include "boragepier/base/time.h"
 #include "boragepier/ports/directory_feed.h"
 #include "boragepier/ports/peer_message.h"
+#include "boragepier/quota/quota_plan.h"
 
 namespace boragepier {
 
@@ -47,12 +49,24 @@
   /// Time in which a change of the list of instances reaches all of them.
   static constexpr Duration kSettleTime = std::chrono::seconds(2);
 
+  /// Owners of the shares that a team can have.
+  struct Owners
+  {
+    /// By share; null if no instance is known.
+    std::array<const PeerEndpoint*, QuotaPlan::kMaxShares> endpoints_{};
+    /// Share whose owner is in the availability zone of this instance.
+    std::optional<std::uint32_t> nearShare_;
+  };
+
   /// @param aSelf this instance
-  explicit QuotaOwnership(InstanceId aSelf);
+  /// @param aZone its availability zone
+  explicit QuotaOwnership(InstanceId aSelf, ZoneName aZone = {});
 
   /// Replaces the list of instances.
   void SetInstances(std::span<const InstanceEntry> aInstances, MonotonicTime aNow);
 
+  /// @return the owners of the shares of a team. Valid until SetInstances().
+  Owners OwnersOf(std::uint64_t aTeam) const;
   /// @param aShare a share below QuotaPlan::kMaxShares
   /// @return the owner of a share, or null if no instance is known. Valid until SetInstances().
   const PeerEndpoint* OwnerOf(const QuotaShareId& aShare) const;
@@ -84,9 +98,12 @@
     MonotonicTime replacedAt_;
   };
 
-  static const Candidate* OwnerAmong(const Candidates& aCandidates, const QuotaShareId& aShare);
+  using OwnerCandidates = std::array<const Candidate*, QuotaPlan::kMaxShares>;
+
+  static OwnerCandidates OwnersAmong(const Candidates& aCandidates, std::uint64_t aTeam);
 
   const InstanceId self_;
+  const ZoneName zone_;
   Candidates candidates_;
   MonotonicTime refillsFrom_{};     ///< of shares whose owner has changed with candidates_
   std::deque<FormerList> formerly_; ///< replaced within kSettleTime, oldest first
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -364,6 +364,13 @@
              "requests were refused because their bodies did not fit in the memory for bodies; "
              "the fields give their number, the bytes held now and the bytes that may be held",
              "add instances, or memory and instance.memory-mb" },
+  EventInfo{ EventId::TeamQuotaExceeded,
+             LogLevel::Warn,
+             "team-quota-exceeded",
+             "requests of a team were refused because its quota is used up; the fields give the "
+             "owner of the share that will have credit first, and when it will; written once a "
+             "minute for a team while it lasts",
+             "see \"A team over its quota\" in docs/OPERATIONS.md" },
 };
 
 } // namespace
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -82,6 +82,7 @@
   RequestEnded = 6007,
   RequestUnanswered = 6008,
   BodyBudgetExceeded = 6009,
+  TeamQuotaExceeded = 6010,
 };
 
 /// Entry of the event catalogue.
--- a/boragepier/telemetry/metrics.cc
+++ b/boragepier/telemetry/metrics.cc
@@ -121,6 +121,15 @@
   bodyRefusals_ = aMemory.refusals_;
 }
 
+void
+Metrics::SetQuotas(const QuotaWork& aWork)
+{
+  quotaMessages_ = aWork.messagesSent_;
+  quotaGrants_ = aWork.granted_;
+  quotaDenials_ = aWork.denials_;
+  quotaSilences_ = aWork.silences_;
+}
+
 void
 Metrics::SetControlThreadUsage(Duration aCpuTime, std::uint64_t aBytesSent)
 {
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -154,6 +154,15 @@
   std::uint64_t refusals_ = 0;    ///< requests refused because their body did not fit
 };
 
+/// Work of an instance for the quotas of teams, since its start.
+struct QuotaWork
+{
+  std::uint64_t messagesSent_ = 0; ///< to other instances
+  std::uint64_t granted_ = 0;      ///< requests for which the instance granted credit
+  std::uint64_t denials_ = 0;      ///< answers with which it denied credit
+  std::uint64_t silences_ = 0;     ///< questions that were not answered in time
+};
+
 /// Metrics of one instance. Thread-safe.
 ///
 ///   ServiceMetrics& service = metrics.Service(name);
@@ -198,6 +207,7 @@
     descriptorShortageCount_ = aWithoutDescriptor;
   }
   void SetBodyMemory(const BodyMemory& aMemory);
+  void SetQuotas(const QuotaWork& aWork);
   /// @param aCpuTime CPU time of the control thread since the start of the process
   /// @param aBytesSent bytes that the control thread has sent to peers and the platform since then
   void SetControlThreadUsage(Duration aCpuTime, std::uint64_t aBytesSent);
@@ -228,6 +238,10 @@
   std::atomic<std::uint64_t> bodyBytesHeld_ = 0;
   std::atomic<std::uint64_t> bodyBudgetBytes_ = 0;
   std::atomic<std::uint64_t> bodyRefusals_ = 0;
+  std::atomic<std::uint64_t> quotaMessages_ = 0;
+  std::atomic<std::uint64_t> quotaGrants_ = 0;
+  std::atomic<std::uint64_t> quotaDenials_ = 0;
+  std::atomic<std::uint64_t> quotaSilences_ = 0;
   std::atomic<std::int64_t> controlThreadCpuNs_ = 0;
   std::atomic<std::uint64_t> controlThreadBytesSent_ = 0;
 };
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -39,6 +39,18 @@
   MetricInfo{ "boragepier_body_refusals_total",
               "counter",
               "requests refused as body-budget-exceeded" },
+  MetricInfo{ "boragepier_quota_messages_total",
+              "counter",
+              "messages about quotas of teams sent to other instances" },
+  MetricInfo{ "boragepier_quota_grants_total",
+              "counter",
+              "requests for which the instance granted credit as owner of a share of a quota" },
+  MetricInfo{ "boragepier_quota_denials_total",
+              "counter",
+              "answers with which the instance denied credit as owner" },
+  MetricInfo{ "boragepier_quota_silent_owners_total",
+              "counter",
+              "times that an owner did not answer in time or could not be reached" },
   MetricInfo{ "boragepier_control_processor_seconds_total",
               "counter",
               "CPU time of the control thread" },
@@ -265,6 +277,10 @@
   WriteGauge("boragepier_body_bytes", LoadAsDouble(metrics_.bodyBytesHeld_));
   WriteGauge("boragepier_body_budget_bytes", LoadAsDouble(metrics_.bodyBudgetBytes_));
   WriteGauge("boragepier_body_refusals_total", LoadAsDouble(metrics_.bodyRefusals_));
+  WriteGauge("boragepier_quota_messages_total", LoadAsDouble(metrics_.quotaMessages_));
+  WriteGauge("boragepier_quota_grants_total", LoadAsDouble(metrics_.quotaGrants_));
+  WriteGauge("boragepier_quota_denials_total", LoadAsDouble(metrics_.quotaDenials_));
+  WriteGauge("boragepier_quota_silent_owners_total", LoadAsDouble(metrics_.quotaSilences_));
   WriteGauge("boragepier_control_processor_seconds_total",
              static_cast<double>(metrics_.controlThreadCpuNs_.load()) / 1e9);
   WriteGauge("boragepier_control_bytes_total", LoadAsDouble(metrics_.controlThreadBytesSent_));
