--- a/boragepier/directory/store_restore_test.cc
+++ b/boragepier/directory/store_restore_test.cc
@@ -427,6 +427,35 @@
   CheckRestores(15);
 }
 
+// Guards against a source that learns of the new era only when its pending waits end, after up to
+// 25 s for the list of instances, although a subscriber knows it.
+TEST(StoreRestore, SubscriptionTellsTheSourceOfTheNewEra)
+{
+  StartFleet("10");
+  for (const InstanceEntry& entry : entries_) {
+    if (entry.id_ != entries_.front().id_) {
+      Stop(entry.id_);
+    }
+  }
+  scheduler_.Advance(std::chrono::seconds(3));
+  store_.TakeCopy(); // at the position that is known, so that no call fails
+  store_.Restore();
+  store_.callCounts_.clear();
+  FakeTransport subscriber(network_, InstanceId("i-x"));
+  subscriber.Start(
+    { InstanceId("i-x"), "127.0.0.1", 7 },
+    [](const PeerEndpoint&, const PeerMessage&, std::size_t) {},
+    [](const InstanceId&) {});
+  PeerSubscribe subscribe;
+  subscribe.positions_.assign(kFeedTopicCount, 0);
+  subscribe.era_ = 1;
+  subscriber.Send({ entries_.front().id_, "127.0.0.1", 7 }, subscribe);
+  scheduler_.Advance(milliseconds(12));
+  CHECK_EQUAL(1, observers_[running_.at(entries_.front().id_)]->restores_);
+  CHECK(store_.callCounts_[entries_.front().id_] >= static_cast<int>(kReadTopics.size()));
+  subscriber.Stop(true);
+}
+
 // Guards against a fleet that loses the store's data when the store is away before it is restored,
 // and against a storm of calls.
 TEST(StoreRestore, StoreThatWasAwayBeforeIsReadByFew)
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -21,7 +21,7 @@
 clang-format --dry-run --Werror "${files[@]}"
 
 # Names of the users' platform are decoded in platform/ and stand nowhere else in the code.
-platform_names='Attempt-Id|Server-Signature|Server-Load|Not-Executed|Server-Leaving|Expected-Instance|rows-(tx|feed|get)'
+platform_names='Attempt-Id|Server-Signature|Server-Load|Not-Executed|Server-Leaving|Expected-Instance|rows-(tx|feed|get)|Store-Era'
 if git grep -nE "$platform_names" -- boragepier apps testing; then
   echo "names of the platform stand outside platform/"
   exit 1
