--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -175,7 +175,7 @@
       retryAfter_ = aVerdict.retryAfter_;
       Refuse(DeadlinePassed() ? RefusalReason::DeadlineExpired : RefusalReason::QuotaExceeded,
              Outcome::NotRun);
-    } else if (IsKeyWithdrawn()) {
+    } else if (!RefreshTeam()) {
       Refuse(RefusalReason::KeyRejected, Outcome::NotRun);
     } else {
       Proceed();
