--- a/boragepier/peer/peer_codec_test.cc
+++ b/boragepier/peer/peer_codec_test.cc
@@ -41,6 +41,9 @@
                                     {},
                                     {} } });
 
+  CheckRoundTrip(PeerQuotaRequest{ ~std::uint64_t{ 0 }, { { ~std::uint64_t{ 0 }, 3, 7 }, {} } });
+  CheckRoundTrip(PeerQuotaGrant{ 5, { { 8, 3, 7, ~std::uint32_t{ 0 } }, {} } });
+
   ProcessEntry entry;
   entry.process_.id_ = "u-1";
   entry.process_.peerPort_ = 17;
@@ -107,6 +110,19 @@
     DecodePeerMessage(EncodePeerMessage(PeerDigest{ kMaxRound + 1, 0, 0, false, {}, {}, {} })));
 }
 
+// Guards against a few bytes that name many shares, and against numbers that wrap.
+TEST(PeerCodec, InvalidQuotaMessagesAreRejected)
+{
+  const std::vector<PeerQuotaRequest::Item> tooMany(kMaxPeerItems + 1);
+  CHECK_THROWS(PeerMessageError, EncodePeerMessage(PeerQuotaRequest{ 1, tooMany }));
+  // A share of 2^32, an item without its last field, and a negative number.
+  CHECK_THROWS(
+    PeerMessageError,
+    DecodePeerMessage(std::string("\x92\x09\x92\x01\x91\x93\x01\xcf\0\0\0\1\0\0\0\0\x01", 17)));
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage("\x92\x09\x92\x01\x91\x92\x01\x01"));
+  CHECK_THROWS(PeerMessageError, DecodePeerMessage("\x92\x0a\x92\x01\x91\x94\x01\x01\xff\x01"));
+}
+
 TEST(PeerCodec, MessagesBeyondALimitAreNotEncoded)
 {
   CHECK_THROWS(PeerMessageError,
--- a/boragepier/quota/quota_plan.cc
+++ b/boragepier/quota/quota_plan.cc
@@ -47,11 +47,12 @@
   }
   const double shares = plan.shareCount_;
   // Part of the slack evens out the arrivals of teams with few requests.
-  const double size = std::max(shares, burst + std::min(spare, aRules.slack_) / 4);
+  const double slack = std::min(spare, aRules.slack_);
+  const double size = std::max(shares, burst + slack / 4);
   const double factor = std::clamp((usable - size) / refill, kMinRateFactor, kMaxRateFactor);
   plan.shareRate_ = rate * factor / shares;
   plan.shareSize_ = size / shares;
-  plan.initialCredit_ = std::min(plan.shareSize_, aRules.slack_ / (2 * shares));
+  plan.initialCredit_ = std::min(plan.shareSize_, slack / (2 * shares));
   return plan;
 }
 
