--- a/boragepier/quota/quota_ownership.cc
+++ b/boragepier/quota/quota_ownership.cc
@@ -70,10 +70,10 @@
   for (std::uint32_t share = 0; share < owners.size(); ++share) {
     const std::span<const Candidate* const> earlier = std::span(owners).first(share);
     const auto rank = [&](const Candidate& aCandidate) {
-      const bool newInstance = std::ranges::find(earlier, &aCandidate) == earlier.end();
-      const bool newZone = std::ranges::none_of(
+      const auto owned = std::ranges::count(earlier, &aCandidate);
+      const auto ownedInZone = std::ranges::count_if(
         earlier, [&](const Candidate* aOwner) { return aOwner->zone_ == aCandidate.zone_; });
-      return std::make_tuple(newInstance, newZone, WeightOf(aCandidate.hash_, { aTeam, share }));
+      return std::make_tuple(-owned, -ownedInZone, WeightOf(aCandidate.hash_, { aTeam, share }));
     };
     const auto owner = std::ranges::max_element(aCandidates, {}, rank);
     if (owner == aCandidates.end()) {
