--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -203,8 +203,10 @@
   void OnRoutingTable(std::shared_ptr<const RoutingTable> aTable)
   {
     metrics_.SetInstanceCount(aTable->instances_.size());
-    quotas_.SetInstances(watch_->State().Instances());
     quotas_.SetTeams(aTable->keysRequired_ ? aTable->teams_ : nullptr);
+    if (aTable->keysRequired_) {
+      quotas_.SetInstances(watch_->State().Instances());
+    }
     for (const ServiceRoute& route : aTable->services_) {
       metrics_.Service(route.config_.name_).SetConfigVersion(route.version_);
     }
--- a/boragepier/quota/quota_fleet_test.cc
+++ b/boragepier/quota/quota_fleet_test.cc
@@ -17,9 +17,7 @@
 
 namespace {
 
-constexpr int kInstances = 130;
-constexpr int kTeams = 82;
-constexpr double kTotalRate = 570;
+constexpr int kZones = 4;
 constexpr double kZipfExponent = 1.2;
 constexpr double kQuotaFactor = 1.6; ///< quota relative to the usual rate
 constexpr Duration kMaxWait = std::chrono::milliseconds(250);
@@ -47,7 +45,6 @@
   FreezableScheduler scheduler_;
   QuotaTransport peers_;
   QuotaAgent<FreezableScheduler, QuotaTransport> agent_;
-  bool running_ = true;
 };
 
 struct TeamLoad
@@ -81,40 +78,66 @@
 
   void setup() override
   {
-    for (int i = 0; i < kInstances; ++i) {
-      // As on small machines: a few times more capacity on a part of them.
-      entries_.push_back({ InstanceId("i-" + std::to_string(i)),
-                           "127.0.0.1",
-                           7,
-                           i % 5 == 0 ? 200.0 : 10.0 + i % 30,
-                           ZoneName("z" + std::to_string(i % 4)) });
+    Build(130, 82, 570);
+  }
+
+  // Replaces the fleet.
+  // @param aRate requests per second of all teams together
+  void Build(int aInstances, int aTeams, double aRate)
+  {
+    for (int i = 0; i < static_cast<int>(instances_.size()); ++i) {
+      Kill(i);
     }
+    entries_.clear();
+    instances_.clear();
+    for (int i = 0; i < aInstances; ++i) {
+      entries_.push_back(MakeEntry(i));
+    }
+    teams_.clear();
+    directory_ = std::make_shared<TeamDirectory>();
     double sum = 0;
-    for (int i = 0; i < kTeams; ++i) {
+    for (int i = 0; i < aTeams; ++i) {
       sum += std::pow(i + 1, -kZipfExponent);
     }
-    for (int i = 0; i < kTeams; ++i) {
-      TeamLoad& load = teams_.emplace_back();
-      load.usualRate_ = kTotalRate * std::pow(i + 1, -kZipfExponent) / sum;
-      load.rate_ = load.usualRate_;
-      TeamTerms& terms = load.team_.terms_;
-      terms.name_ = TeamName("t-" + std::to_string(i));
-      terms.ratePerSecond_ = kQuotaFactor * load.usualRate_;
-      terms.burst_ = terms.ratePerSecond_;
-      load.team_.id_ = TeamIdOf(terms.name_);
-      load.bound_ = (terms.ratePerSecond_ * 5 + terms.burst_) * 1.1 + 20;
-      const int callers = std::min(kInstances, 2 + static_cast<int>(2 * load.usualRate_));
-      for (int caller = 0; caller < callers; ++caller) {
-        load.instances_.push_back(static_cast<int>(random_() % kInstances));
-      }
-      directory_->SetTeam(terms);
+    for (int i = 0; i < aTeams; ++i) {
+      AddTeam(i, aRate * std::pow(i + 1, -kZipfExponent) / sum);
     }
-    for (int i = 0; i < kInstances; ++i) {
+    for (int i = 0; i < aInstances; ++i) {
       instances_.push_back(nullptr);
       Start(i);
     }
   }
 
+  // A few instances have much more capacity than the others.
+  static InstanceEntry MakeEntry(int aIndex)
+  {
+    return { InstanceId("i-" + std::to_string(aIndex)),
+             "127.0.0.1",
+             7,
+             aIndex % 5 == 0 ? 200.0 : 10.0 + aIndex % 30,
+             ZoneName("z" + std::to_string(aIndex % kZones)) };
+  }
+
+  void AddTeam(int aIndex, double aUsualRate)
+  {
+    TeamLoad& load = teams_.emplace_back();
+    load.usualRate_ = aUsualRate;
+    load.rate_ = aUsualRate;
+    TeamTerms& terms = load.team_.terms_;
+    terms.name_ = TeamName("t-" + std::to_string(aIndex));
+    terms.ratePerSecond_ = kQuotaFactor * aUsualRate;
+    terms.burst_ = terms.ratePerSecond_;
+    load.team_.id_ = TeamIdOf(terms.name_);
+    load.bound_ = (terms.ratePerSecond_ * 5 + terms.burst_) * 1.1 + 20;
+    // A team has some callers, and each uses one instance.
+    const int callers =
+      std::min(static_cast<int>(entries_.size()), 2 + static_cast<int>(2 * aUsualRate));
+    for (int caller = 0; caller < callers; ++caller) {
+      load.instances_.push_back(static_cast<int>(random_() % entries_.size()));
+    }
+    directory_->SetTeam(terms);
+  }
+
   void Start(int aIndex)
   {
     auto& slot = instances_[static_cast<std::size_t>(aIndex)];
@@ -127,7 +150,9 @@
   void Kill(int aIndex)
   {
     auto& slot = instances_[static_cast<std::size_t>(aIndex)];
-    slot->running_ = false;
+    if (!slot) {
+      return;
+    }
     slot->peers_.Stop();
     slot->scheduler_.Stop();
     stopped_.push_back(std::move(slot)); // timers refer to it
@@ -265,14 +290,21 @@
 
   void Print(const char* aName, Duration aDuration) const
   {
-    const double seconds = ToMilliseconds(aDuration) / 1000;
     std::printf("%s: worst window %.3f of the bound, refused %.4f, worst team %.4f, "
                 "%.2f messages/s and instance\n",
                 aName,
                 WorstOvershoot(),
                 RefusedShare(),
                 WorstTeamRefusedShare(),
-                static_cast<double>(network_.messages_) / seconds / kInstances);
+                MessagesPerSecond(aDuration));
+    std::printf("  (%zu instances, %zu teams)\n", instances_.size(), teams_.size());
+  }
+
+  // Messages that one instance sends, on average.
+  double MessagesPerSecond(Duration aDuration) const
+  {
+    return static_cast<double>(network_.messages_) / ToMilliseconds(aDuration) * 1000 /
+           static_cast<double>(instances_.size());
   }
 
   int OwnerOf(std::size_t aTeam, std::uint32_t aShare) const
@@ -292,6 +324,8 @@
   Print("usual", std::chrono::seconds(60));
   CHECK(WorstOvershoot() <= 1);
   CHECK(RefusedShare() < 0.01);
+  // About a question and an answer for each request.
+  CHECK(MessagesPerSecond(std::chrono::seconds(60)) < 12);
 }
 
 TEST(QuotaFleet, HotTeamKeepsToItsQuota)
@@ -308,6 +342,7 @@
     CHECK(WorstOvershoot() <= 1);
     CHECK(RefusedShare() < 0.01);
     CHECK(admitted > 0.9 * quota);
+    CHECK(MessagesPerSecond(std::chrono::seconds(30)) < 15);
     teams_[hot].rate_ = teams_[hot].usualRate_;
   }
 }
@@ -352,11 +387,11 @@
 {
   teams_[0].rate_ = 10 * teams_[0].usualRate_;
   Run(std::chrono::seconds(10));
-  for (int i = 0; i < kInstances; ++i) {
+  for (int i = 0; i < static_cast<int>(instances_.size()); ++i) {
     Kill(i);
   }
   Run(std::chrono::milliseconds(500));
-  for (int i = 0; i < kInstances; ++i) {
+  for (int i = 0; i < static_cast<int>(instances_.size()); ++i) {
     Start(i);
   }
   ResetCounts();
@@ -366,4 +401,71 @@
   CHECK(RefusedShare() < 0.05);
 }
 
+TEST(QuotaFleet, ZoneIsLost)
+{
+  Run(std::chrono::seconds(10));
+  for (int i = 1; i < static_cast<int>(instances_.size()); i += kZones) {
+    Kill(i);
+  }
+  Run(std::chrono::seconds(2));
+  ResetCounts();
+  Run(std::chrono::seconds(30));
+  Print("zone lost", std::chrono::seconds(30));
+  CHECK(WorstOvershoot() <= 1);
+  CHECK(RefusedShare() < 0.02);
+}
+
+// Guards against a new owner and the former one that grant the same share, while the instances
+// learn of the new ones at different times.
+TEST(QuotaFleet, InstancesAreAdded)
+{
+  for (TeamLoad& team : teams_) {
+    team.rate_ = 10 * team.usualRate_;
+  }
+  Run(std::chrono::seconds(10));
+  for (int added = 0; added < 10; ++added) {
+    const int index = static_cast<int>(entries_.size());
+    entries_.push_back({ InstanceId("i-" + std::to_string(index)),
+                         "127.0.0.1",
+                         7,
+                         200,
+                         ZoneName("z" + std::to_string(added % kZones)) });
+    instances_.push_back(nullptr);
+    Start(index);
+    instances_.back()->agent_.SetInstances(
+      std::vector<InstanceEntry>(entries_.begin(), entries_.end() - 1));
+    for (const auto& instance : instances_) {
+      const Duration delay = FromMilliseconds(Uniform() * 1500);
+      instance->scheduler_.After(
+        delay, [agent = &instance->agent_, list = entries_] { agent->SetInstances(list); });
+    }
+    Run(std::chrono::seconds(2));
+  }
+  Print("instances added", std::chrono::seconds(30));
+  CHECK(WorstOvershoot() <= 1);
+}
+
+// Guards against processor time and bytes that grow faster than the requests.
+TEST(QuotaFleet, MessagesFollowTheRequests)
+{
+  const auto measure = [this](int aInstances, int aTeams, double aRate) {
+    Build(aInstances, aTeams, aRate);
+    Run(std::chrono::seconds(5));
+    ResetCounts();
+    Run(std::chrono::seconds(10));
+    Print("size", std::chrono::seconds(10));
+    CHECK(WorstOvershoot() <= 1);
+    CHECK(RefusedShare() < 0.01);
+    return MessagesPerSecond(std::chrono::seconds(10)) * aInstances / aRate;
+  };
+  for (const int instances : { 65, 130, 260, 472 }) {
+    CHECK(measure(instances, 82, 570) < 2.5);
+  }
+  for (const int teams : { 20, 400 }) {
+    CHECK(measure(130, teams, 570) < 2.5);
+  }
+  // With more requests, one question serves several of them.
+  CHECK(measure(130, 82, 5700) < 1.5);
+}
+
 } // namespace boragepier
