Share the queue of an instance fairly among teams

Requests of one priority now leave the queue in the order of start-time fair queueing with the expected work as cost, and the expected wait for load shedding counts only those that go before. Without teams the order is as before.

--- a/boragepier/decision/fresh_probe_balancer.cc
+++ b/boragepier/decision/fresh_probe_balancer.cc
@@ -348,8 +348,15 @@
 bool
 FreshProbeBalancer::CancelQueued(std::uint64_t aCallId, MonotonicTime)
 {
-  return std::erase_if(
-           queue_, [&](const QueuedRequest& aQueued) { return aQueued.call_.id_ == aCallId; }) > 0;
+  const auto found = std::find_if(queue_.begin(), queue_.end(), [&](const QueuedRequest& aQueued) {
+    return aQueued.call_.id_ == aCallId;
+  });
+  if (found == queue_.end()) {
+    return false;
+  }
+  SettleTeam(*found, false);
+  queue_.erase(found);
+  return true;
 }
 
 RetryDecision
--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -10,6 +10,7 @@
 
 #include "boragepier/base/random.h"
 #include "boragepier/decision/cold_limit.h"
+#include "boragepier/decision/fair_queue.h"
 #include "boragepier/decision/occupancy_model.h"
 #include "boragepier/decision/probe_budget.h"
 #include "boragepier/decision/return_advice.h"
@@ -114,6 +115,8 @@
     ProbeStage probeStage_ = ProbeStage::NotStarted;
     MonotonicTime stageDeadline_;              ///< end of the wait for the probes of the stage
     std::vector<std::uint32_t> awaitedProbes_; ///< upstreams whose probes have not ended
+    double fairTag_ = 0;                       ///< see FairQueue; 0 if there are no teams
+    double fairCost_ = 0;                      ///< charged to the team
   };
 
   /// Expected result of dispatching a request to an upstream now.
@@ -215,6 +218,16 @@
                            MonotonicTime aNow);
   /// @return whether a queued request goes before another one
   static bool IsAhead(const CallInfo& aQueued, const CallInfo& aCall);
+  /// @return whether a queued request goes before a new one, given the tag of the new one
+  static bool GoesBefore(const QueuedRequest& aQueued, const CallInfo& aCall, double aTag);
+  /// @return the tag that a request would get if it were queued now; 0 without teams
+  double NextFairTag(const CallInfo& aCall) const;
+  /// Charges the team of a request that is queued or dispatched.
+  void ChargeTeam(QueuedRequest& aQueued);
+  /// Records for the shares of the teams how a request left the queue.
+  void SettleTeam(const QueuedRequest& aQueued, bool aDispatched);
+  /// @return whether a request of a team waits for a slot that goes before a new request
+  bool WaitsBehindTeams(const CallInfo& aCall, MonotonicTime aNow) const;
   /// Inserts a request behind those that go before it.
   void Enqueue(QueuedRequest aQueued);
   /// Adds an upstream to pendingProbes_ unless its report is new or the probe budget is spent.
@@ -255,6 +268,7 @@
   WindowBudget retryBudget_;
   ReturnAdvisor returnAdvisor_;
   ReturnDetector returnDetector_;
+  FairQueue fairQueue_;
   ProbeBudget probeBudget_;
   std::vector<QueuedRequest> queue_;        ///< by priority, then by arrival
   std::deque<std::uint32_t> pendingProbes_; ///< for NextProbe(); already charged to the budget
--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -303,8 +303,9 @@
   if (dispatchIntervalMs_ <= 0) {
     return std::nullopt;
   }
+  const double tag = NextFairTag(aCall);
   const auto ahead = std::count_if(queue_.begin(), queue_.end(), [&](const QueuedRequest& aQueued) {
-    return IsAhead(aQueued.call_, aCall);
+    return GoesBefore(aQueued, aCall, tag);
   });
   return FromMilliseconds(dispatchIntervalMs_ * static_cast<double>(ahead));
 }
@@ -353,16 +354,6 @@
   return { RoutingDecision::Kind::Dispatch, UpstreamHandle{ aScored.index_ }, {}, {} };
 }
 
-void
-FreshProbeBalancer::Enqueue(QueuedRequest aQueued)
-{
-  const auto position =
-    std::find_if(queue_.begin(), queue_.end(), [&](const QueuedRequest& aOther) {
-      return !IsAhead(aOther.call_, aQueued.call_);
-    });
-  queue_.insert(position, std::move(aQueued));
-}
-
 RoutingDecision
 FreshProbeBalancer::Submit(const CallInfo& aCall, MonotonicTime aNow)
 {
@@ -389,9 +380,16 @@
     }
   }
   QueuedRequest queued{ aCall, ProbeStage::NotStarted, aNow, {} };
-  if (const auto decision = Decide(queued, aNow)) {
-    return *decision;
+  if (!WaitsBehindTeams(aCall, aNow)) {
+    if (const auto decision = Decide(queued, aNow)) {
+      if (decision->kind_ == RoutingDecision::Kind::Dispatch && !queue_.empty()) {
+        ChargeTeam(queued);
+        SettleTeam(queued, true);
+      }
+      return *decision;
+    }
   }
+  ChargeTeam(queued);
   Enqueue(std::move(queued));
   return { RoutingDecision::Kind::Queued, {}, {}, {} };
 }
@@ -500,12 +498,14 @@
       }
       lastCongestedDispatch_ = aNow;
     }
+    SettleTeam(queued, decision->kind_ == RoutingDecision::Kind::Dispatch);
     released.push_back({ queued.call_.id_, *decision });
     queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(i));
   }
   if (queue_.empty()) {
     lastCongestedDispatch_ = MonotonicTime();
     dispatchIntervalMs_ = 0;
+    fairQueue_.Clear();
   }
   return released;
 }
--- a/boragepier/entry/refused_callers_test.cc
+++ b/boragepier/entry/refused_callers_test.cc
@@ -64,7 +64,7 @@
       return {};
     }
     ++attempts_;
-    const bool shed = random_(1000) < 1000 * shedShare_;
+    const bool shed = static_cast<double>(random_(1000)) < 1000 * shedShare_;
     if (shed || upstream.inFlight_ >= kSlots + kMaxQueue) {
       scheduler_.After(kTrip, [respond, &upstream] { respond(429, upstream.inFlight_ + 1); });
       return {};
@@ -141,7 +141,7 @@
   route.latencyTarget_ = kTarget;
   table.routes_ = std::make_shared<const RouteSet>(std::span(&route, 1));
   for (std::size_t i = 0; i < kInstances; ++i) {
-    table.instances_.push_back(InstanceId("i" + std::to_string(i)));
+    table.instances_.emplace_back("i" + std::to_string(i));
   }
   return table;
 }
