--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -140,6 +140,38 @@
   CHECK(!state_.InGracePeriod(gapEnd));
 }
 
+// Guards against upstreams that are dropped right after a restore because another instance has
+// observed the store all the time.
+TEST(DirectoryState, GracePeriodOfARestoreIsNotEndedByAnotherInstance)
+{
+  ApplyItem(UpstreamItem("u-1"), kStart);
+  state_.OnUpstreamsObserved(kStart, kStart);
+  const MonotonicTime restored = kStart + std::chrono::milliseconds(500);
+  state_.OnStoreRestored(1);
+  state_.OnUpstreamsObserved(restored, restored);
+  ApplyItem({ "u-1", RemovedEntry{} }, restored);
+  state_.OnObservedElsewhere(kStart - std::chrono::seconds(9), restored, restored);
+  CHECK_EQUAL(1, UpstreamCount());
+  state_.RemoveMissing(restored + DirectoryState::kReregistrationGrace);
+  CHECK_EQUAL(0, UpstreamCount());
+}
+
+// Guards against a lower version that is refused in a newer era, and against one that is accepted
+// within an era.
+TEST(DirectoryState, ConfigVersionMayBeLowerInANewerEraOnly)
+{
+  state_.ApplyConfigParts(DivideConfig(MakeConfig(3), 3));
+  state_.ActivateConfig(1);
+  CHECK_EQUAL(3, state_.ConfigVersion());
+  state_.ApplyConfigParts(DivideConfig(MakeConfig(2), 4));
+  state_.ActivateConfig(1);
+  CHECK_EQUAL(3, state_.ConfigVersion());
+  // The same version with another content.
+  state_.ApplyConfigParts(DivideConfig(MakeConfig(3, 2), 5));
+  state_.ActivateConfig(2);
+  CHECK_EQUAL(2, state_.MakeRoutingTable()->routes_->Size());
+}
+
 TEST(DirectoryState, GracePeriodStaysIfTheOtherInstanceMissedAPartOfTheGap)
 {
   ApplyItem(UpstreamItem("u-1"), kStart);
--- a/boragepier/directory/relay_parts_test.cc
+++ b/boragepier/directory/relay_parts_test.cc
@@ -156,6 +156,92 @@
   CHECK_EQUAL(9, view_.Position(FeedTopic::Upstreams));
 }
 
+namespace {
+
+FeedResponse
+MakeResponseOfEra(std::uint64_t aEra, std::uint64_t aPosition, std::vector<FeedRow> aRows)
+{
+  FeedResponse response = MakeResponse(aPosition, std::move(aRows));
+  response.era_ = aEra;
+  return response;
+}
+
+} // namespace
+
+// Guards against a restored store whose rows are refused because the known ones are newer, and
+// against a late response from before the restore that brings those back.
+TEST(StoreView, RowsOfANewerEraReplaceNewerOnes)
+{
+  constexpr FeedTopic kTopic = FeedTopic::Upstreams;
+  view_.ApplyResponse(
+    kTopic, MakeResponse(9, { MakeRow("u-1", 3), MakeRow("u-2", 8) }), false, kNow);
+  CHECK(view_.ObserveEra(1));
+  CHECK(!view_.ObserveEra(1));
+  CHECK(!view_.IsSynced(kTopic));
+  CHECK_EQUAL(0, view_.UpdateSince(kTopic, 0, 1000, kNow).position_);
+  CHECK_EQUAL(0, view_.SubscribePosition(kTopic, kSender));
+  CHECK(!view_.ApplyResponse(kTopic, MakeResponse(12, { MakeRow("u-3", 12) }), false, kNow));
+  // Changes continue a position of the older era.
+  CHECK(!view_.ApplyResponse(kTopic, MakeResponseOfEra(1, 10, {}), true, kNow));
+  const auto changed = view_.ApplyResponse(
+    kTopic, MakeResponseOfEra(1, 5, { MakeRow("u-1", 3), MakeRow("u-4", 5) }), false, kNow);
+  CHECK_EQUAL(2, changed->size());
+  CHECK_EQUAL("u-2", changed->at(0).key_);
+  CHECK(changed->at(0).removed_);
+  CHECK_EQUAL("u-4", changed->at(1).key_);
+  CHECK_EQUAL(5, view_.CompletePosition(kTopic));
+  // Within the era nothing goes back.
+  CHECK(!view_.ApplyResponse(kTopic, MakeResponseOfEra(1, 4, {}), false, kNow));
+  CHECK(!view_.ApplyResponse(kTopic, MakeResponse(20, {}), false, kNow));
+  CHECK_EQUAL(2, view_.UpdateSince(kTopic, 0, 1000, kNow).rows_.size());
+}
+
+// Guards against rows of an older era from another instance, and against rows of the newer one that
+// are in use before all have arrived.
+TEST(StoreView, UpdatesAreOrderedByEra)
+{
+  constexpr FeedTopic kTopic = FeedTopic::Upstreams;
+  view_.ApplyResponse(kTopic, MakeResponse(9, { MakeRow("u-1", 8) }), false, kNow);
+  view_.ObserveEra(2);
+  const PeerStoreUpdate::Topic older{ 0, 12, 0, true, { MakeRow("u-2", 12) }, {} };
+  CHECK(!view_.ApplyUpdate(kTopic, kSender, 1, older, kNow).has_value());
+  const PeerStoreUpdate::Topic part{ 0, 3, 0, false, { MakeRow("u-3", 3) }, {} };
+  CHECK(view_.ApplyUpdate(kTopic, kSender, 2, part, kNow)->empty());
+  CHECK_EQUAL(0, view_.Era(kTopic));
+  const PeerStoreUpdate::Topic rest{ 3, 4, 0, true, { MakeRow("u-4", 4) }, {} };
+  CHECK_EQUAL(3, view_.ApplyUpdate(kTopic, kSender, 2, rest, kNow)->size());
+  CHECK_EQUAL(2, view_.Era(kTopic));
+  CHECK_EQUAL(4, view_.CompletePosition(kTopic));
+  CHECK(view_.IsSynced(kTopic));
+}
+
+// Guards against a log event and a grace period at the start of an instance, which reads its first
+// rows in a later era than 0.
+TEST(StoreView, FirstEraIsNoRestore)
+{
+  CHECK(!view_.ObserveEra(3));
+  CHECK(!view_.IsBehindEra());
+  const auto changed = view_.ApplyResponse(
+    FeedTopic::Upstreams, MakeResponseOfEra(3, 5, { MakeRow("u-1", 5) }), false, kNow);
+  CHECK_EQUAL(1, changed->size());
+  CHECK(view_.ObserveEra(4));
+}
+
+// Guards against a routing table without routes because the copy has no configuration that can be
+// read.
+TEST(StoreView, ConfigurationStaysIfTheCopyHasNone)
+{
+  constexpr FeedTopic kTopic = FeedTopic::Configuration;
+  view_.ApplyResponse(
+    kTopic, MakeResponse(ToPartPosition(9), DivideConfig(MakeConfig(7), 9)), false, kNow);
+  view_.ObserveEra(1);
+  const auto changed =
+    view_.ApplyResponse(kTopic, MakeResponseOfEra(1, ToPartPosition(5), {}), false, kNow);
+  CHECK(changed->empty());
+  CHECK_EQUAL(DivideConfig(MakeConfig(7), 9).size(),
+              view_.UpdateSince(kTopic, 0, 100000, kNow).rows_.size());
+}
+
 TEST_GROUP(SourceFollower)
 {
   DirectoryTiming timing_;
@@ -237,11 +323,11 @@
     view_.ApplyResponse(FeedTopic::Upstreams, MakeResponse(600, rows), false, now_);
   }
 
-  void Subscribe(std::uint64_t aUpstreamsPosition)
+  void Subscribe(std::uint64_t aUpstreamsPosition, std::uint64_t aEra = 0)
   {
     const PeerEndpoint sender{ InstanceId("i"), "127.0.0.1", 7 };
     subscribers_.OnSubscribe(
-      sender, { 1, { 0, aUpstreamsPosition, 0 }, {} }, ViewStatus::Fresh, now_);
+      sender, { 1, { 0, aUpstreamsPosition, 0, 0 }, {}, aEra }, ViewStatus::Fresh, now_);
   }
   // Returns the number of rows of upstreams in the last message.
   std::size_t LastRowCount() const
@@ -293,6 +379,30 @@
   CHECK(LastRowCount() > 0);
 }
 
+// Guards against rows of a restored store that a subscriber never receives because its positions in
+// the older era are higher, and against rows of the older era that are sent as those of the new
+// one.
+TEST(SubscriberSet, SubscriberOfAnOlderEraGetsAllRowsOfTheNewOne)
+{
+  Subscribe(600);
+  view_.ObserveEra(1);
+  Subscribe(600);
+  CHECK_EQUAL(1, transport_.sent_.back().era_);
+  CHECK_EQUAL(0, LastPosition());
+  FeedResponse response = MakeResponse(300, { MakeRow("u-1", 1), MakeRow("u-2", 300) });
+  response.era_ = 1;
+  view_.ApplyResponse(FeedTopic::Upstreams, response, false, now_);
+  subscribers_.SendChanges(ViewStatus::Pending, now_);
+  CHECK_EQUAL(2, LastRowCount());
+  CHECK_EQUAL(300, LastPosition());
+  // It has not received them yet; after that, there is nothing to send.
+  now_ += timing_.sourceTimeout_ + std::chrono::milliseconds(1);
+  Subscribe(600);
+  CHECK_EQUAL(2, LastRowCount());
+  Subscribe(300, 1);
+  CHECK_EQUAL(0, LastRowCount());
+}
+
 // Guards against a change that waits for the next renewal of the subscription.
 TEST(SubscriberSet, ChangesAndConfirmationsAreSentAtOnce)
 {
