--- a/boragepier/quota/quota_ownership.cc
+++ b/boragepier/quota/quota_ownership.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -55,6 +56,9 @@
   if (candidates == candidates_) {
     return;
   }
+  std::erase_if(formerly_, [aNow](const FormerList& aFormer) {
+    return aFormer.replacedAt_ + kSettleTime <= aNow;
+  });
   std::swap(candidates, candidates_);
   refillsFrom_ = aNow;
   if (!candidates.empty()) {
@@ -110,19 +114,19 @@
 }
 
 std::optional<QuotaTenure>
-QuotaOwnership::TenureOf(const QuotaShareId& aShare, MonotonicTime aNow)
+QuotaOwnership::TenureOf(const QuotaShareId& aShare, MonotonicTime aNow) const
 {
   if (!Owns(aShare)) {
     return std::nullopt;
   }
-  while (!formerly_.empty() && formerly_.front().replacedAt_ + kSettleTime <= aNow) {
-    formerly_.pop_front();
-  }
-  for (auto former = formerly_.rbegin(); former != formerly_.rend(); ++former) {
+  for (const FormerList& former : std::views::reverse(formerly_)) {
+    if (former.replacedAt_ + kSettleTime <= aNow) {
+      break;
+    }
     if (const Candidate* const before =
-          OwnersAmong(former->candidates_, aShare.team_).at(aShare.share_);
+          OwnersAmong(former.candidates_, aShare.team_).at(aShare.share_);
         before != nullptr && !IsSelf(before->endpoint_)) {
-      return QuotaTenure{ former->replacedAt_ + kSettleTime, refillsFrom_ };
+      return QuotaTenure{ former.replacedAt_ + kSettleTime, refillsFrom_ };
     }
   }
   return QuotaTenure{ aNow, refillsFrom_ };
--- a/boragepier/quota/quota_ownership.h
+++ b/boragepier/quota/quota_ownership.h
@@ -3,7 +3,6 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -78,7 +77,7 @@
   }
   bool IsSelf(const PeerEndpoint& aOwner) const { return aOwner.id_ == self_; }
   /// @return from when on this instance grants a share, or nothing if another instance owns it
-  std::optional<QuotaTenure> TenureOf(const QuotaShareId& aShare, MonotonicTime aNow);
+  std::optional<QuotaTenure> TenureOf(const QuotaShareId& aShare, MonotonicTime aNow) const;
 
 private:
   /// An instance that can own shares.
@@ -105,8 +104,8 @@
   const InstanceId self_;
   const ZoneName zone_;
   Candidates candidates_;
-  MonotonicTime refillsFrom_{};     ///< of shares whose owner has changed with candidates_
-  std::deque<FormerList> formerly_; ///< replaced within kSettleTime, oldest first
+  MonotonicTime refillsFrom_{};      ///< of shares whose owner has changed with candidates_
+  std::vector<FormerList> formerly_; ///< replaced recently, oldest first
 };
 
 } // namespace boragepier
--- a/boragepier/quota/quota_test.cc
+++ b/boragepier/quota/quota_test.cc
@@ -440,6 +440,15 @@
   CHECK_EQUAL(1U, verdicts_.size());
 }
 
+// Guards against a stock that lasts, so that what an instance holds adds to what others get later.
+TEST(QuotaLedger, CreditInStockEnds)
+{
+  Waits({});
+  Grant(OneQuestion({}), 1, 0, milliseconds(5));
+  ledger_.Return(verdicts_.at(0).credit_, At(milliseconds(10)));
+  CHECK(Waits(milliseconds(250)));
+}
+
 TEST(QuotaLedger, NextShareIsAskedAfterADenial)
 {
   Waits({});
