--- a/boragepier/quota/quota_ownership.cc
+++ b/boragepier/quota/quota_ownership.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 #include <tuple>
 #include <utility>
 
@@ -119,15 +118,15 @@
   if (!Owns(aShare)) {
     return std::nullopt;
   }
-  for (const FormerList& former : std::views::reverse(formerly_)) {
-    if (former.replacedAt_ + kSettleTime <= aNow) {
-      break;
-    }
-    if (const Candidate* const before =
-          OwnersAmong(former.candidates_, aShare.team_).at(aShare.share_);
-        before != nullptr && !IsSelf(before->endpoint_)) {
-      return QuotaTenure{ former.replacedAt_ + kSettleTime, refillsFrom_ };
-    }
+  const auto latest =
+    std::find_if(formerly_.rbegin(), formerly_.rend(), [&](const FormerList& aFormer) {
+      const Candidate* const owner =
+        OwnersAmong(aFormer.candidates_, aShare.team_).at(aShare.share_);
+      return aFormer.replacedAt_ + kSettleTime > aNow && owner != nullptr &&
+             !IsSelf(owner->endpoint_);
+    });
+  if (latest != formerly_.rend()) {
+    return QuotaTenure{ latest->replacedAt_ + kSettleTime, refillsFrom_ };
   }
   return QuotaTenure{ aNow, refillsFrom_ };
 }
