--- a/boragepier/quota/quota_agent.h
+++ b/boragepier/quota/quota_agent.h
@@ -175,10 +175,10 @@
     AskOwners();
   }
 
-  static void Tell(QuotaLedger::Verdicts& aVerdicts)
+  static void Tell(const QuotaLedger::Verdicts& aVerdicts)
   {
-    for (const auto& [callback, verdict] : aVerdicts) {
-      RunContained(ErrorScope::Task, [&] { callback(verdict); });
+    for (const auto& entry : aVerdicts) {
+      RunContained(ErrorScope::Task, [&entry] { entry.first(entry.second); });
     }
   }
 
--- a/boragepier/quota/quota_agent_test.cc
+++ b/boragepier/quota/quota_agent_test.cc
@@ -23,7 +23,7 @@
 {
 public:
   MonotonicTime Now() const { return std::chrono::steady_clock::now(); }
-  net::TimerId After(Duration, std::function<void()>) { return net::TimerId::None; }
+  net::TimerId After(Duration, const std::function<void()>&) { return net::TimerId::None; }
   void Cancel(net::TimerId) {}
   void Post(std::function<void()> aTask)
   {
