--- a/boragepier/quota/quota_ownership.cc
+++ b/boragepier/quota/quota_ownership.cc
@@ -55,6 +55,9 @@
   if (candidates == candidates_) {
     return;
   }
+  std::erase_if(formerly_, [aNow](const FormerList& aFormer) {
+    return aFormer.replacedAt_ + kSettleTime <= aNow;
+  });
   std::swap(candidates, candidates_);
   refillsFrom_ = aNow;
   if (!candidates.empty()) {
@@ -110,20 +113,20 @@
 }
 
 std::optional<QuotaTenure>
-QuotaOwnership::TenureOf(const QuotaShareId& aShare, MonotonicTime aNow)
+QuotaOwnership::TenureOf(const QuotaShareId& aShare, MonotonicTime aNow) const
 {
   if (!Owns(aShare)) {
     return std::nullopt;
   }
-  while (!formerly_.empty() && formerly_.front().replacedAt_ + kSettleTime <= aNow) {
-    formerly_.pop_front();
-  }
-  for (auto former = formerly_.rbegin(); former != formerly_.rend(); ++former) {
-    if (const Candidate* const before =
-          OwnersAmong(former->candidates_, aShare.team_).at(aShare.share_);
-        before != nullptr && !IsSelf(before->endpoint_)) {
-      return QuotaTenure{ former->replacedAt_ + kSettleTime, refillsFrom_ };
-    }
+  const auto latest =
+    std::find_if(formerly_.rbegin(), formerly_.rend(), [&](const FormerList& aFormer) {
+      const Candidate* const owner =
+        OwnersAmong(aFormer.candidates_, aShare.team_).at(aShare.share_);
+      return aFormer.replacedAt_ + kSettleTime > aNow && owner != nullptr &&
+             !IsSelf(owner->endpoint_);
+    });
+  if (latest != formerly_.rend()) {
+    return QuotaTenure{ latest->replacedAt_ + kSettleTime, refillsFrom_ };
   }
   return QuotaTenure{ aNow, refillsFrom_ };
 }
