--- a/boragepier/decision/fresh_probe_balancer.h
+++ b/boragepier/decision/fresh_probe_balancer.h
@@ -277,6 +277,9 @@
   MonotonicTime lastCongestedDispatch_;
   /// Moving average of the time between dispatches while all slots are taken; 0 if unknown.
   double dispatchIntervalMs_ = 0;
+  MonotonicTime lastBacklogDispatch_;
+  /// Likewise, of the requests of teams that use more than their share.
+  double backlogIntervalMs_ = 0;
   bool upstreamsReportLoad_ = true; ///< false after enough probes were answered without a report
   unsigned probesWithoutLoad_ = 0;  ///< probes answered since the last load report
 };
--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -307,7 +307,11 @@
   const auto ahead = std::count_if(queue_.begin(), queue_.end(), [&](const QueuedRequest& aQueued) {
     return GoesBefore(aQueued, aCall, tag);
   });
-  return FromMilliseconds(dispatchIntervalMs_ * static_cast<double>(ahead));
+  // A team above its share is also overtaken by requests that come later.
+  const double intervalMs = tag > fairQueue_.VirtualTime()
+                              ? std::max(dispatchIntervalMs_, backlogIntervalMs_)
+                              : dispatchIntervalMs_;
+  return FromMilliseconds(intervalMs * static_cast<double>(ahead));
 }
 
 RoutingDecision
@@ -497,6 +501,13 @@
         dispatchIntervalMs_ += kDispatchIntervalEwmaWeight * (intervalMs - dispatchIntervalMs_);
       }
       lastCongestedDispatch_ = aNow;
+      if (queued.fairTag_ > fairQueue_.VirtualTime()) {
+        if (lastBacklogDispatch_ != MonotonicTime()) {
+          const double intervalMs = ToMilliseconds(aNow - lastBacklogDispatch_);
+          backlogIntervalMs_ += kDispatchIntervalEwmaWeight * (intervalMs - backlogIntervalMs_);
+        }
+        lastBacklogDispatch_ = aNow;
+      }
     }
     SettleTeam(queued, decision->kind_ == RoutingDecision::Kind::Dispatch);
     released.push_back({ queued.call_.id_, *decision });
@@ -505,6 +516,8 @@
   if (queue_.empty()) {
     lastCongestedDispatch_ = MonotonicTime();
     dispatchIntervalMs_ = 0;
+    lastBacklogDispatch_ = MonotonicTime();
+    backlogIntervalMs_ = 0;
     fairQueue_.Clear();
   }
   return released;
