--- a/boragepier/directory/directory_fakes.h
+++ b/boragepier/directory/directory_fakes.h
@@ -157,7 +157,8 @@
 };
 
 /// Carries messages between the instances of one test in virtual time. A message to an instance
-/// that is not running makes it unreachable; further messages are dropped for kBackoff.
+/// that is not running makes it unreachable; further messages are dropped for a time that doubles
+/// with each failure.
 class FakeTransport
 {
 public:
@@ -190,9 +191,9 @@
 
   std::size_t Send(const PeerEndpoint& aPeer, const PeerMessage& aMessage)
   {
-    const auto unreachable = unreachableAt_.find(aPeer.id_);
-    if (stopped_ || (unreachable != unreachableAt_.end() &&
-                     network_.scheduler_.Now() < unreachable->second + kBackoff)) {
+    const auto unreachable = unreachable_.find(aPeer.id_);
+    if (stopped_ || (unreachable != unreachable_.end() &&
+                     network_.scheduler_.Now() < unreachable->second.until_)) {
       return 0;
     }
     const std::size_t size = SizeOf(aMessage);
@@ -208,7 +209,14 @@
   PeerCounters Counters() const { return {}; }
 
 private:
-  static constexpr Duration kBackoff = std::chrono::milliseconds(200);
+  static constexpr Duration kInitialBackoff = std::chrono::milliseconds(50);
+  static constexpr Duration kMaxBackoff = std::chrono::seconds(10);
+
+  struct Backoff
+  {
+    MonotonicTime until_{};
+    Duration next_ = kInitialBackoff;
+  };
 
   // Size of an encoded message with its framing, about.
   static std::size_t SizeOf(const PeerMessage& aMessage)
@@ -234,9 +242,12 @@
       return;
     }
     if (const auto found = network_.transports_.find(aTo); found != network_.transports_.end()) {
+      unreachable_.erase(aTo);
       found->second->onMessage_(self_, aMessage, aSize);
     } else if (!stopped_) {
-      unreachableAt_[aTo] = network_.scheduler_.Now();
+      Backoff& backoff = unreachable_[aTo];
+      backoff.until_ = network_.scheduler_.Now() + backoff.next_;
+      backoff.next_ = std::min(2 * backoff.next_, kMaxBackoff);
       onUnreachable_(aTo);
     }
   }
@@ -246,7 +257,7 @@
   PeerEndpoint self_;
   PeerMessageCallback onMessage_;
   PeerUnreachableCallback onUnreachable_;
-  std::map<InstanceId, MonotonicTime> unreachableAt_;
+  std::map<InstanceId, Backoff> unreachable_;
   bool stopped_ = false;
 };
 
--- a/boragepier/directory/directory_timing.h
+++ b/boragepier/directory/directory_timing.h
@@ -54,11 +54,20 @@
   Duration minConfirmationAdvance_ = std::chrono::milliseconds(200);
   /// After the start, time that sources have to reply before the store is read instead.
   Duration initialReplyTimeout_ = std::chrono::milliseconds(1000);
-  /// After the start, time that one source has to reply. Covers the time within which instances
-  /// that are started together listen, and a retry of the connection.
-  Duration initialSourceTimeout_ = std::chrono::milliseconds(450);
-  /// Time between two PeerSubscribe messages while no source has replied after the start.
-  Duration initialSubscribeInterval_ = std::chrono::milliseconds(100);
+  /// After the start, time that one source has to reply before the next one is tried.
+  Duration initialSourceTimeout_ = std::chrono::milliseconds(100);
+  /// Time between two PeerSubscribe messages while there is no data after the start.
+  Duration initialSubscribeInterval_ = std::chrono::milliseconds(50);
+  /// After the start, time after which the head of a zone without data reads the store beside its
+  /// source.
+  Duration firstReadDelay_ = std::chrono::milliseconds(40);
+  /// How much later a relay does, and half of how much later a leaf does at least.
+  Duration firstReadDelayStep_ = std::chrono::milliseconds(15);
+  /// How much later a leaf does for each pair of listed instances, and the limit of this.
+  Duration firstReadDelayPerPair_ = std::chrono::microseconds(2);
+  Duration maxFirstReadDelay_ = std::chrono::milliseconds(700);
+  /// How much later an instance does whose source waits for data itself.
+  Duration pendingSourceExtension_ = std::chrono::milliseconds(50);
   /// After the start, time that sources which reply have to send all data before the store is read
   /// instead.
   Duration initialSyncTimeout_ = std::chrono::milliseconds(3000);
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -34,8 +34,9 @@
 /// longer fresh (see DirectoryTiming::stalenessBound_), reads the store itself. It can do so at any
 /// time, so no instance depends on the tree.
 ///
-/// An instance that starts reads the list of instances and subscribes. While its source has no data
-/// itself, it waits for it, so that instances that start together do not all read the store. An
+/// An instance that starts reads the list of instances and subscribes. It looks for a source that
+/// replies, and waits a short time for one that has no data itself, so that instances that start
+/// together do not all read the store. Those at the top of the tree wait the shortest time. An
 /// instance that is not listed yet asks its source to register it; the requests go up the tree to
 /// the root, which writes them in batches.
 ///
@@ -189,11 +190,17 @@
       if (aRetryAfter) {
         scheduler_.After(*aRetryAfter, [this] { ReadInstanceList(); });
       } else {
+        wasListed_ = wasListed_ || (!view_.HasRoutingData() && IsSelfListed());
         Publish();
         UpdateRelayRole(); // also if the list is empty
       }
       reader_.Start();
       ReportSource();
+      if (wasListed_ && !view_.HasRoutingData()) {
+        // The first reply may be late, so the search does not wait for the timer of the start.
+        scheduler_.Cancel(subscribeTimer_);
+        ArmSubscribeTimer();
+      }
     });
   }
 
@@ -219,7 +226,7 @@
       return true;
     }
     if (!view_.HasRoutingData()) {
-      return !IsAwaitingFirstData();
+      return !IsAwaitingFirstData() || IsFirstReadDue();
     }
     return !IsFresh() && !IsTransferInProgress();
   }
@@ -243,6 +250,39 @@
     return !view_.HasRoutingData() && scheduler_.Now() - syncStartedAt_ < limit;
   }
 
+  // Whether the current source is sending the first data.
+  bool IsReceivingFirstData() const
+  {
+    return follower_.Source() && view_.IsTransferringFrom(follower_.Source()->id_) &&
+           scheduler_.Now() - transferProgressAt_ <= timing_.initialReplyTimeout_;
+  }
+
+  // Whether this instance has no data, is not being sent any, and has waited for it as long as its
+  // place in the tree allows. Its sources remain in use.
+  bool IsFirstReadDue() const
+  {
+    if (view_.HasRoutingData() || IsReceivingFirstData() || !wasListed_) {
+      return false;
+    }
+    Duration limit = timing_.firstReadDelay_;
+    if (const auto level = follower_.Role().level_; level > RelayLevel::Head) {
+      limit += level == RelayLevel::Relay ? timing_.firstReadDelayStep_ : LeafReadDelay();
+      if (sourceReplied_) {
+        limit += timing_.pendingSourceExtension_;
+      }
+    }
+    return scheduler_.Now() - syncStartedAt_ >= limit;
+  }
+
+  // How much later than a head a leaf reads the store. In a larger fleet, relays send more first
+  // copies, of more rows each.
+  Duration LeafReadDelay() const
+  {
+    const auto count = static_cast<Duration::rep>(state_.Instances().size());
+    return 2 * timing_.firstReadDelayStep_ +
+           std::min(count * count * timing_.firstReadDelayPerPair_, timing_.maxFirstReadDelay_);
+  }
+
   // Whether this instance reads the store for its subscribers: the root does, and one that finds no
   // source in its place.
   bool ActsAsRoot() const { return follower_.Role().IsRoot() || !follower_.Source(); }
@@ -327,10 +367,16 @@
   void OnSubscribeTimer()
   {
     RunContained(ErrorScope::Task, [this] { RenewSubscriptions(); });
-    const bool awaitsReply = IsAwaitingFirstData() && !sourceReplied_;
-    scheduler_.After(
-      jitter_(awaitsReply ? timing_.initialSubscribeInterval_ : timing_.subscribeInterval_),
-      [this] { OnSubscribeTimer(); });
+    ArmSubscribeTimer();
+  }
+
+  void ArmSubscribeTimer()
+  {
+    subscribeTimer_ =
+      scheduler_.After(jitter_(IsAwaitingFirstData() && (wasListed_ || !sourceReplied_)
+                                 ? timing_.initialSubscribeInterval_
+                                 : timing_.subscribeInterval_),
+                       [this] { OnSubscribeTimer(); });
   }
 
   void RenewSubscriptions()
@@ -338,7 +384,7 @@
     const MonotonicTime now = scheduler_.Now();
     subscribers_.RemoveExpired(now);
     if (ShouldChangeSource(now)) {
-      follower_.SelectNext(IsAwaitingFirstData(), now);
+      SelectNextSource(now);
     }
     SendSubscribes();
     reader_.Start();
@@ -348,7 +394,10 @@
   bool ShouldChangeSource(MonotonicTime aNow) const
   {
     if (IsAwaitingFirstData()) {
-      return follower_.IsSilentFor(timing_.initialSourceTimeout_, aNow);
+      const bool isQuick = wasListed_ && !follower_.HasReplied();
+      return !IsReceivingFirstData() &&
+             follower_.IsSilentFor(
+               isQuick ? timing_.initialSourceTimeout_ : timing_.sourceTimeout_ / 2, aNow);
     }
     if (IsTransferInProgress()) {
       return false;
@@ -361,6 +410,18 @@
            follower_.IsInUseFor(timing_.sourceChangeMargin_, aNow);
   }
 
+  // While there is no data, goes around among the sources in the own zone: to read the store takes
+  // less time and fewer bytes between zones than a transfer from another zone.
+  void SelectNextSource(MonotonicTime aNow)
+  {
+    const bool awaitsFirstData = IsAwaitingFirstData();
+    follower_.SelectNext(awaitsFirstData, aNow);
+    if (awaitsFirstData && wasListed_ && !reader_.IsFailing() &&
+        follower_.Role().level_ > RelayLevel::Head) {
+      follower_.SkipSourcesOutside(self_.zone_, aNow);
+    }
+  }
+
   // Whether the data is so old that another source is tried.
   bool IsNearlyStale(MonotonicTime aNow) const
   {
@@ -371,11 +432,11 @@
   void OnUnreachable(const InstanceId& aPeer)
   {
     subscribers_.Remove(aPeer);
-    // A source that starts at the same time may not listen yet, so it is tried again.
-    if (!follower_.IsCurrent(aPeer) || IsAwaitingFirstData()) {
+    // A source that starts at the same time may not listen yet, so it is tried again later.
+    if (!follower_.IsCurrent(aPeer) || (IsAwaitingFirstData() && !wasListed_)) {
       return;
     }
-    follower_.SelectNext(false, scheduler_.Now());
+    SelectNextSource(scheduler_.Now());
     if (const auto& source = follower_.Source()) {
       SendSubscribe(*source, {});
     }
@@ -429,6 +490,10 @@
       return;
     }
     ApplyObservations(aStoreUpdate, composedAtMs, now);
+    if (wasListed_ && IsAwaitingFirstData() &&
+        (aStoreUpdate.storeAnswers_ || aStoreUpdate.pending_)) {
+      follower_.OnFirstReply(aSender.id_, now);
+    }
     if (!follower_.IsCurrent(aSender.id_) && !follower_.IsPreferred(aSender.id_)) {
       Publish();
       return;
@@ -588,6 +653,9 @@
     return MonotonicTime(std::chrono::milliseconds(aMs));
   }
 
+  using TimerId = decltype(std::declval<S&>().After(std::declval<Duration>(),
+                                                    std::declval<std::function<void()>>()));
+
   S& scheduler_;
   F& feed_;
   P& peers_;
@@ -600,10 +668,14 @@
   SubscriberSet<P> subscribers_;
   StoreReader<S, F> reader_;
   InstanceRegistrar<S, F> registrar_;
+  TimerId subscribeTimer_{};         ///< next call of OnSubscribeTimer()
   MonotonicTime syncStartedAt_;      ///< end of the first read of the list of instances
   MonotonicTime transferProgressAt_; ///< arrival of the last message of a transfer
   bool instanceListRead_ = false;    ///< the first read of the list of instances has ended
-  bool sourceReplied_ = false;       ///< a source has sent data, or that it waits for data
+  /// Was listed when it started. Its sources then start as well, or have run all the time; those of
+  /// an instance that is not listed may take longer to find data.
+  bool wasListed_ = false;
+  bool sourceReplied_ = false; ///< a source has sent data, or that it waits for data
   bool shuttingDown_ = false;
   bool removalTimerArmed_ = false;
   std::optional<MonotonicTime> registrationTriedAt_;
--- a/boragepier/directory/source_follower.h
+++ b/boragepier/directory/source_follower.h
@@ -71,6 +71,15 @@
     Select(next, aNow);
   }
 
+  /// Goes back to the first candidate if the current one is in another availability zone and the
+  /// first one is not.
+  void SkipSourcesOutside(const ZoneName& aZone, MonotonicTime aNow)
+  {
+    if (source_ && source_->zone_ != aZone && role_.sources_.front().zone_ == aZone) {
+      Select(0, aNow);
+    }
+  }
+
   /// Records that the current or the preferred source has fresh data, or none yet and waits for it.
   /// @param aMayReturn whether the preferred one becomes the source if it is another
   void OnReply(const InstanceId& aSender, bool aMayReturn, MonotonicTime aNow)
@@ -83,6 +92,26 @@
     }
   }
 
+  /// Records a reply before this instance has any data. The sender becomes the source if it is a
+  /// candidate and the current one has not replied since it was chosen.
+  void OnFirstReply(const InstanceId& aSender, MonotonicTime aNow)
+  {
+    if (IsCurrent(aSender)) {
+      replied_ = true;
+      return;
+    }
+    const auto found =
+      std::find_if(role_.sources_.begin(), role_.sources_.end(), [&](const InstanceEntry& aSource) {
+        return aSource.id_ == aSender;
+      });
+    if (source_ && !replied_ && found != role_.sources_.end()) {
+      Select(static_cast<std::size_t>(found - role_.sources_.begin()), aNow);
+      replied_ = true;
+    }
+  }
+
+  /// @return whether the current source has replied before this instance had any data
+  bool HasReplied() const { return replied_; }
   /// @return whether the current source was chosen, or last replied, longer than this ago
   bool IsSilentFor(Duration aDuration, MonotonicTime aNow) const
   {
@@ -120,6 +149,7 @@
     source_ = role_.sources_[aIndex];
     aliveAt_ = aNow;
     selectedAt_ = aNow;
+    replied_ = false;
   }
 
   const DirectoryTiming& timing_;
@@ -127,6 +157,7 @@
   std::optional<InstanceEntry> source_;
   MonotonicTime selectedAt_;                      ///< when the source was chosen
   MonotonicTime aliveAt_;                         ///< when it was chosen or last replied
+  bool replied_ = false;                          ///< to OnFirstReply() since it was chosen
   std::optional<MonotonicTime> preferredTriedAt_; ///< when it was last tried beside the current one
 };
 
--- a/boragepier/peer/peer_link.h
+++ b/boragepier/peer/peer_link.h
@@ -29,7 +29,7 @@
   Duration progressTimeout_ = std::chrono::seconds(3);
   Duration idleTimeout_ = std::chrono::minutes(5); ///< an unused connection is then closed
   /// Delay before connecting again after a failure. It doubles with each further failure.
-  Duration initialBackoff_ = std::chrono::milliseconds(200);
+  Duration initialBackoff_ = std::chrono::milliseconds(50);
   Duration maxBackoff_ = std::chrono::seconds(10);
 };
 
