Hold requests that arrive before the first configuration, and sum up the first state in one log line

An instance refused all requests until its first configuration was in force, and logged a line for each upstream and instance that it read first. The first routing table is published when all routing topics are complete, so that it holds the upstreams and the evacuations.

--- a/boragepier/directory/directory_state.h
+++ b/boragepier/directory/directory_state.h
@@ -44,6 +44,7 @@
   InstanceAdded,
   RegistrationFailed, ///< a call that registers instances failed
   ZoneEvacuated,      ///< the upstreams of an availability zone receive nothing from now on
+  Loaded,             ///< configuration and upstreams are complete for the first time
   ZoneRestored,       ///< the evacuation of an availability zone was withdrawn
 };
 
--- a/boragepier/directory/directory_timing.h
+++ b/boragepier/directory/directory_timing.h
@@ -56,8 +56,10 @@
   Duration initialReplyTimeout_ = std::chrono::milliseconds(1000);
   /// After the start, time that one source has to reply before the next one is tried.
   Duration initialSourceTimeout_ = std::chrono::milliseconds(100);
-  /// Time between two PeerSubscribe messages while there is no data after the start.
-  Duration initialSubscribeInterval_ = std::chrono::milliseconds(50);
+  /// Time between two PeerSubscribe messages while no source has replied after the start.
+  Duration initialSubscribeInterval_ = std::chrono::milliseconds(100);
+  /// The same for an instance that was listed when it started, while it has no data.
+  Duration returnSubscribeInterval_ = std::chrono::milliseconds(50);
   /// After the start, time after which the head of a zone without data reads the store beside its
   /// source.
   Duration firstReadDelay_ = std::chrono::milliseconds(40);
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -372,11 +372,11 @@
 
   void ArmSubscribeTimer()
   {
-    subscribeTimer_ =
-      scheduler_.After(jitter_(IsAwaitingFirstData() && (wasListed_ || !sourceReplied_)
-                                 ? timing_.initialSubscribeInterval_
-                                 : timing_.subscribeInterval_),
-                       [this] { OnSubscribeTimer(); });
+    const Duration interval = !IsAwaitingFirstData() ? timing_.subscribeInterval_
+                              : wasListed_           ? timing_.returnSubscribeInterval_
+                              : sourceReplied_       ? timing_.subscribeInterval_
+                                                     : timing_.initialSubscribeInterval_;
+    subscribeTimer_ = scheduler_.After(jitter_(interval), [this] { OnSubscribeTimer(); });
   }
 
   void RenewSubscriptions()
@@ -588,17 +588,36 @@
     state_.ApplyChanges(items, now);
   }
 
-  void Publish()
+  // Passes on the events. Entries that are known before the first complete state are only counted.
+  void ReportEvents()
   {
     for (const DirectoryEvent& event : state_.TakeEvents()) {
-      if (onEvent_) {
+      const bool isInstance = event.type_ == DirectoryEventType::InstanceAdded;
+      if (!loaded_ && (isInstance || event.type_ == DirectoryEventType::UpstreamAdded)) {
+        ++(isInstance ? firstInstances_ : firstUpstreams_);
+      } else if (onEvent_) {
         onEvent_(event);
       }
     }
+    if (loaded_ || !view_.HasRoutingData()) {
+      return;
+    }
+    loaded_ = true;
+    if (onEvent_) {
+      onEvent_({ DirectoryEventType::Loaded,
+                 std::to_string(firstUpstreams_) + " upstreams",
+                 std::to_string(firstInstances_) + " other instances" });
+    }
+  }
+
+  void Publish()
+  {
+    ReportEvents();
     if (state_.TakeInstancesChanged()) {
       UpdateRelayRole();
     }
-    if (state_.TakeRoutingChanged() && onRoutingChanged_) {
+    // Without all topics, requests would find no upstreams, or those of evacuated zones.
+    if (loaded_ && state_.TakeRoutingChanged() && onRoutingChanged_) {
       RunContained(ErrorScope::StoreEntry,
                    [this] { onRoutingChanged_(state_.MakeRoutingTable()); });
     }
@@ -675,7 +694,10 @@
   /// Was listed when it started. Its sources then start as well, or have run all the time; those of
   /// an instance that is not listed may take longer to find data.
   bool wasListed_ = false;
-  bool sourceReplied_ = false; ///< a source has sent data, or that it waits for data
+  bool sourceReplied_ = false;     ///< a source has sent data, or that it waits for data
+  bool loaded_ = false;            ///< configuration and upstreams were complete once
+  std::size_t firstInstances_ = 0; ///< InstanceAdded events before that
+  std::size_t firstUpstreams_ = 0; ///< UpstreamAdded events before that
   bool shuttingDown_ = false;
   bool removalTimerArmed_ = false;
   std::optional<MonotonicTime> registrationTriedAt_;
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -2,6 +2,7 @@
 #define BORAGEPIER_ENTRY_CALL_H
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,7 +67,52 @@
     Run([this] { RouteAndSubmit(); });
   }
 
+  /// Starts processing like Start(), but waits for a configuration until EndHold() is called.
+  /// @param aUntil EndHold() is called by this object then
+  /// @param aOnEnd called when the wait ends, also if the caller leaves
+  void StartHeld(MonotonicTime aUntil, std::function<void()> aOnEnd)
+  {
+    onHoldEnd_ = std::move(aOnEnd);
+    Run([&] {
+      WatchCaller();
+      holdTimer_ = deps_.scheduler_.After(aUntil - Now(),
+                                          [self = this->shared_from_this()] { self->EndHold(); });
+    });
+  }
+
+  /// Ends the wait for a configuration. Without one, the request is refused.
+  void EndHold()
+  {
+    if (LeaveHold() && !finished_) {
+      retryAfter_ = kRetryAfterHold;
+      Run([this] { RouteAndSubmit(); });
+    }
+  }
+
 private:
+  /// Sent with the refusal of a request that waited for a configuration in vain.
+  static constexpr Duration kRetryAfterHold = std::chrono::milliseconds(250);
+
+  // Returns false if the request is not held.
+  bool LeaveHold()
+  {
+    CancelTimer(holdTimer_);
+    const auto onEnd = std::exchange(onHoldEnd_, nullptr);
+    if (onEnd) {
+      onEnd();
+    }
+    return onEnd != nullptr;
+  }
+
+  void WatchCaller()
+  {
+    exchange_->SetAbandonedCallback([weak = this->weak_from_this()](http::CallerEnd aEnd) {
+      if (const auto self = weak.lock()) {
+        self->Run([&] { self->OnCallerEnd(aEnd); });
+      }
+    });
+  }
+
   /// An attempt that was handed to the sender.
   struct Attempt
   {
@@ -109,11 +155,7 @@
 
   void RouteAndSubmit()
   {
-    exchange_->SetAbandonedCallback([weak = this->weak_from_this()](http::CallerEnd aEnd) {
-      if (const auto self = weak.lock()) {
-        self->Run([&] { self->OnCallerEnd(aEnd); });
-      }
-    });
+    WatchCaller();
     try {
       RouteAndValidate();
     } catch (const RequestRefusedError& refused) {
@@ -643,6 +685,7 @@
       return;
     }
     finished_ = true;
+    LeaveHold();
     CancelTimer(queueDeadlineTimer_);
     CancelTimer(hedgeTimer_);
     CancelAttempts();
@@ -768,6 +811,8 @@
   std::optional<http::Response> lastServerErrorResponse_; ///< of a repeatable request
   /// Of the last attempt with outcome Unknown.
   AttemptFailure lastUnknownFailure_ = AttemptFailure::None;
+  std::function<void()> onHoldEnd_; ///< set while the request waits for a configuration
+  net::TimerId holdTimer_ = net::TimerId::None;
   net::TimerId queueDeadlineTimer_ = net::TimerId::None; ///< active while the request is queued
   net::TimerId hedgeTimer_ = net::TimerId::None;
   bool mayHaveRun_ = false; ///< an attempt ended with outcome Unknown
--- a/boragepier/entry/directory_events.cc
+++ b/boragepier/entry/directory_events.cc
@@ -32,6 +32,8 @@
       return EventId::ZoneEvacuated;
     case DirectoryEventType::ZoneRestored:
       return EventId::ZoneRestored;
+    case DirectoryEventType::Loaded:
+      return EventId::DirectoryLoaded;
     case DirectoryEventType::InstanceAdded:
       break;
   }
--- a/boragepier/entry/request_checks.cc
+++ b/boragepier/entry/request_checks.cc
@@ -151,6 +151,16 @@
 
 } // namespace
 
+std::optional<Duration>
+ParseRequestedTimeLimit(const http::Request& aRequest, const WireDialect& aDialect)
+{
+  try {
+    return ParseDeadline(aRequest, aDialect);
+  } catch (const RequestRefusedError&) {
+    return std::nullopt;
+  }
+}
+
 std::string_view
 ParseRequestPath(std::string_view aTarget)
 {
--- a/boragepier/entry/request_checks.h
+++ b/boragepier/entry/request_checks.h
@@ -58,6 +58,10 @@
 std::optional<RequestId>
 ParseCallerRequestId(const http::Request& aRequest, const WireDialect& aDialect);
 
+/// @return the time limit that the caller requested; nothing if there is none or it is invalid
+std::optional<Duration>
+ParseRequestedTimeLimit(const http::Request& aRequest, const WireDialect& aDialect);
+
 /// @return digest of the key by which the caller identifies itself; nothing if there is none, or if
 ///   there are several
 std::optional<KeyDigest>
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -113,6 +113,12 @@
   });
 }
 
+void
+TrafficThread::ReleaseHeld()
+{
+  loop_.Post([this] { pipeline_.ReleaseHeld(); });
+}
+
 void
 TrafficThread::BeginDrain()
 {
--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -51,6 +51,8 @@
   void SetFleetSize(std::size_t aInstances);
   /// Applies limits from the configuration. Open connections keep their size limits. Thread-safe.
   void SetCallerLimits(const CallerLimits& aLimits);
+  /// Processes the requests that wait for the first configuration. Thread-safe.
+  void ReleaseHeld();
   /// Sends "Connection: close" with every response from now on. Thread-safe.
   void BeginDrain();
   /// Stops accepting connections and closes idle ones. A request that is being read is served if
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -313,6 +313,12 @@
              "zone-restored",
              "the evacuation of an availability zone was withdrawn; its upstreams receive requests",
              "no action needed" },
+  EventInfo{ EventId::DirectoryLoaded,
+             LogLevel::Info,
+             "directory-loaded",
+             "configuration and upstreams were complete for the first time since the start; the "
+             "fields give the number of upstreams and of other instances",
+             "no action needed" },
   EventInfo{ EventId::RequestRefused,
              LogLevel::Debug,
              "request-refused",
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -72,6 +72,7 @@
   ControlDelayed = 5009,
   ZoneEvacuated = 5010,
   ZoneRestored = 5011,
+  DirectoryLoaded = 5012,
 
   RequestRefused = 6001,
   RequestOutcomeUnknown = 6002,
