--- a/boragepier/decision/fresh_probe_balancer_test.cc
+++ b/boragepier/decision/fresh_probe_balancer_test.cc
@@ -336,6 +336,81 @@
   DOUBLES_EQUAL(1, balancer_.Candidates(now_).at(0).healthWeight_, 1e-9);
 }
 
+// Guards against retries and hedges that go to a zone which was evacuated after the first attempt
+// was sent, and against probes that keep its upstreams busy.
+TEST(FreshProbeBalancer, RetriesAndHedgesAvoidEvacuatedZones)
+{
+  std::vector endpoints{ MakeEndpoint("a-1", "a"),
+                         MakeEndpoint("a-2", "a"),
+                         MakeEndpoint("b-1", "b") };
+  const std::map<std::string, LoadReport> idle{ { "a-1", MakeLoad(0) },
+                                                { "a-2", MakeLoad(0) },
+                                                { "b-1", MakeLoad(0) } };
+  CallInfo call = MakeCall(Repeatability::Repeatable);
+  Submit(call);
+  const auto released = RunUntilReleased(idle, milliseconds(100));
+  const UpstreamHandle tried = released.at(0).decision_.upstream_;
+  const std::string first = UpstreamIdOf(released[0].decision_);
+  CHECK(first != "b-1");
+  call.triedUpstreams_ = { tried };
+  endpoints[0].evacuated_ = true;
+  endpoints[1].evacuated_ = true;
+  balancer_.SetUpstreams(endpoints, now_);
+  while (const auto probe = balancer_.NextProbe(now_)) {
+    CHECK(balancer_.Endpoint(*probe)->id_.View() == "b-1");
+    balancer_.OnProbeEnded(*probe, MakeLoad(0), milliseconds(3), now_);
+  }
+  std::map<std::string, LoadReport> loads = idle;
+  loads[first] = MakeLoad(1, 7);
+  std::optional<UpstreamHandle> hedge;
+  for (int i = 0; i < 8 && !hedge; ++i) {
+    const auto delay = balancer_.HedgeDelay(call, now_);
+    CHECK(delay.has_value());
+    now_ += *delay;
+    hedge = balancer_.DecideHedge(call, now_);
+    AnswerProbes(loads, {});
+  }
+  CHECK(!hedge || balancer_.Endpoint(*hedge)->id_.View() == "b-1");
+  AttemptReport report;
+  report.upstream_ = tried;
+  report.outcome_ = Outcome::NotRun;
+  report.failure_ = AttemptFailure::ConnectFailed;
+  const RetryDecision retry = balancer_.DecideRetry(call, report, now_);
+  CHECK(retry.allowed_);
+  CHECK_EQUAL(std::string("b-1"), SubmitAndGetUpstream(idle, Repeatability::Repeatable));
+}
+
+// Guards against sending everything to a zone at the moment in which its evacuation ends: its
+// upstreams are asked for their load first, like those of other zones.
+TEST(FreshProbeBalancer, EndOfAnEvacuationCausesNoHerd)
+{
+  std::vector<UpstreamEndpoint> endpoints;
+  std::map<std::string, LoadReport> loads;
+  for (int i = 0; i < 8; ++i) {
+    const std::string zone = i < 4 ? "a" : "b";
+    endpoints.push_back(MakeEndpoint((zone + '-' + std::to_string(i)).c_str(), zone.c_str()));
+    endpoints.back().evacuated_ = i < 4;
+    loads[endpoints.back().id_.Text()] = MakeLoad(0);
+  }
+  balancer_.SetUpstreams(endpoints, now_);
+  for (int i = 0; i < 3; ++i) {
+    CHECK_EQUAL('b', SubmitAndGetUpstream(loads)[0]);
+    now_ += milliseconds(20);
+  }
+  for (UpstreamEndpoint& endpoint : endpoints) {
+    endpoint.evacuated_ = false;
+  }
+  balancer_.SetUpstreams(endpoints, now_);
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 8; ++i) {
+    ++counts[SubmitAndGetUpstream(loads)];
+  }
+  for (const auto& [upstream, count] : counts) {
+    CHECK(loads.contains(upstream));
+    CHECK_COMPARE(count, <=, 2);
+  }
+}
+
 // Guards against waiting for a machine that becomes slow while it serves a request, when others are
 // idle, and against a hedge while it runs at normal speed.
 TEST(FreshProbeBalancer, HedgesWhenTheMachineBecomesSlow)
--- a/boragepier/directory/directory_test.cc
+++ b/boragepier/directory/directory_test.cc
@@ -247,17 +247,23 @@
     RunFor(std::chrono::seconds(5));
   }
 
-  FakeInstance& Start(int aIndex)
+  FakeInstance& Make(int aIndex, const std::string& aZone = "z")
   {
     const InstanceEntry entry{
-      InstanceId("i-" + std::to_string(aIndex)), "127.0.0.1", 7, 100.0 - aIndex, ZoneName("z")
+      InstanceId("i-" + std::to_string(aIndex)), "127.0.0.1", 7, 100.0 - aIndex, ZoneName(aZone)
     };
     instances_.push_back(std::make_unique<FakeInstance>(
       scheduler_, store_, network_, entry, static_cast<std::uint64_t>(100 - aIndex)));
-    instances_.back()->watch_.Start(false);
     return *instances_.back();
   }
 
+  FakeInstance& Start(int aIndex, const std::string& aZone = "z")
+  {
+    FakeInstance& instance = Make(aIndex, aZone);
+    instance.watch_.Start(false);
+    return instance;
+  }
+
   void RunFor(Duration aDuration)
   {
     scheduler_.Advance(aDuration);
@@ -332,6 +338,102 @@
   checkEvacuated(false);
 }
 
+// Guards against an evacuation that is late for some of a large fleet, or that instances on
+// different sources learn of out of order.
+TEST(DirectoryWatch, EvacuationsReachALargeFleetWithinASecond)
+{
+  constexpr int kInstances = 100;
+  constexpr int kZones = 4;
+  const Duration limit = std::chrono::seconds(1);
+  store_.Put(FeedTopic::Configuration, "config", "1");
+  store_.Put(FeedTopic::Upstreams, "u-1", {});
+  for (int i = 0; i < kInstances; ++i) {
+    Start(i, "z-" + std::to_string(i % kZones));
+  }
+  RunFor(std::chrono::seconds(10));
+  // The store is silent for some, which learn everything from others.
+  for (int i = 1; i < kInstances; i += 3) {
+    store_.unansweredInstances_.insert(InstanceId("i-" + std::to_string(i)));
+  }
+  RunFor(std::chrono::seconds(6));
+  const auto checkZones = [&](const std::vector<ZoneName>& aZones) {
+    for (const auto& instance : instances_) {
+      CHECK(instance->watch_.State().MakeRoutingTable()->evacuatedZones_ == aZones);
+    }
+  };
+  store_.Put(FeedTopic::Evacuations, "z-1", {});
+  RunFor(limit);
+  checkZones({ ZoneName("z-1") });
+  // The end and the start of another one follow each other faster than they are passed on.
+  store_.Remove(FeedTopic::Evacuations, "z-1");
+  RunFor(std::chrono::milliseconds(30));
+  store_.Put(FeedTopic::Evacuations, "z-2", {});
+  RunFor(std::chrono::milliseconds(30));
+  store_.Put(FeedTopic::Evacuations, "z-1", {});
+  RunFor(std::chrono::milliseconds(30));
+  store_.Remove(FeedTopic::Evacuations, "z-2");
+  RunFor(limit);
+  checkZones({ ZoneName("z-1") });
+  store_.Remove(FeedTopic::Evacuations, "z-1");
+  RunFor(limit);
+  checkZones({});
+}
+
+// Guards against an instance that starts while the store is silent for it and sends requests to an
+// evacuated zone until it learns of the evacuation.
+TEST(DirectoryWatch, FirstRoutingTableHoldsTheEvacuations)
+{
+  store_.Put(FeedTopic::Upstreams, "u-1", {});
+  StartAll(4);
+  store_.Put(FeedTopic::Evacuations, "z", {});
+  RunFor(std::chrono::seconds(1));
+  FakeInstance& added = Make(4);
+  std::vector<std::shared_ptr<const RoutingTable>> tables;
+  added.watch_.OnRoutingChanged([&](auto aTable) { tables.push_back(std::move(aTable)); });
+  added.watch_.Start(false);
+  // It reads the list of instances, and no more.
+  RunFor(std::chrono::milliseconds(5));
+  store_.unansweredInstances_.insert(InstanceId("i-4"));
+  RunFor(std::chrono::seconds(3));
+  CHECK(!tables.empty());
+  for (const auto& table : tables) {
+    CHECK(table->evacuatedZones_ == std::vector{ ZoneName("z") });
+    CHECK_EQUAL(1U, table->services_.size());
+    CHECK_EQUAL(1U, table->services_.at(0).upstreams_.size());
+  }
+}
+
+// Guards against requests that are refused because the configuration is read before the upstreams,
+// and against thousands of log lines at the start.
+TEST(DirectoryWatch, FirstStateIsPublishedAndLoggedAsAWhole)
+{
+  constexpr std::size_t kUpstreams = 600; // two pages
+  store_.Put(FeedTopic::Configuration, "config", "1");
+  for (std::size_t i = 0; i < kUpstreams; ++i) {
+    store_.Put(FeedTopic::Upstreams, "u-" + std::to_string(i), {});
+  }
+  FakeInstance& root = Make(0);
+  std::vector<std::shared_ptr<const RoutingTable>> tables;
+  std::vector<DirectoryEvent> events;
+  root.watch_.OnRoutingChanged([&](auto aTable) { tables.push_back(std::move(aTable)); });
+  root.watch_.OnEvent([&](const DirectoryEvent& aEvent) { events.push_back(aEvent); });
+  root.watch_.Start(false);
+  RunFor(std::chrono::seconds(1));
+  CHECK(!tables.empty());
+  CHECK_EQUAL(kUpstreams, tables.front()->services_.at(0).upstreams_.size());
+  const auto count = [&](DirectoryEventType aType) {
+    return std::count_if(events.begin(), events.end(), [&](const DirectoryEvent& aEvent) {
+      return aEvent.type_ == aType;
+    });
+  };
+  CHECK_EQUAL(1, count(DirectoryEventType::Loaded));
+  CHECK_EQUAL(0, count(DirectoryEventType::UpstreamAdded));
+  store_.Put(FeedTopic::Upstreams, "u-new", {});
+  RunFor(std::chrono::seconds(1));
+  CHECK_EQUAL(1, count(DirectoryEventType::Loaded));
+  CHECK_EQUAL(1, count(DirectoryEventType::UpstreamAdded));
+}
+
 // Guards against a zone that stays empty for an instance that missed the end of its evacuation.
 TEST(DirectoryWatch, EndOfAnEvacuationReachesAnInstanceThatWasCutOff)
 {
