Bound the time for which an instance that returns waits for its sources

Cause: after all instances had lost power, a zone waited half a second for a source that starts as well and says nothing, and further seconds for sources that wait themselves. One that is not listed behaves as before.

--- a/boragepier/directory/directory_timing.h
+++ b/boragepier/directory/directory_timing.h
@@ -62,14 +62,14 @@
   Duration returnSubscribeInterval_ = std::chrono::milliseconds(50);
   /// After the start, time after which the head of a zone without data reads the store beside its
   /// source.
-  Duration firstReadDelay_ = std::chrono::milliseconds(40);
+  Duration firstReadDelay_ = std::chrono::milliseconds(30);
   /// How much later a relay does, and half of how much later a leaf does at least.
-  Duration firstReadDelayStep_ = std::chrono::milliseconds(15);
+  Duration firstReadDelayStep_ = std::chrono::milliseconds(10);
   /// How much later a leaf does for each pair of listed instances, and the limit of this.
-  Duration firstReadDelayPerPair_ = std::chrono::microseconds(2);
+  Duration firstReadDelayPerPair_ = std::chrono::microseconds(3);
   Duration maxFirstReadDelay_ = std::chrono::milliseconds(700);
   /// How much later an instance does whose source waits for data itself.
-  Duration pendingSourceExtension_ = std::chrono::milliseconds(50);
+  Duration pendingSourceExtension_ = std::chrono::milliseconds(40);
   /// After the start, time that sources which reply have to send all data before the store is read
   /// instead.
   Duration initialSyncTimeout_ = std::chrono::milliseconds(3000);
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -200,6 +200,14 @@
         // The first reply may be late, so the search does not wait for the timer of the start.
         scheduler_.Cancel(subscribeTimer_);
         ArmSubscribeTimer();
+        const Duration delay = FirstReadDelay();
+        for (const Duration limit :
+             { delay, delay + timing_.pendingSourceExtension_, ReceivingLimit() }) {
+          scheduler_.After(limit, [this] {
+            reader_.Start();
+            ReportSource();
+          });
+        }
       }
     });
   }
@@ -257,23 +265,40 @@
            scheduler_.Now() - transferProgressAt_ <= timing_.initialReplyTimeout_;
   }
 
-  // Whether this instance has no data, is not being sent any, and has waited for it as long as its
-  // place in the tree allows. Its sources remain in use.
+  // Whether this instance has no data, and has waited for it as long as its place in the tree
+  // allows. Its sources remain in use.
   bool IsFirstReadDue() const
   {
-    if (view_.HasRoutingData() || IsReceivingFirstData() || !wasListed_) {
+    if (view_.HasRoutingData() || !wasListed_) {
       return false;
     }
-    Duration limit = timing_.firstReadDelay_;
-    if (const auto level = follower_.Role().level_; level > RelayLevel::Head) {
-      limit += level == RelayLevel::Relay ? timing_.firstReadDelayStep_ : LeafReadDelay();
-      if (sourceReplied_) {
-        limit += timing_.pendingSourceExtension_;
-      }
+    Duration limit = FirstReadDelay();
+    if (IsReceivingFirstData()) {
+      limit = ReceivingLimit();
+    } else if (sourceReplied_ && follower_.Role().level_ > RelayLevel::Head) {
+      limit += timing_.pendingSourceExtension_;
     }
     return scheduler_.Now() - syncStartedAt_ >= limit;
   }
 
+  // How long this instance waits for a source that replies before it reads the store.
+  Duration FirstReadDelay() const
+  {
+    switch (follower_.Role().level_) {
+      case RelayLevel::Root:
+      case RelayLevel::Head:
+        return timing_.firstReadDelay_;
+      case RelayLevel::Relay:
+        return timing_.firstReadDelay_ + timing_.firstReadDelayStep_;
+      case RelayLevel::Leaf:
+        break;
+    }
+    return timing_.firstReadDelay_ + LeafReadDelay();
+  }
+
+  // The same while the source is sending the first data.
+  Duration ReceivingLimit() const { return 2 * (timing_.firstReadDelay_ + LeafReadDelay()); }
+
   // How much later than a head a leaf reads the store. In a larger fleet, relays send more first
   // copies, of more rows each.
   Duration LeafReadDelay() const
