--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -34,8 +34,9 @@
 /// longer fresh (see DirectoryTiming::stalenessBound_), reads the store itself. It can do so at any
 /// time, so no instance depends on the tree.
 ///
-/// An instance that starts reads the list of instances and subscribes. While its source has no data
-/// itself, it waits for it, so that instances that start together do not all read the store. An
+/// An instance that starts reads the list of instances and subscribes. It looks for a source that
+/// replies, and waits a short time for one that has no data itself, so that instances that start
+/// together do not all read the store. Those at the top of the tree wait the shortest time. An
 /// instance that is not listed yet asks its source to register it; the requests go up the tree to
 /// the root, which writes them in batches.
 ///
@@ -224,11 +225,25 @@
       if (aRetryAfter) {
         scheduler_.After(*aRetryAfter, [this] { ReadInstanceList(); });
       } else {
+        wasListed_ = wasListed_ || (!view_.HasRoutingData() && IsSelfListed());
         Publish();
         UpdateRelayRole(); // also if the list is empty
       }
       reader_.Start();
       ReportSource();
+      if (wasListed_ && !view_.HasRoutingData()) {
+        // The first reply may be late, so the search does not wait for the timer of the start.
+        scheduler_.Cancel(subscribeTimer_);
+        ArmSubscribeTimer();
+        const Duration delay = FirstReadDelay();
+        for (const Duration limit :
+             { delay, delay + timing_.pendingSourceExtension_, ReceivingLimit() }) {
+          scheduler_.After(limit, [this] {
+            reader_.Start();
+            ReportSource();
+          });
+        }
+      }
     });
   }
 
@@ -254,7 +269,7 @@
       return true;
     }
     if (!view_.HasRoutingData()) {
-      return !IsAwaitingFirstData();
+      return !IsAwaitingFirstData() || IsFirstReadDue();
     }
     return !IsFresh() && !IsTransferInProgress() && !IsAwaitingEra();
   }
@@ -278,6 +293,56 @@
     return !view_.HasRoutingData() && scheduler_.Now() - syncStartedAt_ < limit;
   }
 
+  // Whether the current source is sending the first data.
+  bool IsReceivingFirstData() const
+  {
+    return follower_.Source() && view_.IsTransferringFrom(follower_.Source()->id_) &&
+           scheduler_.Now() - transferProgressAt_ <= timing_.initialReplyTimeout_;
+  }
+
+  // Whether this instance has no data, and has waited for it as long as its place in the tree
+  // allows. Its sources remain in use.
+  bool IsFirstReadDue() const
+  {
+    if (view_.HasRoutingData() || !wasListed_) {
+      return false;
+    }
+    Duration limit = FirstReadDelay();
+    if (IsReceivingFirstData()) {
+      limit = ReceivingLimit();
+    } else if (sourceReplied_ && follower_.Role().level_ > RelayLevel::Head) {
+      limit += timing_.pendingSourceExtension_;
+    }
+    return scheduler_.Now() - syncStartedAt_ >= limit;
+  }
+
+  // How long this instance waits for a source that replies before it reads the store.
+  Duration FirstReadDelay() const
+  {
+    switch (follower_.Role().level_) {
+      case RelayLevel::Root:
+      case RelayLevel::Head:
+        return timing_.firstReadDelay_;
+      case RelayLevel::Relay:
+        return timing_.firstReadDelay_ + timing_.firstReadDelayStep_;
+      case RelayLevel::Leaf:
+        break;
+    }
+    return timing_.firstReadDelay_ + LeafReadDelay();
+  }
+
+  // The same while the source is sending the first data.
+  Duration ReceivingLimit() const { return 2 * (timing_.firstReadDelay_ + LeafReadDelay()); }
+
+  // How much later than a head a leaf reads the store. In a larger fleet, relays send more first
+  // copies, of more rows each.
+  Duration LeafReadDelay() const
+  {
+    const auto count = static_cast<Duration::rep>(state_.Instances().size());
+    return 2 * timing_.firstReadDelayStep_ +
+           std::min(count * count * timing_.firstReadDelayPerPair_, timing_.maxFirstReadDelay_);
+  }
+
   // Whether this instance reads the store for its subscribers: the root does, and one that finds no
   // source in its place.
   bool ActsAsRoot() const { return follower_.Role().IsRoot() || !follower_.Source(); }
@@ -364,10 +429,16 @@
   void OnSubscribeTimer()
   {
     RunContained(ErrorScope::Task, [this] { RenewSubscriptions(); });
-    const bool awaitsReply = IsAwaitingFirstData() && !sourceReplied_;
-    scheduler_.After(
-      jitter_(awaitsReply ? timing_.initialSubscribeInterval_ : timing_.subscribeInterval_),
-      [this] { OnSubscribeTimer(); });
+    ArmSubscribeTimer();
+  }
+
+  void ArmSubscribeTimer()
+  {
+    const Duration interval = !IsAwaitingFirstData() ? timing_.subscribeInterval_
+                              : wasListed_           ? timing_.returnSubscribeInterval_
+                              : sourceReplied_       ? timing_.subscribeInterval_
+                                                     : timing_.initialSubscribeInterval_;
+    subscribeTimer_ = scheduler_.After(jitter_(interval), [this] { OnSubscribeTimer(); });
   }
 
   void RenewSubscriptions()
@@ -375,7 +446,7 @@
     const MonotonicTime now = scheduler_.Now();
     subscribers_.RemoveExpired(now);
     if (ShouldChangeSource(now)) {
-      follower_.SelectNext(IsAwaitingFirstData(), now);
+      SelectNextSource(now);
     }
     SendSubscribes();
     reader_.Start();
@@ -385,7 +456,10 @@
   bool ShouldChangeSource(MonotonicTime aNow) const
   {
     if (IsAwaitingFirstData()) {
-      return follower_.IsSilentFor(timing_.initialSourceTimeout_, aNow);
+      const bool isQuick = wasListed_ && !follower_.HasReplied();
+      return !IsReceivingFirstData() &&
+             follower_.IsSilentFor(
+               isQuick ? timing_.initialSourceTimeout_ : timing_.sourceTimeout_ / 2, aNow);
     }
     if (IsTransferInProgress()) {
       return false;
@@ -401,6 +475,18 @@
            follower_.IsInUseFor(timing_.sourceChangeMargin_, aNow);
   }
 
+  // While there is no data, goes around among the sources in the own zone: to read the store takes
+  // less time and fewer bytes between zones than a transfer from another zone.
+  void SelectNextSource(MonotonicTime aNow)
+  {
+    const bool awaitsFirstData = IsAwaitingFirstData();
+    follower_.SelectNext(awaitsFirstData, aNow);
+    if (awaitsFirstData && wasListed_ && !reader_.IsFailing() &&
+        follower_.Role().level_ > RelayLevel::Head) {
+      follower_.SkipSourcesOutside(self_.zone_, aNow);
+    }
+  }
+
   // Whether the data is so old that another source is tried.
   bool IsNearlyStale(MonotonicTime aNow) const
   {
@@ -414,11 +500,11 @@
       onPeerUnreachable_(aPeer);
     }
     subscribers_.Remove(aPeer);
-    // A source that starts at the same time may not listen yet, so it is tried again.
-    if (!follower_.IsCurrent(aPeer) || IsAwaitingFirstData()) {
+    // A source that starts at the same time may not listen yet, so it is tried again later.
+    if (!follower_.IsCurrent(aPeer) || (IsAwaitingFirstData() && !wasListed_)) {
       return;
     }
-    follower_.SelectNext(false, scheduler_.Now());
+    SelectNextSource(scheduler_.Now());
     if (const auto& source = follower_.Source()) {
       SendSubscribe(*source, {});
     }
@@ -479,6 +565,10 @@
       return; // the sender learns of the newer era from the next subscription
     }
     ApplyObservations(aStoreUpdate, composedAtMs, now);
+    if (wasListed_ && IsAwaitingFirstData() &&
+        (aStoreUpdate.storeAnswers_ || aStoreUpdate.pending_)) {
+      follower_.OnFirstReply(aSender.id_, now);
+    }
     if (!follower_.IsCurrent(aSender.id_) && !follower_.IsPreferred(aSender.id_)) {
       Publish();
       return;
@@ -579,17 +669,36 @@
     state_.ApplyChanges(items, now);
   }
 
-  void Publish()
+  // Passes on the events. Entries that are known before the first complete state are only counted.
+  void ReportEvents()
   {
     for (const DirectoryEvent& event : state_.TakeEvents()) {
-      if (onEvent_) {
+      const bool isInstance = event.type_ == DirectoryEventType::InstanceAdded;
+      if (!loaded_ && (isInstance || event.type_ == DirectoryEventType::UpstreamAdded)) {
+        ++(isInstance ? firstInstances_ : firstUpstreams_);
+      } else if (onEvent_) {
         onEvent_(event);
       }
     }
+    if (loaded_ || !view_.HasRoutingData()) {
+      return;
+    }
+    loaded_ = true;
+    if (onEvent_) {
+      onEvent_({ DirectoryEventType::Loaded,
+                 std::to_string(firstUpstreams_) + " upstreams",
+                 std::to_string(firstInstances_) + " other instances" });
+    }
+  }
+
+  void Publish()
+  {
+    ReportEvents();
     if (state_.TakeInstancesChanged()) {
       UpdateRelayRole();
     }
-    if (state_.TakeRoutingChanged() && onRoutingChanged_) {
+    // Without all topics, requests would find no upstreams, or those of evacuated zones.
+    if (loaded_ && state_.TakeRoutingChanged() && onRoutingChanged_) {
       RunContained(ErrorScope::StoreEntry,
                    [this] { onRoutingChanged_(state_.MakeRoutingTable()); });
     }
@@ -644,6 +753,9 @@
     return MonotonicTime(std::chrono::milliseconds(aMs));
   }
 
+  using TimerId = decltype(std::declval<S&>().After(std::declval<Duration>(),
+                                                    std::declval<std::function<void()>>()));
+
   S& scheduler_;
   F& feed_;
   P& peers_;
@@ -656,12 +768,19 @@
   SubscriberSet<P> subscribers_;
   StoreReader<S, F> reader_;
   InstanceRegistrar<S, F> registrar_;
+  TimerId subscribeTimer_{};         ///< next call of OnSubscribeTimer()
   MonotonicTime syncStartedAt_;      ///< end of the first read of the list of instances
   MonotonicTime transferProgressAt_; ///< arrival of the last message of a transfer
   bool instanceListRead_ = false;    ///< the first read of the list of instances has ended
-  bool sourceReplied_ = false;       ///< a source has sent data, or that it waits for data
-  MonotonicTime eraObservedAt_;      ///< when rows became those of an older era of the store
-  bool sourceKnowsEra_ = false;      ///< a source has replied in the newest era
+  /// Was listed when it started. Its sources then start as well, or have run all the time; those of
+  /// an instance that is not listed may take longer to find data.
+  bool wasListed_ = false;
+  bool sourceReplied_ = false;     ///< a source has sent data, or that it waits for data
+  bool loaded_ = false;            ///< configuration and upstreams were complete once
+  std::size_t firstInstances_ = 0; ///< InstanceAdded events before that
+  std::size_t firstUpstreams_ = 0; ///< UpstreamAdded events before that
+  MonotonicTime eraObservedAt_;    ///< when rows became those of an older era of the store
+  bool sourceKnowsEra_ = false;    ///< a source has replied in the newest era
   bool shuttingDown_ = false;
   bool removalTimerArmed_ = false;
   std::optional<MonotonicTime> registrationTriedAt_;
--- a/boragepier/entry/directory_events.cc
+++ b/boragepier/entry/directory_events.cc
@@ -34,6 +34,8 @@
       return EventId::ZoneRestored;
     case DirectoryEventType::StoreRestored:
       return EventId::StoreRestored;
+    case DirectoryEventType::Loaded:
+      return EventId::DirectoryLoaded;
     case DirectoryEventType::InstanceAdded:
       break;
   }
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -321,6 +321,12 @@
     "anew and replace the known ones",
     "check that what was written since the copy has been written again; see \"A restored "
     "store\" in docs/OPERATIONS.md" },
+  EventInfo{ EventId::DirectoryLoaded,
+             LogLevel::Info,
+             "directory-loaded",
+             "configuration and upstreams were complete for the first time since the start; the "
+             "fields give the number of upstreams and of other instances",
+             "no action needed" },
   EventInfo{ EventId::RequestRefused,
              LogLevel::Debug,
              "request-refused",
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -73,6 +73,7 @@
   ZoneEvacuated = 5010,
   ZoneRestored = 5011,
   StoreRestored = 5012,
+  DirectoryLoaded = 5013,
 
   RequestRefused = 6001,
   RequestOutcomeUnknown = 6002,
