--- a/boragepier/directory/store_restore_test.cc
+++ b/boragepier/directory/store_restore_test.cc
@@ -288,7 +288,12 @@
   for (const InstanceEntry& entry : entries_) {
     Start(entry, true);
   }
-  scheduler_.Advance(milliseconds(4000));
+  scheduler_.Advance(milliseconds(5000));
+  // Each restore is one more reason to register, not a failure after which they wait longer.
+  for (int i = 0; i < 4; ++i) {
+    store_.Restore();
+    scheduler_.Advance(milliseconds(1200));
+  }
   store_.Restore();
   store_.writesBySecond_.clear();
   const MonotonicTime end = scheduler_.Now() + kSettleTime;
