--- a/boragepier/ports/peer_message.h
+++ b/boragepier/ports/peer_message.h
@@ -220,8 +220,8 @@
     std::uint64_t team_ = 0;
     std::uint32_t share_ = 0;
     std::uint32_t granted_ = 0;     ///< requests
-    std::uint32_t deniedForMs_ = 0; ///< time in which the receiver should not ask again; 0 if it got
-                                    ///< all that it wanted
+    std::uint32_t deniedForMs_ = 0; ///< time in which the receiver should not ask again; 0 if it
+                                    ///< got all that it wanted
     friend bool operator==(const Item&, const Item&) = default;
   };
   std::uint64_t sequence_ = 0; ///< of the request
