--- a/boragepier/directory/relay_parts_test.cc
+++ b/boragepier/directory/relay_parts_test.cc
@@ -186,9 +186,9 @@
   const auto changed = view_.ApplyResponse(
     kTopic, MakeResponseOfEra(1, 5, { MakeRow("u-1", 3), MakeRow("u-4", 5) }), false, kNow);
   CHECK_EQUAL(2, changed->size());
-  CHECK_EQUAL("u-2", changed->at(0).key_);
+  STRCMP_EQUAL("u-2", changed->at(0).key_.c_str());
   CHECK(changed->at(0).removed_);
-  CHECK_EQUAL("u-4", changed->at(1).key_);
+  STRCMP_EQUAL("u-4", changed->at(1).key_.c_str());
   CHECK_EQUAL(5, view_.CompletePosition(kTopic));
   // Within the era nothing goes back.
   CHECK(!view_.ApplyResponse(kTopic, MakeResponseOfEra(1, 4, {}), false, kNow));
--- a/boragepier/directory/store_restore_test.cc
+++ b/boragepier/directory/store_restore_test.cc
@@ -227,7 +227,7 @@
   scheduler_.Advance(milliseconds(150));
   store_.Restore();
   for (const auto& observer : observers_) {
-    observer->minUpstreams_ = 2 * kUpstreamCount;
+    observer->minUpstreams_ = std::size_t{ 2 } * kUpstreamCount;
   }
   scheduler_.Advance(milliseconds(900));
   for (const auto& [id, index] : running_) {
@@ -255,7 +255,7 @@
   CheckEqualToStore();
   store_.Restore();
   for (const auto& observer : observers_) {
-    observer->minUpstreams_ = 10 * kUpstreamCount;
+    observer->minUpstreams_ = std::size_t{ 10 } * kUpstreamCount;
   }
   scheduler_.Advance(milliseconds(1900));
   for (int i = 0; i + 1 < kUpstreamCount; ++i) {
@@ -268,7 +268,7 @@
   scheduler_.Advance(kSettleTime);
   CheckEqualToStore(); // without the one that did not register again
   for (const auto& [id, index] : running_) {
-    CHECK(observers_[index]->minUpstreams_ >= 2 * kUpstreamCount - 1);
+    CHECK(observers_[index]->minUpstreams_ + 1 >= std::size_t{ 2 } * kUpstreamCount);
   }
 }
 
