--- a/boragepier/directory/store_restore_test.cc
+++ b/boragepier/directory/store_restore_test.cc
@@ -491,4 +491,34 @@
   CHECK(readers <= 2);
 }
 
+TEST_GROUP_BASE(StoreRestoreSlow, TEST_GROUP_CppUTestGroupStoreRestore){};
+
+// Guards against a storm of calls, and a search for other sources, while the store is slow after a
+// restore and the root has not read all rows yet.
+TEST(StoreRestoreSlow, SlowStoreIsReadByFew)
+{
+  StartFleet("10");
+  std::map<InstanceId, int> sourceChanges;
+  for (const auto& [id, index] : running_) {
+    sourceChanges[id] = instances_[index]->sourceChanges_;
+  }
+  store_.TakeCopy();
+  WriteAfterCopy("12");
+  scheduler_.Advance(std::chrono::seconds(1));
+  store_.Restore();
+  store_.answerDelay_ = milliseconds(2000); // of the first reads, by the root
+  store_.callCounts_.clear();
+  scheduler_.Advance(milliseconds(50));
+  store_.answerDelay_ = {};
+  scheduler_.Advance(milliseconds(3500));
+  CHECK(store_.callCounts_.size() <= kZoneCount);
+  int changes = 0;
+  for (const auto& [id, index] : running_) {
+    changes += instances_[index]->sourceChanges_ - sourceChanges[id];
+  }
+  CHECK(changes <= 2 * kZoneCount);
+  scheduler_.Advance(kSettleTime);
+  CheckEqualToStore();
+}
+
 } // namespace boragepier
