--- a/boragepier/quota/quota_agent_test.cc
+++ b/boragepier/quota/quota_agent_test.cc
@@ -226,6 +226,7 @@
   agent.SetTeams(MakeDirectory(team));
   std::atomic<int> verdicts = 0;
   std::vector<std::thread> threads;
+  threads.reserve(3);
   for (int i = 0; i < 3; ++i) {
     threads.emplace_back([&] {
       for (int request = 0; request < 1000; ++request) {
--- a/boragepier/quota/quota_test.cc
+++ b/boragepier/quota/quota_test.cc
@@ -46,6 +46,7 @@
 MakeInstances(int aCount)
 {
   std::vector<InstanceEntry> instances;
+  instances.reserve(static_cast<std::size_t>(aCount));
   for (int i = 0; i < aCount; ++i) {
     instances.push_back(MakeInstance("i-" + std::to_string(i)));
   }
@@ -128,6 +129,7 @@
 TEST(QuotaOwnership, SharesOfATeamHaveDifferentOwnersAndZones)
 {
   std::vector<InstanceEntry> instances;
+  instances.reserve(40);
   for (int i = 0; i < 40; ++i) {
     instances.push_back(MakeInstance("i-" + std::to_string(i), 100, "z" + std::to_string(i % 4)));
   }
