Spread Retry-After at one place

The limits and the jitter of a Retry-After for lack of room stood in FreshProbeBalancer::Refuse() and in ReturnAdvisor::AdviseNoRoom(); both call SpreadReturn() now.

--- a/boragepier/decision/fresh_probe_balancer_dispatch.cc
+++ b/boragepier/decision/fresh_probe_balancer_dispatch.cc
@@ -77,9 +77,6 @@
 // service are assumed not to report load. They are not probed again until an answer to a request
 // carries a report.
 constexpr unsigned kMaxProbesWithoutLoad = 6;
-// Limits of the retry delay that a refused caller receives.
-constexpr double kMinRetryAfterMs = 100;
-constexpr double kMaxRetryAfterMs = 5000;
 
 double
 TargetMs(const CallInfo& aCall)
@@ -321,11 +318,7 @@
 RoutingDecision
 FreshProbeBalancer::Refuse(RefusalReason aReason, Duration aRetryAfter)
 {
-  // Jitter, so that callers that are refused at the same time do not retry at the same time.
-  const double jitterFactor = 0.75 + static_cast<double>(random_(500)) / 1000;
-  const double retryAfterMs =
-    std::clamp(ToMilliseconds(aRetryAfter) * jitterFactor, kMinRetryAfterMs, kMaxRetryAfterMs);
-  return { RoutingDecision::Kind::Refuse, {}, aReason, FromMilliseconds(retryAfterMs) };
+  return { RoutingDecision::Kind::Refuse, {}, aReason, SpreadReturn(aRetryAfter, random_) };
 }
 
 std::optional<RoutingDecision>
--- a/boragepier/decision/return_advice.cc
+++ b/boragepier/decision/return_advice.cc
@@ -80,6 +80,13 @@
   }
 }
 
+Duration
+SpreadReturn(Duration aWait, Random& aRandom)
+{
+  const double jitter = 0.75 + static_cast<double>(aRandom(500)) / 1000;
+  return FromMilliseconds(std::clamp(ToMilliseconds(aWait) * jitter, kNoRoomMinMs, kNoRoomMaxMs));
+}
+
 ReturnAdvice
 AdviseWithoutBalancer(RefusalCause aCause, Random& aRandom)
 {
@@ -142,11 +149,7 @@
   const MonotonicTime latest = earliest + FromMilliseconds(kMaxReturnScheduleMs);
   const MonotonicTime at = std::clamp(nextReturn_, earliest, latest);
   nextReturn_ = at + FromMilliseconds(intervalMs);
-  // Jitter, so that callers that are refused at the same time do not come back at the same time.
-  const double jitter = 0.75 + static_cast<double>(aRandom(500)) / 1000;
-  const double retryAfterMs =
-    std::clamp(ToMilliseconds(at - aNow) * jitter, kNoRoomMinMs, kNoRoomMaxMs);
-  return { RefusalCause::NoRoom, FromMilliseconds(retryAfterMs) };
+  return { RefusalCause::NoRoom, SpreadReturn(at - aNow, aRandom) };
 }
 
 } // namespace boragepier
--- a/boragepier/decision/return_advice.h
+++ b/boragepier/decision/return_advice.h
@@ -90,6 +90,11 @@
   MonotonicTime nextReturn_{}; ///< the first time at which another returning caller fits in
 };
 
+/// @return a Retry-After of about a time until there is room, within fixed limits; spread, so that
+///   callers that are refused at the same time do not come back at the same time
+Duration
+SpreadReturn(Duration aWait, Random& aRandom);
+
 /// Time that a caller needs between a refusal by chance and the start of its request at another
 /// instance.
 inline constexpr Duration kQuickReturn = std::chrono::milliseconds(50);
