Watch the caller of a held request once

A request that waited for the first configuration had its callback for the caller's end set again when it went on. Start() and StartHeld() set it, and routing does not.

--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -64,7 +64,10 @@
   /// Starts processing. Call once, on an object that is owned by a shared_ptr.
   void Start()
   {
-    Run([this] { RouteAndSubmit(); });
+    Run([this] {
+      WatchCaller();
+      RouteAndSubmit();
+    });
   }
 
   /// Starts processing like Start(), but waits for a configuration until EndHold() is called.
@@ -157,7 +160,6 @@
 
   void RouteAndSubmit()
   {
-    WatchCaller();
     try {
       RouteAndValidate();
     } catch (const RequestRefusedError& refused) {
