Set all teams at once when a configuration takes effect

Cause: each team that arrived as a part copied the map of all teams, so the first configuration of an instance cost the square of their number in processor time, in the control thread, at the start. ConfigAssembly keeps the terms, as it does with services, and builds the map once for an activation.

--- a/boragepier/directory/config_assembly.cc
+++ b/boragepier/directory/config_assembly.cc
@@ -27,15 +27,11 @@
     routesChanged_ = true;
   }
   servicesChanged_ = services_.erase(aKey) > 0 || servicesChanged_;
-  if (const auto team = teamsByKey_.find(aKey); team != teamsByKey_.end()) {
-    teams_.RemoveTeam(team->second);
-    teamsByKey_.erase(team);
-    teamsChanged_ = true;
-  }
+  teamTermsChanged_ = teamTerms_.erase(aKey) > 0 || teamTermsChanged_;
   if (const auto teamKey = teamKeysByKey_.find(aKey); teamKey != teamKeysByKey_.end()) {
     teams_.RemoveKey(teamKey->second);
     teamKeysByKey_.erase(teamKey);
-    teamsChanged_ = true;
+    teamKeysChanged_ = true;
   }
   if (aKey == kConfigSummaryKey) {
     summary_.reset();
@@ -67,9 +63,8 @@
 void
 ConfigAssembly::Set(const std::string& aKey, const TeamTerms& aTerms)
 {
-  teams_.SetTeam(aTerms);
-  teamsByKey_[aKey] = aTerms.name_;
-  teamsChanged_ = true;
+  teamTerms_.insert_or_assign(aKey, aTerms);
+  teamTermsChanged_ = true;
 }
 
 void
@@ -77,7 +72,7 @@
 {
   teams_.SetKey(aTeamKey.key_, aTeamKey.team_);
   teamKeysByKey_[aKey] = aTeamKey.key_;
-  teamsChanged_ = true;
+  teamKeysChanged_ = true;
 }
 
 ConfigAssembly::Result
@@ -109,9 +104,20 @@
     config->services_ = active_->services_;
   }
   config->keysRequired_ = summary_->keysRequired_;
-  config->teams_ = std::exchange(teamsChanged_, false)
-                     ? std::make_shared<const TeamDirectory>(teams_)
-                     : active_->teams_;
+  const bool teamTermsChanged = std::exchange(teamTermsChanged_, false);
+  if (teamTermsChanged) {
+    std::vector<TeamTerms> terms;
+    terms.reserve(teamTerms_.size());
+    for (const auto& [key, team] : teamTerms_) {
+      terms.push_back(team);
+    }
+    teams_.SetTeams(terms);
+  }
+  if (std::exchange(teamKeysChanged_, false) || teamTermsChanged) {
+    config->teams_ = std::make_shared<const TeamDirectory>(teams_);
+  } else {
+    config->teams_ = active_->teams_;
+  }
   active_ = std::move(config);
   return Result::Activated;
 }
--- a/boragepier/directory/config_assembly.h
+++ b/boragepier/directory/config_assembly.h
@@ -71,13 +71,14 @@
   std::map<std::string, RouteSet::RoutePointer> routesByKey_;
   std::map<std::string, ServiceConfig> services_;
   TeamDirectory teams_;
-  std::map<std::string, TeamName> teamsByKey_;     ///< by the keys of their parts
+  std::map<std::string, TeamTerms> teamTerms_;     ///< by the keys of their parts
   std::map<std::string, KeyDigest> teamKeysByKey_; ///< by the keys of their parts
   std::optional<ConfigSummary> summary_;
   std::set<std::string> unreadable_; ///< keys of parts that could not be decoded
   bool routesChanged_ = true;        ///< since the last activation
   bool servicesChanged_ = true;      ///< since the last activation
-  bool teamsChanged_ = true;         ///< since the last activation
+  bool teamTermsChanged_ = true;     ///< since the last activation
+  bool teamKeysChanged_ = true;      ///< since the last activation
 };
 
 } // namespace boragepier
--- a/boragepier/entry/team_key_test.cc
+++ b/boragepier/entry/team_key_test.cc
@@ -4,6 +4,7 @@
 
 #include "boragepier/entry/call.h"
 #include "boragepier/entry/pipeline_fakes.h"
+#include "boragepier/entry/team_fakes.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -13,36 +14,19 @@
 
 namespace {
 
-constexpr const char* kKeyField = "X-Caller-Key";
-constexpr const char* kTeamField = "X-Team";
 constexpr const char* kPublicPath = "/public/1";
 constexpr const char* kTeamPath = "/teams/1";
 
-WireDialect
-MakeDialect()
-{
-  WireDialect dialect = NativeDialect();
-  dialect.callerKeyField_ = kKeyField;
-  dialect.teamField_ = kTeamField;
-  return dialect;
-}
-
-std::shared_ptr<const RouteSet>
+std::vector<RouteConfig>
 MakeRoutes()
 {
-  std::vector<RouteConfig> routes(2);
-  routes[0].name_ = "teams";
-  routes[0].pathPrefix_ = "/teams/";
-  routes[1].name_ = "public";
-  routes[1].pathPrefix_ = "/public/";
+  std::vector<RouteConfig> routes = { MakeTeamRoute("teams", "/teams/"),
+                                      MakeTeamRoute("public", "/public/") };
   routes[1].public_ = true;
   for (RouteConfig& route : routes) {
-    route.host_ = "a.example";
-    route.services_ = { { ServiceName("s"), 1 } };
     route.priority_ = 3;
-    route.maxAttempts_ = 3;
   }
-  return std::make_shared<const RouteSet>(routes);
+  return routes;
 }
 
 } // namespace
@@ -54,7 +38,7 @@
   FakeClaimCoordinator claims_;
   FakeObserver observer_;
   ServiceRouter router_{ InstanceId("i1"), ZoneName("a"), 7 };
-  WireDialect dialect_ = MakeDialect();
+  WireDialect dialect_ = MakeTeamDialect();
   RequestPipeline<FakeScheduler, FakeSender, FakeClaimCoordinator> pipeline_{
     { scheduler_, sender_, claims_, router_, observer_, [] { return WallTime(); }, dialect_ },
     "i1-",
@@ -65,13 +49,11 @@
 
   void setup() override
   {
-    TeamTerms terms;
-    terms.name_ = TeamName("north");
-    terms.priority_ = 1;
-    teams_.SetTeam(terms);
-    terms.name_ = TeamName("south");
-    terms.priority_.reset();
-    teams_.SetTeam(terms);
+    std::vector<TeamTerms> terms(2);
+    terms[0].name_ = TeamName("north");
+    terms[0].priority_ = 1;
+    terms[1].name_ = TeamName("south");
+    teams_.SetTeams(terms);
     teams_.SetKey(DigestOfKey("key-n"), TeamName("north"));
     teams_.SetKey(DigestOfKey("key-s"), TeamName("south"));
     Apply(true);
@@ -79,22 +61,8 @@
 
   void Apply(bool aKeysRequired)
   {
-    RoutingTable table;
-    table.routes_ = MakeRoutes();
-    table.instances_.emplace_back("i1");
+    RoutingTable table = MakeTeamTable(MakeRoutes(), teams_, upstreamCount_);
     table.keysRequired_ = aKeysRequired;
-    table.teams_ = std::make_shared<const TeamDirectory>(teams_);
-    ServiceRoute& service = table.services_.emplace_back();
-    service.version_ = 1;
-    service.config_.name_ = ServiceName("s");
-    service.config_.retryRatio_ = 1;
-    for (int i = 0; i < upstreamCount_; ++i) {
-      UpstreamEndpoint& endpoint = service.upstreams_.emplace_back();
-      endpoint.id_ = UpstreamId("u" + std::to_string(i));
-      endpoint.address_ = "127.0.0.1";
-      endpoint.port_ = static_cast<std::uint16_t>(9000 + i);
-      endpoint.startNumber_ = 1;
-    }
     router_.Apply(table, scheduler_.Now());
   }
 
@@ -134,7 +102,7 @@
   Send(kTeamPath, { "key-n" });
   CHECK_EQUAL(1U, sender_.sentRequests_.size());
   CHECK(LastSent().Get(kTeamField) == "north");
-  CHECK(!LastSent().Get(kKeyField));
+  CHECK(!LastSent().Get(kCallerKeyField));
   Send(kTeamPath, { "key-s" });
   CHECK(LastSent().Get(kTeamField) == "south");
 }
@@ -162,7 +130,7 @@
   CHECK(!LastSent().Get(kTeamField));
   Send(kPublicPath, { "other" });
   CHECK_EQUAL(2U, sender_.sentRequests_.size());
-  CHECK(!LastSent().Get(kKeyField));
+  CHECK(!LastSent().Get(kCallerKeyField));
 }
 
 // A path that leads nowhere is no secret, and callers should not be told that their key is wrong.
@@ -198,7 +166,7 @@
 {
   Apply(false);
   Send(kTeamPath, { "any" });
-  CHECK(LastSent().Get(kKeyField) == "any");
+  CHECK(LastSent().Get(kCallerKeyField) == "any");
   CHECK(LastSent().Get(kTeamField) == "forged");
 }
 
@@ -248,7 +216,7 @@
   sender_.Fail(0, Outcome::NotRun, AttemptFailure::ConnectFailed);
   scheduler_.Advance(std::chrono::milliseconds(1));
   CHECK_EQUAL(2U, sender_.sentRequests_.size());
-  CHECK(!LastSent().Get(kKeyField));
+  CHECK(!LastSent().Get(kCallerKeyField));
 }
 
 // A retry after an unchanged or another configuration goes on.
--- a/boragepier/entry/team_quota_test.cc
+++ b/boragepier/entry/team_quota_test.cc
@@ -5,6 +5,7 @@
 
 #include "boragepier/entry/call.h"
 #include "boragepier/entry/pipeline_fakes.h"
+#include "boragepier/entry/team_fakes.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -14,18 +15,8 @@
 
 namespace {
 
-constexpr const char* kKeyField = "X-Caller-Key";
 constexpr const char* kPath = "/teams/1";
 
-WireDialect
-MakeDialect()
-{
-  WireDialect dialect = NativeDialect();
-  dialect.callerKeyField_ = kKeyField;
-  dialect.teamField_ = "X-Team";
-  return dialect;
-}
-
 /// Gate that gives the verdict of the test, and counts the credit.
 class FakeGate : public QuotaGate
 {
@@ -60,7 +51,7 @@
   FakeObserver observer_;
   FakeGate gate_;
   ServiceRouter router_{ InstanceId("i1"), ZoneName("a"), 7 };
-  WireDialect dialect_ = MakeDialect();
+  WireDialect dialect_ = MakeTeamDialect();
   RequestPipeline<FakeScheduler, FakeSender, FakeClaimCoordinator> pipeline_{ { scheduler_,
                                                                                 sender_,
                                                                                 claims_,
@@ -78,13 +69,11 @@
 
   void setup() override
   {
-    TeamTerms terms;
-    terms.name_ = TeamName("limited");
-    terms.ratePerSecond_ = 10;
-    teams_.SetTeam(terms);
-    terms.name_ = TeamName("free");
-    terms.ratePerSecond_ = 0;
-    teams_.SetTeam(terms);
+    std::vector<TeamTerms> terms(2);
+    terms[0].name_ = TeamName("limited");
+    terms[0].ratePerSecond_ = 10;
+    terms[1].name_ = TeamName("free");
+    teams_.SetTeams(terms);
     teams_.SetKey(DigestOfKey("key-l"), TeamName("limited"));
     teams_.SetKey(DigestOfKey("key-f"), TeamName("free"));
     Apply();
@@ -92,29 +81,9 @@
 
   void Apply()
   {
-    std::vector<RouteConfig> routes(1);
-    routes[0].name_ = "teams";
-    routes[0].host_ = "a.example";
-    routes[0].pathPrefix_ = "/teams/";
-    routes[0].services_ = { { ServiceName("s"), 1 } };
-    routes[0].maxAttempts_ = 3;
-    RoutingTable table;
-    table.routes_ = std::make_shared<const RouteSet>(routes);
-    table.instances_.emplace_back("i1");
-    table.keysRequired_ = true;
-    table.teams_ = std::make_shared<const TeamDirectory>(teams_);
-    ServiceRoute& service = table.services_.emplace_back();
-    service.version_ = 1;
-    service.config_.name_ = ServiceName("s");
-    service.config_.retryRatio_ = 1;
-    service.config_.retrySlack_ = 10;
-    for (int i = 0; i < upstreamCount_; ++i) {
-      UpstreamEndpoint& endpoint = service.upstreams_.emplace_back();
-      endpoint.id_ = UpstreamId("u" + std::to_string(i));
-      endpoint.address_ = "127.0.0.1";
-      endpoint.port_ = static_cast<std::uint16_t>(9000 + i);
-      endpoint.startNumber_ = 1;
-    }
+    RoutingTable table =
+      MakeTeamTable(std::vector{ MakeTeamRoute("teams", "/teams/") }, teams_, upstreamCount_);
+    table.services_.front().config_.retrySlack_ = 10;
     router_.Apply(table, scheduler_.Now());
   }
 
@@ -124,7 +93,7 @@
     request.method_ = "GET";
     request.target_ = kPath;
     request.headers_.Add("Host", "a.example");
-    request.headers_.Add(kKeyField, aKey);
+    request.headers_.Add(kCallerKeyField, aKey);
     auto exchange = std::make_shared<FakeExchange>(std::move(request), scheduler_.Now());
     pipeline_.Handle(exchange);
     return exchange;
--- a/boragepier/quota/quota_agent_test.cc
+++ b/boragepier/quota/quota_agent_test.cc
@@ -70,7 +70,7 @@
 MakeDirectory(const Team& aTeam)
 {
   auto directory = std::make_shared<TeamDirectory>();
-  directory->SetTeam(aTeam.terms_);
+  directory->SetTeams(std::span(&aTeam.terms_, 1));
   return directory;
 }
 
--- a/boragepier/quota/quota_fleet_test.cc
+++ b/boragepier/quota/quota_fleet_test.cc
@@ -102,6 +102,12 @@
     for (int i = 0; i < aTeams; ++i) {
       AddTeam(i, aRate * std::pow(i + 1, -kZipfExponent) / sum);
     }
+    std::vector<TeamTerms> terms;
+    terms.reserve(teams_.size());
+    for (const TeamLoad& load : teams_) {
+      terms.push_back(load.team_.terms_);
+    }
+    directory_->SetTeams(terms);
     for (int i = 0; i < aInstances; ++i) {
       instances_.push_back(nullptr);
       Start(i);
@@ -135,7 +141,6 @@
     for (int caller = 0; caller < callers; ++caller) {
       load.instances_.push_back(static_cast<int>(random_() % entries_.size()));
     }
-    directory_->SetTeam(terms);
   }
 
   void Start(int aIndex)
--- a/boragepier/quota/quota_peers_test.cc
+++ b/boragepier/quota/quota_peers_test.cc
@@ -53,7 +53,7 @@
   team.terms_.burst_ = 1000;
   team.id_ = TeamIdOf(team.terms_.name_);
   auto teams = std::make_shared<TeamDirectory>();
-  teams->SetTeam(team.terms_);
+  teams->SetTeams(std::span(&team.terms_, 1));
   int decided = 0;
   testing::LoopThread thread(loop);
   thread.Run([&] {
--- a/boragepier/state/team_directory.cc
+++ b/boragepier/state/team_directory.cc
@@ -14,19 +14,13 @@
 }
 
 void
-TeamDirectory::SetTeam(const TeamTerms& aTerms)
+TeamDirectory::SetTeams(std::span<const TeamTerms> aTeams)
 {
-  const std::uint64_t id = TeamIdOf(aTerms.name_);
-  auto teams = std::make_shared<TeamMap>(*teams_);
-  teams->insert_or_assign(id, std::make_shared<const Team>(Team{ aTerms, id }));
-  teams_ = std::move(teams);
-}
-
-void
-TeamDirectory::RemoveTeam(const TeamName& aName)
-{
-  auto teams = std::make_shared<TeamMap>(*teams_);
-  teams->erase(TeamIdOf(aName));
+  auto teams = std::make_shared<TeamMap>();
+  for (const TeamTerms& terms : aTeams) {
+    const std::uint64_t id = TeamIdOf(terms.name_);
+    teams->insert_or_assign(id, std::make_shared<const Team>(Team{ terms, id }));
+  }
   teams_ = std::move(teams);
 }
 
--- a/boragepier/state/team_directory.h
+++ b/boragepier/state/team_directory.h
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <map>
 #include <memory>
+#include <span>
 #include <unordered_map>
 
 #include "boragepier/config/caller_key.h"
@@ -25,17 +26,15 @@
 std::uint64_t
 TeamIdOf(const TeamName& aName);
 
-/// Finds the team of a key. A copy shares its contents with the original, and a change replaces a
-/// part of them, so the cost of a change does not grow with the number of keys.
+/// Finds the team of a key. A copy shares its contents with the original, and the change of a key
+/// replaces a part of them, so its cost does not grow with the number of keys.
 class TeamDirectory
 {
 public:
   using TeamPointer = std::shared_ptr<const Team>;
 
-  /// Adds a team, or replaces the one with the same name.
-  void SetTeam(const TeamTerms& aTerms);
-  /// Removes the team with this name, if there is one. Its keys then lead to no team.
-  void RemoveTeam(const TeamName& aName);
+  /// Replaces all teams. Keys of teams that are missing then lead to none.
+  void SetTeams(std::span<const TeamTerms> aTeams);
   /// Sets the team to which a key leads.
   /// @param aTeam name of the team, which may be added later; empty if the key leads to none
   void SetKey(const KeyDigest& aKey, const TeamName& aTeam);
--- a/boragepier/state/team_directory_test.cc
+++ b/boragepier/state/team_directory_test.cc
@@ -1,6 +1,7 @@
 #include "boragepier/state/team_directory.h"
 
 #include <string>
+#include <vector>
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,6 +10,7 @@
 TEST_GROUP(TeamDirectory)
 {
   TeamDirectory directory_;
+  std::vector<TeamTerms> teams_;
 
   void setup() override
   {
@@ -21,9 +23,8 @@
 
   void AddTeam(const std::string& aName)
   {
-    TeamTerms terms;
-    terms.name_ = TeamName(aName);
-    directory_.SetTeam(terms);
+    teams_.emplace_back().name_ = TeamName(aName);
+    directory_.SetTeams(teams_);
   }
 
   static std::string NameOf(const TeamDirectory& aDirectory, std::string_view aKey)
@@ -58,7 +59,8 @@
   const TeamDirectory before = directory_;
   directory_.RemoveKey(DigestOfKey("key-1"));
   directory_.SetKey(DigestOfKey("key-2"), TeamName("b"));
-  directory_.RemoveTeam(TeamName("a"));
+  teams_.erase(teams_.begin());
+  directory_.SetTeams(teams_);
   CHECK_EQUAL(std::string(), NameOf(directory_, "key-1"));
   CHECK_EQUAL(std::string("b"), NameOf(directory_, "key-2"));
   CHECK_EQUAL(std::string("a"), NameOf(before, "key-1"));
