--- a/boragepier/decision/cold_limit.h
+++ b/boragepier/decision/cold_limit.h
@@ -71,9 +71,7 @@
   MonotonicTime End() const { return end_; }
 
   /// @param aRate requests per second
-  /// @param aServingSince since when this instance has sent requests; what it saved up before
-  /// counts
-  ///   for nothing
+  /// @param aServingSince since when this instance has sent requests; nothing is saved up before
   /// @return when the next request may be sent; not after aNow if it may be sent now
   MonotonicTime NextRequest(double aRate, MonotonicTime aServingSince) const;
   /// A request is sent.
