Show that kept connections stay under the limits of an older configuration

Looked for: requests that are handled as only an older version allows (CONFIG), after a change of the limits. Ports of the stand-ins now lie below the ephemeral ones; the other cases were run once more.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -4,7 +4,7 @@
 import base64
 import json
 import os
-import signal
+import random
 import socket
 import subprocess
 import sys
@@ -17,6 +17,7 @@
 PROGRAM = os.path.join(ROOT, "target", "apps", "boragepier", "boragepier")
 TEMPLATE = os.path.join(ROOT, "deploy", "instance.ini")
 START = time.monotonic()
+USED_PORTS = set()
 
 
 def now():
@@ -47,13 +48,21 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Returns free ports below those that the kernel gives to outgoing connections."""
+    ports = []
+    for _ in range(1000):
+        port = random.randrange(20000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports and port not in USED_PORTS:
+            ports.append(port)
+            if len(ports) == count:
+                USED_PORTS.update(ports)
+                return ports
+    raise CannotRun("no free ports")
 
 
 # --- HTTP/1.1 ---
