--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,54 +1,99 @@
-"""Raises limits.body_bytes by a configuration, and sends uploads that it allows on connections that
-were opened before."""
+"""One backend of eight runs some orders and fails them with 503, without Not-Executed. The clients
+rely on what 503 promises and send such an order again, with an id of its own."""
 
 import os
+import random
 import sys
+import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 import fleet as f
 
-CONFIG_APPLY_S = 2.0  # config_apply_ms
+GREY_SHARE_OF_REQUESTS = 0.45  # srv_grey x
+GREY_S = 6.5                   # srv_grey for_s
 SHOP = "shop.example"
-CLIENTS = 12
+
+
+class GreyBackend(f.Backend):
+    """Healthy by its health check; while it is grey it fails a part of the requests that it ran."""
+
+    grey = False
+    random = random.Random(7)
+
+    def serve(self, connection, method, target, fields):
+        if target == "/health" or not self.grey or self.random.random() >= GREY_SHARE_OF_REQUESTS:
+            return super().serve(connection, method, target, fields)
+        attempt = fields.get("attempt-id", "")
+        echo = [("Attempt-Id", attempt), self.load()]
+        connection.read_body(fields)
+        if fields.get("expected-instance") != self.ident:
+            connection.send("HTTP/1.1 421 X", echo + [("Instance-Id", self.ident)])
+            return True
+        self.runs.append((f.now(), attempt, method, target, None))
+        self.record("backend %s (%s) runs %s and answers 503 without Not-Executed" % (
+            self.ident, self.service, attempt))
+        time.sleep(self.work_s)
+        connection.send("HTTP/1.1 503 X", echo + [("Server-Signature", "sig-" + self.ident)],
+                        b"failed after the booking")
+        return True
 
 
 def case(fleet):
-    for number in (1, 2, 3):
-        fleet.backend("catalogue", "i-catalogue-%d" % number, slots=4)
-    routes = [f.route(SHOP, "/prices/", "upload", "catalogue")]
-    fleet.configure(1, routes, ["catalogue"], limits={"body_bytes": 100000})
-    instances = [fleet.instance("front-%d" % number) for number in (1, 2)]
+    for number in range(1, 8):
+        fleet.backend("orderbook", "i-orderbook-%d" % number)
+    grey = GreyBackend(fleet.store, fleet.record, "orderbook", "i-orderbook-8", "zone-a")
+    fleet.backends.append(grey)
+    fleet.configure(1, [f.route(SHOP, "/orders/", "unsafe", "orderbook")], ["orderbook"])
+    instances = [fleet.instance("front-%d" % number) for number in range(1, 7)]
     for instance in instances:
         instance.start()
     for instance in instances:
         instance.wait_ready()
     time.sleep(1)
 
-    # Clients open their connections, use them, and keep them.
-    clients = [f.Client(fleet.record, instances[number % 2]) for number in range(CLIENTS)]
-    for client in clients:
-        if client.send("POST", SHOP, "/prices/1", b"p" * 50000)[1] != 200:
-            raise f.CannotRun("an upload is not served before the change")
-
-    # Without the disruption, the configuration is written again with its limits as they were.
-    raised = 1000000 if fleet.trouble else 100000
-    size = 400000 if fleet.trouble else 80000
-    acknowledged = fleet.configure(2, routes, ["catalogue"], limits={"body_bytes": raised})
-    time.sleep(CONFIG_APPLY_S + 1)
-    breaches = []
-    for number, client in enumerate(clients):
-        kept = client.connection is not None
-        attempt, status, _, sent = client.send("POST", SHOP, "/prices/2", b"p" * size)
-        if status == 413 and sent > acknowledged + CONFIG_APPLY_S:
-            breaches.append("CONFIG: upload %s of %d bytes, sent %.1f s after the acknowledgement of "
-                            "version 2, which allows %d, is answered 413, as only version 1 (100000) "
-                            "allows (kept connection: %s)" % (
-                                attempt, size, sent - acknowledged, raised, kept))
-        fresh = f.Client(fleet.record, client.instance)
-        if fresh.send("POST", SHOP, "/prices/3", b"p" * size)[1] != 200:
-            fleet.record("an upload on a new connection is not served")
-    return breaches
+    sent = {}    # attempt -> (order, status)
+    stop = threading.Event()
+
+    def keep_ordering(number, instance):
+        client = f.Client(fleet.record, instance)
+        count = 0
+        while not stop.is_set():
+            count += 1
+            order = "order-%d-%d" % (number, count)
+            for _ in range(2):  # the client's one retry
+                attempt, status, _, _ = client.send("POST", SHOP, "/orders/9", order.encode())
+                sent[attempt] = (order, status)
+                if status not in (429, 503):
+                    break
+                client.close()
+            time.sleep(0.1)
+
+    threads = [threading.Thread(target=keep_ordering, args=(number, instances[number % 6]))
+               for number in range(12)]
+    for thread in threads:
+        thread.start()
+    time.sleep(1)
+    grey.grey = fleet.trouble
+    fleet.record("backend %s turns grey: %s" % (grey.ident, grey.grey))
+    time.sleep(GREY_S)
+    grey.grey = False
+    time.sleep(1)
+    stop.set()
+    for thread in threads:
+        thread.join()
+
+    runs = {}
+    for backend, (_, attempt, _, _, _) in fleet.runs():
+        runs.setdefault(attempt, []).append(backend.ident)
+    orders = {}
+    for attempt, (order, _) in sent.items():
+        orders[order] = orders.get(order, 0) + len(runs.get(attempt, []))
+    twice = sum(1 for count in orders.values() if count > 1)
+    fleet.record.say("orders %d, entered more than once %d" % (len(orders), twice))
+    return ["REFUSED: %s (%s) is answered %s and ran at %s" % (attempt, order, status, runs[attempt])
+            for attempt, (order, status) in sorted(sent.items())
+            if status in (408, 421, 429, 503) and attempt in runs]
 
 
 f.run(__file__, case)
