--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -2,9 +2,11 @@
 instances of boragepier as separate processes. They follow PROTOCOL.md; loopback addresses only."""
 
 import base64
+import ctypes
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -25,6 +27,11 @@
     return time.monotonic() - START
 
 
+def die_with_script():
+    """Runs in an instance before its program: it ends when the script does, however that ends."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
+
+
 class CannotRun(Exception):
     """The case could not be run; says nothing about the rule."""
 
@@ -456,7 +463,7 @@
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment["BORAGEPIER_SETTINGS"] = self.settings
         self.process = subprocess.Popen([PROGRAM], cwd=ROOT, env=environment, stdout=self.log,
-                                        stderr=subprocess.STDOUT)
+                                        stderr=subprocess.STDOUT, preexec_fn=die_with_script)
         self.fleet.record("start of %s: front %d, ready %d, internal %d, process %d" % (
             self.name, self.caller, self.ready, self.peer, self.process.pid))
 
@@ -544,6 +551,12 @@
 def run(script, case):
     """Runs a case: case(fleet) returns a text for each breach of the rule. Exits with 0, 1 or 2."""
     fleet = Fleet(script)
+
+    def stop(*_):
+        raise CannotRun("the script was told to stop")
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
         if not os.path.exists(PROGRAM):
             raise CannotRun("the program is not built")
