Tell a case that could not run from a broken rule by its exit status

Run: each script with and without its disruption, review/8/run.sh ended by SIGTERM, review/6/run.sh without the program, on aarch64.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -549,7 +549,7 @@
 
 
 def run(script, case):
-    """Runs a case: case(fleet) returns a text for each breach of the rule. Exits with 0, 1 or 2."""
+    """Runs a case: case(fleet) returns a text for each breach of the rule. Exits with 0, 11 or 2."""
     fleet = Fleet(script)
 
     def stop(*_):
@@ -567,7 +567,7 @@
         for breach in breaches[:20]:
             fleet.record.say("BROKEN: " + breach)
         fleet.record.say("rule broken" if breaches else "rule held")
-        status = 1 if breaches else 0
+        status = 11 if breaches else 0  # run.sh makes 1 of it
     except CannotRun as error:
         fleet.record.say("could not run: %s" % error)
         status = 2
