Match no request if the configuration has no routes

Cause: ServiceRouter kept a set of routes only if it had entries, and took the absence of a set as the sign of a platform on which services are found by their own path prefixes. Services of the users' platform have an empty prefix, which matches every path.

Evidence: NoRoutes.MatchNoRequest fails before the change, service_router_test.cc:268: error: Failure in TEST(NoRoutes, MatchNoRequest) CHECK(match.service_ == nullptr) failed and so does NoRoutes.AndNoServicesAreAConfiguration (CHECK(router_.HasConfiguration()) failed).

Why it works: only a null set selects services by prefixes, and tables of a directory with a configuration never have a null set. Readiness follows HasConfiguration(), so an instance whose first configuration has neither routes nor services becomes ready and refuses with 404.

--- a/boragepier/entry/entry_instance.cc
+++ b/boragepier/entry/entry_instance.cc
@@ -106,7 +106,7 @@
   if (aTable->callerLimits_) {
     traffic_.SetCallerLimits(*aTable->callerLimits_);
   }
-  if (!aTable->services_.empty() && !configured_.exchange(true)) {
+  if (router_.HasConfiguration() && !configured_.exchange(true)) {
     traffic_.ReleaseHeld();
     metrics_.SetReady(!draining_);
     Log(EventId::InstanceReady, { { "services", aTable->services_.size() } });
--- a/boragepier/entry/service_router.cc
+++ b/boragepier/entry/service_router.cc
@@ -176,7 +176,7 @@
                            const Snapshot& aPrevious,
                            Snapshot& aSnapshot)
 {
-  if (!aTable.routes_ || aTable.routes_->Empty()) {
+  if (!aTable.routes_) {
     return;
   }
   aSnapshot.routeSet_ = aTable.routes_;
--- a/boragepier/entry/service_router.h
+++ b/boragepier/entry/service_router.h
@@ -140,12 +140,12 @@
   /// same in the previous table is not built again. Called by one thread only.
   void Apply(const RoutingTable& aTable, MonotonicTime aNow);
 
-  /// Finds the route or service with the longest matching path prefix. A prefix matches whole
-  /// segments of the path only.
-  /// @param aHost Host field of the request; used only if there are routes
+  /// Finds the route with the longest matching path prefix, or the service if the routing table has
+  /// no set of routes. A prefix matches whole segments of the path only.
+  /// @param aHost Host field of the request; used only to find routes
   /// @param aPath path of the request, without the query
   RouteMatch Match(std::string_view aHost, std::string_view aPath) const;
-  /// @return whether there is any route or service
+  /// @return whether a configuration is in force, which may have no routes
   bool HasConfiguration() const;
   /// @return whether callers identify themselves by keys, at least on some routes
   bool KeysRequired() const { return keysRequired_.load(std::memory_order_relaxed); }
@@ -181,7 +181,8 @@
     ServiceList services_;
     std::unordered_map<ServiceName, std::shared_ptr<ActiveService>> servicesByName_;
     StringMap<ActiveService> servicesByPrefix_;
-    std::shared_ptr<const RouteSet> routeSet_; ///< from which routes_ was built; null if empty
+    std::shared_ptr<const RouteSet> routeSet_; ///< from which routes_ was built; null if
+                                               ///< services are found by their own prefixes
     std::array<std::shared_ptr<const RouteShard>, RouteSet::kShardCount> routes_;
     std::shared_ptr<const TeamDirectory> teams_; ///< null if callers need no keys
 
--- a/boragepier/entry/service_router_test.cc
+++ b/boragepier/entry/service_router_test.cc
@@ -244,4 +244,38 @@
   CHECK(other == Find(8));
 }
 
+/// A router whose configuration had one route and has none any more.
+TEST_GROUP(NoRoutes)
+{
+  ServiceRouter router_{ InstanceId("i0"), ZoneName("a"), 1 };
+  RoutingTable table_ = MakeSplitTable(0.5);
+  MonotonicTime now_ = MonotonicTime(std::chrono::hours(1));
+
+  void setup() override
+  {
+    router_.Apply(table_, now_);
+    table_.routes_ = std::make_shared<const RouteSet>();
+  }
+};
+
+// Guards against requests that run at a service to which no route sends them: an empty set of
+// routes was taken as the absence of a set, and services were found by their own prefixes.
+TEST(NoRoutes, MatchNoRequest)
+{
+  router_.Apply(table_, now_);
+  const RouteMatch match = router_.Match("shop.example", "/prices/today");
+  CHECK(match.route_ == nullptr);
+  CHECK(match.service_ == nullptr);
+}
+
+// Guards against an instance that is never ready: a configuration may have neither routes nor
+// services.
+TEST(NoRoutes, AndNoServicesAreAConfiguration)
+{
+  table_.services_.clear();
+  router_.Apply(table_, now_);
+  CHECK(router_.HasConfiguration());
+  CHECK(router_.Match("shop.example", "/").service_ == nullptr);
+}
+
 } // namespace boragepier
--- a/boragepier/state/routing_table.h
+++ b/boragepier/state/routing_table.h
@@ -30,8 +30,8 @@
 struct RoutingTable
 {
   std::vector<ServiceRoute> services_;
-  /// Routing rules by host and path. If null or empty, each service is selected by its own path
-  /// prefix.
+  /// Routing rules by host and path. If null, each service is selected by its own path prefix. An
+  /// empty set matches no request.
   std::shared_ptr<const RouteSet> routes_;
   std::uint64_t routesVersion_ = 0; ///< of routes_; 0 if there are none
   /// If empty, the limits in the settings of the instance apply.
