Activate a first configuration whose version is 0

What callers saw: nothing so far; an operator whose versions start at 0 would have had 503 not-configured from every instance until version 1.

Cause: ConfigAssembly compared the version with 0 if no configuration was in force, and took an equal one for unchanged.

Evidence: ConfigParts.FirstVersionMayBeZero fails before the change (config_parts_test.cc:372, CHECK(assembly.Activate(0) == ConfigAssembly::Result::Activated) failed).

Why it works: versions are compared only if there is a configuration to compare with.

--- a/boragepier/directory/config_assembly.cc
+++ b/boragepier/directory/config_assembly.cc
@@ -81,10 +81,10 @@
   if (!summary_ || !unreadable_.empty()) {
     return Result::Incomplete;
   }
-  const std::uint64_t activeVersion = active_ ? active_->version_ : 0;
   // A version may be lower in a newer era, or the same with another content.
-  if (std::exchange(activeEra_, aEra) == aEra && summary_->version_ <= activeVersion) {
-    return summary_->version_ == activeVersion ? Result::Unchanged : Result::Outdated;
+  if (std::exchange(activeEra_, aEra) == aEra && active_ &&
+      summary_->version_ <= active_->version_) {
+    return summary_->version_ == active_->version_ ? Result::Unchanged : Result::Outdated;
   }
   auto config = std::make_shared<Config>();
   config->version_ = summary_->version_;
--- a/boragepier/directory/config_parts_test.cc
+++ b/boragepier/directory/config_parts_test.cc
@@ -361,4 +361,17 @@
   CHECK_EQUAL(10, applyVersion(3, 10)->routes_->Size());
 }
 
+// Guards against a first configuration that never takes effect: its version was compared with that
+// of a configuration that did not exist.
+TEST(ConfigParts, FirstVersionMayBeZero)
+{
+  ConfigAssembly assembly;
+  for (const FeedRow& part : DivideConfig(MakeConfig(0), 1)) {
+    assembly.Apply(part);
+  }
+  CHECK(assembly.Activate(0) == ConfigAssembly::Result::Activated);
+  CHECK_EQUAL(0, assembly.Active()->version_);
+  CHECK(assembly.Activate(0) == ConfigAssembly::Result::Unchanged);
+}
+
 } // namespace boragepier
