Forward no uncertified refusal of a request that must not run twice

What callers saw: a backend ran an order and answered 503 without the certificate that it had not.

Cause: an answer without the certificate was kept out of retries, but forwarded by its status alone, which states nothing to an instance and promises "not run" to a caller of the platform.

Evidence: Call.RefusalThatTheUpstreamDoesNotCertifyIsNotForwarded fails before the change (the outcome of the response is "answered" instead of "unknown").

Such an answer reaches the caller of a request that must not run twice only if the upstream certified it, which ends as not run; otherwise the caller gets 502 unconfirmed-refusal, which promises nothing.

--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -29,6 +29,7 @@
   { "body-budget-exceeded", 503 }, { "response-not-awaited", 504 },
   { "upstreams-paused", 503 },     { "key-rejected", 401 },
   { "quota-exceeded", 429 },       { "upstreams-cold", 503 },
+  { "unconfirmed-refusal", 502 },
 } };
 
 // In the order of RetryReason.
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -47,8 +47,10 @@
   KeyRejected,        ///< the request has no key of a team
   QuotaExceeded,      ///< the team has used up its quota
   UpstreamsCold,      ///< all upstreams are cold and have as many requests as they can take
+  UnconfirmedRefusal, ///< the upstream refused the request, and does not certify that it did not
+                      ///< run
 };
-inline constexpr int kRefusalReasonCount = 28;
+inline constexpr int kRefusalReasonCount = 29;
 
 /// Why an attempt did not yield a complete response.
 enum class AttemptFailure : std::uint8_t
--- a/boragepier/entry/attempt_reports.cc
+++ b/boragepier/entry/attempt_reports.cc
@@ -50,6 +50,12 @@
   return aResult;
 }
 
+bool
+MayForwardStatus(int aStatus, Repeatability aRepeatability, const WireDialect& aDialect)
+{
+  return aRepeatability == Repeatability::Repeatable || !aDialect.promisesNotRun_(aStatus);
+}
+
 RefusalReason
 RefusalReasonFor(AttemptFailure aFailure, bool aDeadlinePassed)
 {
--- a/boragepier/entry/attempt_reports.h
+++ b/boragepier/entry/attempt_reports.h
@@ -32,6 +32,15 @@
                  const RequestId& aRequestId,
                  const WireDialect& aDialect);
 
+/// Decides whether the caller may receive a response that does not certify that the request was not
+/// run. The upstream may have run it, so a status that promises the opposite makes a caller run the
+/// request a second time.
+/// @param aStatus status of the response
+/// @param aRepeatability of the request; one that is repeatable may run again
+/// @param aDialect knows what statuses promise
+bool
+MayForwardStatus(int aStatus, Repeatability aRepeatability, const WireDialect& aDialect);
+
 /// Maps the failure of the last attempt to the refusal reason that the caller receives.
 /// @param aFailure failure of the last attempt
 /// @param aDeadlinePassed whether the deadline of the request has passed; decides whether a timeout
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -619,6 +619,10 @@
     const bool serverError = report.status_ >= 500;
     const bool repeatable = requestInfo_.repeatability_ == Repeatability::Repeatable;
     if (report.outcome_ == Outcome::Answered) {
+      if (!MayForwardStatus(report.status_, requestInfo_.repeatability_, deps_.dialect_)) {
+        Refuse(RefusalReason::UnconfirmedRefusal, Outcome::Unknown);
+        return;
+      }
       if (!serverError || !repeatable) {
         ForwardResponse(std::move(aResult.response_));
         return;
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -45,8 +45,11 @@
   FakeClaimCoordinator claims_;
   FakeObserver observer_;
   ServiceRouter router_{ InstanceId("i1"), ZoneName("a"), 7 };
+  WireDialect dialect_ = NativeDialect();
   RequestPipeline<FakeScheduler, FakeSender, FakeClaimCoordinator> pipeline_{
-    { scheduler_, sender_, claims_, router_, observer_, [] { return WallTime(); } }, "i1-", 1
+    { scheduler_, sender_, claims_, router_, observer_, [] { return WallTime(); }, dialect_ },
+    "i1-",
+    1
   };
 
   void setup() override
@@ -162,6 +165,32 @@
   CHECK(exchange->OutcomeField() == "not-run");
 }
 
+// Guards against a request that its caller runs twice: the upstream ran it and failed, and the
+// status of the response told the caller that it had not run.
+TEST(Call, RefusalThatTheUpstreamDoesNotCertifyIsNotForwarded)
+{
+  dialect_.promisesNotRun_ = [](int aStatus) { return aStatus == 503; };
+  const auto exchange = Send("POST");
+  sender_.Answer(0, MakeResponse(503));
+  scheduler_.Advance(std::chrono::seconds(5));
+  CHECK_EQUAL(1U, sender_.sentRequests_.size());
+  CheckRefusal(*exchange, RefusalReason::UnconfirmedRefusal, "unknown");
+}
+
+TEST(Call, UncertifiedRefusalOfARepeatableRequestIsForwarded)
+{
+  dialect_.promisesNotRun_ = [](int aStatus) { return aStatus == 503; };
+  const auto exchange = Send("GET");
+  for (std::size_t i = 0; i < sender_.sentRequests_.size() && exchange->responseCount_ == 0; ++i) {
+    sender_.Answer(i, MakeResponse(503));
+    scheduler_.Advance(std::chrono::milliseconds(100));
+  }
+  scheduler_.Advance(std::chrono::seconds(5));
+  CHECK_EQUAL(1, exchange->responseCount_);
+  CHECK_EQUAL(503, exchange->response_->status_);
+  CHECK(exchange->OutcomeField() == "answered");
+}
+
 // Guards against a request that is reported as not run although it has run: a late second copy of
 // the refusal of one attempt would be taken for the answer to the next one on the same connection.
 TEST(Call, AttemptsOfARequestDoNotShareAConnection)
--- a/boragepier/entry/wire_dialect.cc
+++ b/boragepier/entry/wire_dialect.cc
@@ -28,6 +28,13 @@
   return true;
 }
 
+// Callers rely on the outcome field, not on the status.
+bool
+NoStatusPromisesNotRun(int)
+{
+  return false;
+}
+
 } // namespace
 
 void
@@ -62,6 +69,7 @@
     .expectedUpstreamField_ = {},
     .callerKeyField_ = {},
     .teamField_ = {},
+    .promisesNotRun_ = NoStatusPromisesNotRun,
     .parseFeedback_ = ParseNativeFeedback,
     .isFromUpstream_ = AcceptAnyUpstream,
   };
--- a/boragepier/entry/wire_dialect.h
+++ b/boragepier/entry/wire_dialect.h
@@ -61,6 +61,10 @@
   /// to another instance, with the time that is left as its deadline.
   bool callersReturn_ = false;
 
+  /// @return whether a status tells callers that the request was not run and never will be, so that
+  ///   they send any request with it again
+  bool (*promisesNotRun_)(int aStatus) = nullptr;
+
   /// Reads the state of the upstream from its response to a request or a probe.
   UpstreamFeedback (*parseFeedback_)(const http::Response&) = nullptr;
   /// @return whether a response to a probe comes from the probed upstream; also true if it does not
