Report requests that are refused before they are routed

The event request-not-routed (6011) gives the reason, the declared length of the body and the limits that applied to the request; boragepier_unrouted_requests_total counts them by reason.

--- a/boragepier/entry/call_observer.h
+++ b/boragepier/entry/call_observer.h
@@ -6,6 +6,7 @@
 #include "boragepier/base/ids.h"
 #include "boragepier/base/outcome.h"
 #include "boragepier/config/upstream_endpoint.h"
+#include "boragepier/http/server.h"
 #include "boragepier/telemetry/explain.h"
 #include "boragepier/telemetry/metrics.h"
 
@@ -32,6 +33,8 @@
   virtual void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) = 0;
   /// A request was read completely, and its connection ended before the complete response.
   virtual void OnUnanswered(UnansweredCause aCause) = 0;
+  /// A request was refused before the pipeline received it.
+  virtual void OnNotRouted(const http::ServerRefusal& aRefusal) = 0;
   /// A request is retried or hedged.
   virtual void OnRetry(const ServiceName& aService, RetryReason aReason) = 0;
   /// The claim of a request was decided, or its answer recorded or its key released.
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -192,6 +192,21 @@
   }
 }
 
+void
+CallTelemetry::OnNotRouted(const http::ServerRefusal& aRefusal)
+{
+  metrics_.OnNotRouted(aRefusal.reason_);
+  constexpr std::int64_t kNotDeclared = -1;
+  LogRequest(EventId::RequestNotRouted,
+             true,
+             { { "reason", aRefusal.reason_ },
+               { "declaredBytes",
+                 aRefusal.declaredBody_ ? static_cast<std::int64_t>(*aRefusal.declaredBody_)
+                                        : kNotDeclared },
+               { "maxBodyBytes", aRefusal.maxBody_ },
+               { "maxHeaderBytes", aRefusal.maxHeader_ } });
+}
+
 void
 CallTelemetry::OnRetry(const ServiceName& aService, RetryReason aReason)
 {
--- a/boragepier/entry/call_telemetry.h
+++ b/boragepier/entry/call_telemetry.h
@@ -26,6 +26,7 @@
   void OnAttemptEnded(const ExplainRecord& aRecord, const ExplainAttempt& aAttempt) override;
   void OnCallEnded(ExplainRecord aRecord, bool aAbandoned) override;
   void OnUnanswered(UnansweredCause aCause) override;
+  void OnNotRouted(const http::ServerRefusal& aRefusal) override;
   void OnRetry(const ServiceName& aService, RetryReason aReason) override;
   void OnClaimEvent(const ServiceName& aService, ClaimEvent aEvent) override;
   void OnProbe(const ServiceName& aService) override;
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -220,6 +220,7 @@
     retryReasons_.push_back(aReason);
   }
   void OnUnanswered(UnansweredCause) override {}
+  void OnNotRouted(const http::ServerRefusal&) override {}
   void OnUpstreamPaused(const ServiceName&, const UpstreamEndpoint&, Duration) override
   {
     ++pauseCount_;
--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -75,6 +75,8 @@
   client_.SetMaxConnections(aSettings.descriptors_.upstreams_);
   server_.SetUnansweredCallback(
     [&aObserver](UnansweredCause aCause) { aObserver.OnUnanswered(aCause); });
+  server_.SetRefusedCallback(
+    [&aObserver](const http::ServerRefusal& aRefusal) { aObserver.OnNotRouted(aRefusal); });
 }
 
 TrafficThread::~TrafficThread()
--- a/boragepier/http/request_reader.cc
+++ b/boragepier/http/request_reader.cc
@@ -1,5 +1,6 @@
 #include "boragepier/http/request_reader.h"
 
+#include <charconv>
 #include <string>
 #include <utility>
 
@@ -108,6 +109,18 @@
   return parser_->HeaderDone();
 }
 
+std::optional<std::uint64_t>
+RequestReader::DeclaredBody() const
+{
+  // Beast's content_length() requires that the whole header was accepted.
+  const std::string_view text =
+    FromBeast(parser_->BeastParser().get()[beast::http::field::content_length]);
+  std::uint64_t bytes = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, bytes);
+  return error == std::errc() && stop == end ? std::optional(bytes) : std::nullopt;
+}
+
 bool
 RequestReader::TakeExpectContinue()
 {
--- a/boragepier/http/request_reader.h
+++ b/boragepier/http/request_reader.h
@@ -2,7 +2,9 @@
 #define BORAGEPIER_HTTP_REQUEST_READER_H
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 
 #include "boragepier/base/outcome.h"
 #include "boragepier/http/input_buffer.h"
@@ -32,6 +34,10 @@
   bool HeaderDone() const;
   /// @return why the last Read() returned Failed
   RefusalReason Failure() const { return failure_; }
+  /// @return the Content-Length of the current request; nothing if it is absent or was not read
+  std::optional<std::uint64_t> DeclaredBody() const;
+  std::size_t MaxHeaderBytes() const { return maxHeaderBytes_; }
+  std::size_t MaxBodyBytes() const { return maxBodyBytes_; }
   /// @return true at most once per request, if its caller waits for "100 Continue"
   bool TakeExpectContinue();
   /// Call only after Read() returned Complete; prepares the reader for the next request.
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -38,6 +38,11 @@
     unansweredCallback_ = std::move(aCallback);
   }
 
+  void SetRefusedCallback(std::function<void(const ServerRefusal&)> aCallback)
+  {
+    refusedCallback_ = std::move(aCallback);
+  }
+
   std::uint16_t Listen(const std::string& aAddress, std::uint16_t aPort)
   {
     listener_ = std::make_unique<net::TcpListener>(
@@ -82,6 +87,12 @@
     }
   }
   Response MakeRefusal(RefusalReason aReason) override { return refusalFormatter_(aReason); }
+  void OnRefused(const ServerRefusal& aRefusal) override
+  {
+    if (refusedCallback_) {
+      refusedCallback_(aRefusal);
+    }
+  }
   void OnUnanswered(UnansweredCause aCause) override
   {
     if (unansweredCallback_) {
@@ -170,6 +181,7 @@
   const RefusalFormatter refusalFormatter_;
   const std::shared_ptr<BodyBudget> budget_;
   std::function<void(UnansweredCause)> unansweredCallback_;
+  std::function<void(const ServerRefusal&)> refusedCallback_;
   std::unique_ptr<net::TcpListener> listener_;
   std::unordered_map<ServerConnection*, std::shared_ptr<ServerConnection>> connections_;
   std::vector<ServerConnection*> beingRefused_; ///< in the order of their refusal
@@ -200,6 +212,12 @@
   impl_->SetUnansweredCallback(std::move(aCallback));
 }
 
+void
+Server::SetRefusedCallback(std::function<void(const ServerRefusal&)> aCallback)
+{
+  impl_->SetRefusedCallback(std::move(aCallback));
+}
+
 std::uint16_t
 Server::Listen(const std::string& aAddress, std::uint16_t aPort)
 {
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "boragepier/base/outcome.h"
@@ -63,6 +64,15 @@
   Duration replaceableIdleTime_ = Duration::max();
 };
 
+/// A request that the server refused itself, before it reached the handler.
+struct ServerRefusal
+{
+  RefusalReason reason_ = RefusalReason::MalformedRequest;
+  std::optional<std::uint64_t> declaredBody_; ///< bytes; nothing if the request states no length
+  std::size_t maxHeader_ = 0;                 ///< bytes; limit that applied to the request
+  std::size_t maxBody_ = 0;                   ///< bytes; limit that applied to the request
+};
+
 /// HTTP/1.1 server. It uses boragepier/net for I/O and Boost.Beast for message framing. Malformed
 /// and oversized requests are refused and never reach the handler.
 /// A request whose handler throws is closed without a response.
@@ -87,6 +97,9 @@
   /// Sets a callback for requests that were read completely and whose connection ended before the
   /// complete response. Call before the loop runs, or in the loop thread.
   void SetUnansweredCallback(std::function<void(UnansweredCause)> aCallback);
+  /// Sets a callback for requests that the server refuses itself. Not called for connections
+  /// refused because of maxConnections_. Call before the loop runs, or in the loop thread.
+  void SetRefusedCallback(std::function<void(const ServerRefusal&)> aCallback);
   /// Starts to accept connections. Call before the loop runs, or in the loop thread.
   /// @param aAddress IP address
   /// @param aPort TCP port; 0 selects a free port
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -265,6 +265,7 @@
     case ReadStatus::Failed:
       break;
   }
+  ReportRefusal(reader_.Failure());
   SendRefusal(reader_.Failure());
   return true;
 }
@@ -304,6 +305,7 @@
   if (inputEndTime_) {
     const MonotonicTime graceEnd = *inputEndTime_ + context_.Limits().halfCloseGrace_;
     if (context_.Loop().Now() >= graceEnd) {
+      ReportRefusal(RefusalReason::CallerLeft);
       exchange->Respond(context_.MakeRefusal(RefusalReason::CallerLeft));
       return;
     }
@@ -312,6 +314,13 @@
   context_.Handle(std::move(exchange));
 }
 
+void
+ServerConnection::ReportRefusal(RefusalReason aReason)
+{
+  context_.OnRefused(
+    { aReason, reader_.DeclaredBody(), reader_.MaxHeaderBytes(), reader_.MaxBodyBytes() });
+}
+
 void
 ServerConnection::SendRefusal(RefusalReason aReason)
 {
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -32,6 +32,8 @@
   virtual bool AcceptingStopped() const = 0;
   virtual void Handle(std::shared_ptr<Exchange> aExchange) = 0;
   virtual Response MakeRefusal(RefusalReason aReason) = 0;
+  /// A request is refused without the handler.
+  virtual void OnRefused(const ServerRefusal& aRefusal) = 0;
   /// A request was read completely, and its connection ends before the complete response.
   virtual void OnUnanswered(UnansweredCause aCause) = 0;
   /// The connection was closed; the server releases it.
@@ -83,6 +85,7 @@
   bool ProcessNextRequest();
   void HandleRequest();
   void SendResponse(const Response& aResponse);
+  void ReportRefusal(RefusalReason aReason);
   void SendRefusal(RefusalReason aReason);
   void OnResponseSent();
   void OnTimeout();
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -245,6 +245,33 @@
                  .c_str());
 }
 
+// Guards against refusals of which neither logs nor metrics show which limit was the cause.
+TEST(Server, RefusedRequestIsReportedWithItsLimits)
+{
+  ServerLimits limits;
+  limits.maxHeader_ = 2000;
+  limits.maxBody_ = 1000;
+  std::vector<ServerRefusal> refusals; // used by the loop thread only
+  ServerFixture server(limits);
+  server.Run([&] {
+    server.GetServer().SetRefusedCallback(
+      [&](const ServerRefusal& aRefusal) { refusals.push_back(aRefusal); });
+  });
+  const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
+  server.SendAndReadToEnd(post + "Content-Length: 1001\r\n\r\n");
+  server.SendAndReadToEnd(post + "X: " + std::string(3000, 'x') + "\r\n\r\n");
+  server.SendAndReadToEnd("no request\r\n\r\n");
+  const auto reported = server.Run([&] { return refusals; });
+  CHECK_EQUAL(3U, reported.size());
+  CHECK(reported[0].reason_ == RefusalReason::BodyTooLarge);
+  CHECK(reported[0].declaredBody_ == 1001U);
+  CHECK_EQUAL(1000U, reported[0].maxBody_);
+  CHECK(reported[1].reason_ == RefusalReason::HeaderTooLarge);
+  CHECK(!reported[1].declaredBody_);
+  CHECK_EQUAL(2000U, reported[1].maxHeader_);
+  CHECK(reported[2].reason_ == RefusalReason::MalformedRequest);
+}
+
 // Guards against reordering or losing responses to pipelined requests.
 TEST(Server, PipelinedRequestsAreAnsweredInOrder)
 {
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -385,6 +385,13 @@
              "owner of the share that will have credit first, and when it will; written once a "
              "minute for a team while it lasts",
              "see \"A team over its quota\" in docs/OPERATIONS.md" },
+  EventInfo{ EventId::RequestNotRouted,
+             LogLevel::Info,
+             "request-not-routed",
+             "a request was refused before it was routed; the fields give the declared "
+             "length of its body, -1 without one, and the limits that applied to it",
+             "look up the reason in docs/interface.md; compare the limits with those of the "
+             "configuration in force" },
 };
 
 } // namespace
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -85,6 +85,7 @@
   RequestUnanswered = 6008,
   BodyBudgetExceeded = 6009,
   TeamQuotaExceeded = 6010,
+  RequestNotRouted = 6011,
 };
 
 /// Entry of the event catalogue.
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -190,6 +190,8 @@
   void OnTeamRequest(const TeamName& aTeam, std::optional<RefusalReason> aRefusal);
   /// Counts a request that was read completely and got no complete response.
   void OnUnanswered(UnansweredCause aCause) { unanswered_.Add(aCause); }
+  /// Counts a request that was refused before it was routed.
+  void OnNotRouted(RefusalReason aReason) { unrouted_.Add(aReason); }
   /// Counts a routing table that was applied.
   /// @param aBuiltRoutes routes that were built for it; the others were kept
   void OnRoutingTable(std::uint64_t aBuiltRoutes)
@@ -240,6 +242,7 @@
   std::map<std::string, TeamCounters, std::less<>> teams_;
   TeamCounters otherTeams_; ///< of all teams that have no counters of their own
   EnumCounters<UnansweredCause, kUnansweredCauseCount> unanswered_;
+  EnumCounters<RefusalReason, kRefusalReasonCount> unrouted_;
   std::atomic<std::uint64_t> routingTableCount_ = 0;
   std::atomic<std::uint64_t> builtRouteCount_ = 0;
   std::atomic<bool> ready_ = false;
--- a/boragepier/telemetry/metrics_test.cc
+++ b/boragepier/telemetry/metrics_test.cc
@@ -116,6 +116,18 @@
   CheckContains(text, "boragepier_built_routes_total 2\n");
 }
 
+// Guards against refusals that no metric shows, because no service was selected for them.
+TEST(Metrics, RequestsThatAreNotRoutedAreCountedByReason)
+{
+  Metrics metrics;
+  metrics.OnNotRouted(RefusalReason::BodyTooLarge);
+  metrics.OnNotRouted(RefusalReason::BodyTooLarge);
+  const std::string text = metrics.WritePrometheus(MonotonicTime());
+  CheckContains(text, "boragepier_unrouted_requests_total{reason=\"body-too-large\"} 2\n");
+  CHECK(text.find("boragepier_unrouted_requests_total{reason=\"header-too-large\"}") ==
+        std::string::npos);
+}
+
 // Guards against memory that grows with every route that a configuration ever had.
 TEST(Metrics, NumberOfSplitCountersIsBounded)
 {
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -65,6 +65,9 @@
               "counter",
               "requests that were read completely and whose connection ended before the complete "
               "response, by cause" },
+  MetricInfo{ "boragepier_unrouted_requests_total",
+              "counter",
+              "requests refused before they were routed, by the reasons that have occurred" },
   MetricInfo{ "boragepier_internal_errors_total",
               "counter",
               "unexpected errors that ended one request, answer, message or task, by its kind" },
@@ -326,6 +329,19 @@
   }
 }
 
+void
+PrometheusWriter::WriteUnroutedRequests()
+{
+  constexpr std::string_view kName = "boragepier_unrouted_requests_total";
+  WriteHeader(kName);
+  for (int i = 0; i < kRefusalReasonCount; ++i) {
+    const auto reason = static_cast<RefusalReason>(i);
+    if (const std::uint64_t count = metrics_.unrouted_.Get(reason); count > 0) {
+      WriteSample(kName, { { "reason", ToString(reason) } }, static_cast<double>(count));
+    }
+  }
+}
+
 void
 PrometheusWriter::WriteInternalErrors()
 {
@@ -418,6 +434,7 @@
 {
   WriteInstance();
   WriteUnanswered();
+  WriteUnroutedRequests();
   WriteInternalErrors();
   WriteSplitRequests();
   WriteTeams();
--- a/boragepier/telemetry/prometheus_writer.h
+++ b/boragepier/telemetry/prometheus_writer.h
@@ -52,6 +52,7 @@
   void WriteHistogram(std::string_view aName, LatencyHistogram ServiceMetrics::*aHistogram);
   void WriteInstance();
   void WriteUnanswered();
+  void WriteUnroutedRequests();
   void WriteInternalErrors();
   void WriteSplitRequests();
   void WriteTeams();
