Apply changed limits to open connections

After a lowered limit, requests above it were accepted in the same way. A lowered header timeout cut off requests that had begun, and a changed idle timeout did not reach connections that were idle.

Cause: a connection copied the size limits into its reader when it was accepted, and the idle timeout when its idle time began. The header timeout was read again with each part of a header.

Evidence: request-not-routed shows maxBodyBytes=100000 three seconds after the instance has accepted the version that allows 1,000,000, while uploads on new connections are served. All four tests of the group ChangedLimits fail before the change; the first with expected <HTTP/1.1 200> but was <HTTP/1.1 413> the others because the connection is closed or stays open.

Why it works: a request takes the limits in force when its first byte is read, and keeps them until it is complete, so a change affects no request that has begun. A change of the idle timeout adjusts the deadlines of idle connections; a lowered one closes none before its length has passed since the change, because a request may be on its way.

--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -51,7 +51,8 @@
 
   /// Sets the number of live instances, this one included. May be inexact. Thread-safe.
   void SetFleetSize(std::size_t aInstances);
-  /// Applies limits from the configuration. Open connections keep their size limits. Thread-safe.
+  /// Applies limits from the configuration to the requests that begin from now on, and to idle
+  /// connections. Thread-safe.
   void SetCallerLimits(const CallerLimits& aLimits);
   /// Processes the requests that wait for the first configuration. Thread-safe.
   void ReleaseHeld();
--- a/boragepier/http/request_reader.cc
+++ b/boragepier/http/request_reader.cc
@@ -67,6 +67,17 @@
   expectContinue_ = false;
 }
 
+void
+RequestReader::SetLimits(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes)
+{
+  if (aMaxHeaderBytes == maxHeaderBytes_ && aMaxBodyBytes == maxBodyBytes_) {
+    return;
+  }
+  maxHeaderBytes_ = aMaxHeaderBytes;
+  maxBodyBytes_ = aMaxBodyBytes;
+  Reset();
+}
+
 void
 RequestReader::Discard()
 {
--- a/boragepier/http/request_reader.h
+++ b/boragepier/http/request_reader.h
@@ -26,6 +26,8 @@
   RequestReader(const RequestReader&) = delete;
   RequestReader& operator=(const RequestReader&) = delete;
 
+  /// Changes the limits, see the constructor. Call only before the first Read() of a request.
+  void SetLimits(std::size_t aMaxHeaderBytes, std::size_t aMaxBodyBytes);
   /// Continues to parse the current request and consumes its bytes.
   ReadStatus Read(InputBuffer& aInput);
   /// @return true if at least one byte of the current request was consumed or is in aInput
@@ -57,8 +59,8 @@
   bool Charge();
   void Reset();
 
-  const std::size_t maxHeaderBytes_;
-  const std::size_t maxBodyBytes_;
+  std::size_t maxHeaderBytes_;
+  std::size_t maxBodyBytes_;
   const std::shared_ptr<BodyBudget> budget_;
   std::unique_ptr<Parser> parser_;
   BodyCharge charge_;
--- a/boragepier/http/server.cc
+++ b/boragepier/http/server.cc
@@ -54,8 +54,14 @@
 
   void SetLimits(const ServerLimits& aLimits)
   {
+    const bool idleTimeoutChanged = limits_.idleTimeout_ != aLimits.idleTimeout_;
     limits_ = aLimits;
     nextReplacement_ = {};
+    if (idleTimeoutChanged) {
+      for (const auto& [connection, owner] : connections_) {
+        connection->ApplyIdleTimeout();
+      }
+    }
   }
   void BeginDrain() { draining_ = true; }
 
--- a/boragepier/http/server.h
+++ b/boragepier/http/server.h
@@ -107,7 +107,9 @@
   /// @throws net::ListenError if the address cannot be used
   std::uint16_t Listen(const std::string& aAddress, std::uint16_t aPort);
 
-  /// Changes the limits. The size limits apply only to new connections. Loop thread only.
+  /// Changes the limits, also for open connections. A request that has begun keeps its limits. The
+  /// idle timeout counts from the beginning of the idle time; a lowered one closes no connection
+  /// before its length has passed since the change. Loop thread only.
   void SetLimits(const ServerLimits& aLimits);
   /// Starts to drain: each further response has "Connection: close" and closes its connection. Idle
   /// connections stay open, because a request on one of them may already be on its way. New
--- a/boragepier/http/server_connection.cc
+++ b/boragepier/http/server_connection.cc
@@ -100,7 +100,8 @@
 ServerConnection::ServerConnection(ServerContext& aContext, std::shared_ptr<net::TcpStream> aStream)
   : context_(aContext)
   , stream_(std::move(aStream))
-  , reader_(aContext.Limits().maxHeader_, aContext.Limits().maxBody_, aContext.Budget())
+  , requestLimits_(aContext.Limits())
+  , reader_(requestLimits_.maxHeader_, requestLimits_.maxBody_, aContext.Budget())
   , inputCharge_(aContext.Budget(), BodyUse::Request)
   , timeout_(aContext.Loop(), [this] { OnTimeout(); })
 {
@@ -244,6 +245,10 @@
 bool
 ServerConnection::ProcessNextRequest()
 {
+  if (!requestStarted_) {
+    requestLimits_ = context_.Limits();
+    reader_.SetLimits(requestLimits_.maxHeader_, requestLimits_.maxBody_);
+  }
   switch (reader_.Read(input_)) {
     case ReadStatus::NeedMore:
       if (inputEndTime_) {
@@ -277,19 +282,38 @@
   if (!reader_.Started(input_)) {
     requestStarted_ = false;
     idleSince_ = now;
-    timeout_.Set(now + context_.Limits().idleTimeout_);
+    SetIdleDeadline(now + context_.Limits().idleTimeout_);
     return;
   }
-  const auto& limits = context_.Limits();
   if (!std::exchange(requestStarted_, true)) {
     requestStartTime_ = now;
   }
-  const Duration limit = reader_.HeaderDone()
-                           ? limits.requestTimeout_
-                           : std::min(limits.headerTimeout_, limits.requestTimeout_);
+  const Duration limit =
+    reader_.HeaderDone() ? requestLimits_.requestTimeout_
+                         : std::min(requestLimits_.headerTimeout_, requestLimits_.requestTimeout_);
   timeout_.Set(requestStartTime_ + limit);
 }
 
+void
+ServerConnection::SetIdleDeadline(MonotonicTime aDeadline)
+{
+  idleDeadline_ = aDeadline;
+  timeout_.Set(aDeadline);
+}
+
+void
+ServerConnection::ApplyIdleTimeout()
+{
+  if (!IdleSince()) {
+    return;
+  }
+  const Duration idleTimeout = context_.Limits().idleTimeout_;
+  // A connection that has been idle for longer than a lowered timeout is not closed at once: a
+  // request may be on its way.
+  const MonotonicTime earliest = std::min(idleDeadline_, context_.Loop().Now() + idleTimeout);
+  SetIdleDeadline(std::max(idleSince_ + idleTimeout, earliest));
+}
+
 void
 ServerConnection::HandleRequest()
 {
--- a/boragepier/http/server_connection.h
+++ b/boragepier/http/server_connection.h
@@ -60,6 +60,8 @@
   /// @return the time since which a request is awaited; nothing if a part of one was received or it
   /// is being handled
   std::optional<MonotonicTime> IdleSince() const;
+  /// Adjusts the deadline of an idle connection to the present idle timeout.
+  void ApplyIdleTimeout();
   /// Closes immediately, without running the abandoned callback of an exchange in progress.
   /// @param aCause reported if a request that was read completely has no complete response yet
   void Close(UnansweredCause aCause);
@@ -90,10 +92,13 @@
   void OnResponseSent();
   void OnTimeout();
   void SetReadTimeout();
+  void SetIdleDeadline(MonotonicTime aDeadline);
   void ApplyReadAheadLimit();
 
   ServerContext& context_;
   std::shared_ptr<net::TcpStream> stream_;
+  /// Of the request that is being read; a change of the limits applies to those that begin later.
+  ServerLimits requestLimits_;
   RequestReader reader_;
   InputBuffer input_;
   BodyCharge inputCharge_; ///< for the bytes of input_ that await the end of a request
@@ -104,6 +109,7 @@
   bool processingInput_ = false;
   bool requestStarted_ = false;
   MonotonicTime idleSince_{};      ///< valid while no part of a request was received
+  MonotonicTime idleDeadline_{};   ///< likewise
   MonotonicTime requestStartTime_; ///< arrival of its first byte; valid if requestStarted_
   /// When the caller ended its sending side; it may wait for responses to what it has sent.
   std::optional<MonotonicTime> inputEndTime_;
--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -133,6 +133,33 @@
 
 TEST_GROUP(Server){};
 
+/// A server whose limits change while connections are open.
+TEST_GROUP(ChangedLimits)
+{
+  ServerLimits limits_;
+  ServerFixture server_{ limits_ };
+
+  void SetLimits()
+  {
+    server_.Run([&] { server_.GetServer().SetLimits(limits_); });
+  }
+
+  // Returns a connection on which a request was answered.
+  RawSocket ConnectAndUse()
+  {
+    RawSocket socket = server_.Connect();
+    socket.Send(kGet);
+    socket.ReadMessage();
+    return socket;
+  }
+
+  static std::string PostOf(std::size_t aBytes)
+  {
+    return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(aBytes) + "\r\n\r\n" +
+           std::string(aBytes, 'x');
+  }
+};
+
 // Guards against misreading chunked bodies and against treating trailer fields as header fields.
 TEST(Server, ChunkedBodyIsDecodedAndTrailerDropped)
 {
@@ -512,6 +539,104 @@
   CHECK(response.starts_with("HTTP/1.1 200") && response.ends_with("GET /a "));
 }
 
+// Guards against requests that are refused, or accepted, by limits that are no longer in force:
+// callers keep connections open for longer than limits last.
+TEST(ChangedLimits, SizesApplyToTheNextRequestOfAnOpenConnection)
+{
+  limits_.maxHeader_ = 2000;
+  limits_.maxBody_ = 1000;
+  SetLimits();
+  const std::string large = PostOf(5000);
+  const std::string longHeader =
+    "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(3000, 'x') + "\r\n\r\n";
+  RawSocket first = ConnectAndUse();
+  RawSocket second = ConnectAndUse();
+  limits_.maxHeader_ = 4000;
+  limits_.maxBody_ = 6000;
+  SetLimits();
+  for (const std::string& request : { large, longHeader }) {
+    first.Send(request);
+    STRCMP_EQUAL("HTTP/1.1 200", StatusLineStart(first.ReadMessage()).c_str());
+  }
+  second.Send(kGet);
+  second.ReadMessage();
+  limits_.maxHeader_ = 2000;
+  limits_.maxBody_ = 1000;
+  SetLimits();
+  first.Send(large);
+  STRCMP_EQUAL("HTTP/1.1 413", StatusLineStart(first.ReadToEnd()).c_str());
+  second.Send(longHeader);
+  STRCMP_EQUAL("HTTP/1.1 431", StatusLineStart(second.ReadToEnd()).c_str());
+}
+
+// Guards against a change that refuses or cuts off a request of which a part has arrived.
+TEST(ChangedLimits, RequestThatHasBegunKeepsItsLimits)
+{
+  RawSocket uploading = server_.Connect();
+  uploading.Send("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+                 "Expect: 100-continue\r\n\r\n");
+  uploading.ReadUntil("\r\n\r\n");
+  RawSocket sendingHeader = server_.Connect();
+  sendingHeader.Send("POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 500\r\n");
+  ConnectAndUse(); // the loop has received what was sent before
+  limits_.maxBody_ = 100;
+  limits_.headerTimeout_ = milliseconds(1);
+  SetLimits();
+  std::this_thread::sleep_for(milliseconds(5));
+  sendingHeader.Send("X: 1\r\n");
+  ConnectAndUse();
+  std::this_thread::sleep_for(milliseconds(5));
+  sendingHeader.Send("\r\n" + std::string(500, 'x'));
+  STRCMP_CONTAINS("POST /c xxx", sendingHeader.ReadMessage().c_str());
+  uploading.Send("1f4\r\n" + std::string(500, 'x') + "\r\n0\r\n\r\n");
+  STRCMP_CONTAINS("POST /b xxx", uploading.ReadMessage().c_str());
+}
+
+// Guards against idle connections that are closed by a timeout that is no longer in force.
+TEST(ChangedLimits, RaisedIdleTimeoutAppliesToIdleConnections)
+{
+  limits_.idleTimeout_ = milliseconds(300);
+  SetLimits();
+  RawSocket socket = server_.Connect();
+  socket.Send(kGetHeld);
+  const auto exchange = server_.TakeHeldExchange();
+  server_.Run([&] {
+    exchange->Respond(MakeResponse(200, "held"));
+    limits_.idleTimeout_ = std::chrono::seconds(60);
+    server_.GetServer().SetLimits(limits_);
+  });
+  socket.ReadMessage();
+  std::this_thread::sleep_for(milliseconds(600));
+  socket.Send(kGet);
+  STRCMP_EQUAL("HTTP/1.1 200", StatusLineStart(socket.ReadMessage()).c_str());
+}
+
+// Guards against idle connections that stay open for a timeout that is no longer in force, and
+// against a change that closes them at once, when requests may be on their way.
+TEST(ChangedLimits, LoweredIdleTimeoutAppliesToIdleConnectionsAfterItsLength)
+{
+  RawSocket socket = server_.Connect();
+  socket.Send(kGetHeld);
+  const auto exchange = server_.TakeHeldExchange();
+  server_.Run([&] {
+    exchange->Respond(MakeResponse(200, "held"));
+    std::this_thread::sleep_for(milliseconds(400));
+    socket.Send(kGet);
+    limits_.idleTimeout_ = milliseconds(300); // less than the connection has been idle for
+    server_.GetServer().SetLimits(limits_);
+  });
+  CHECK(socket.ReadMessage().ends_with("held"));
+  STRCMP_EQUAL("HTTP/1.1 200", StatusLineStart(socket.ReadMessage()).c_str());
+  STRCMP_EQUAL("", socket.ReadToEnd().c_str());
+  // Another one is closed although its timeout was 60 s when it became idle.
+  limits_.idleTimeout_ = std::chrono::seconds(60);
+  SetLimits();
+  RawSocket idle = ConnectAndUse();
+  limits_.idleTimeout_ = milliseconds(50);
+  SetLimits();
+  STRCMP_EQUAL("", idle.ReadToEnd().c_str());
+}
+
 // Guards against a connection above the limit that is neither served nor refused.
 TEST(Server, ConnectionAboveTheLimitIsRefused)
 {
