Reject encoded responses of upstreams that never encode bodies

What callers saw: a response with Content-Encoding was passed on as a success, although the users' pages say that such a response does not hold the backend's body; callers ask for bodies without an encoding.

Cause: ValidateResponse() checked the id and the signature only.

Why it works: with a dialect whose upstreams never encode bodies, such a response ends its attempt as malformed with the outcome unknown, like one without a signature. A repeatable request is sent again, another one gets 502, which promises nothing. The product's own interface is unchanged.

--- a/boragepier/entry/attempt_reports.cc
+++ b/boragepier/entry/attempt_reports.cc
@@ -42,7 +42,9 @@
                               response.headers_.Get(aDialect.requestIdField_) != aRequestId.View();
   const bool missingSignature = !aDialect.signatureField_.empty() && response.status_ < 300 &&
                                 !response.headers_.Get(aDialect.signatureField_);
-  if (wrongRequestId || missingSignature) {
+  const bool foreignBody =
+    aDialect.bodiesAreNotEncoded_ && response.headers_.Get("Content-Encoding").has_value();
+  if (wrongRequestId || missingSignature || foreignBody) {
     aResult.outcome_ = Outcome::Unknown;
     aResult.failure_ = AttemptFailure::MalformedResponse;
     aResult.response_ = {};
--- a/boragepier/entry/attempt_reports.h
+++ b/boragepier/entry/attempt_reports.h
@@ -20,8 +20,8 @@
                   const WireDialect& aDialect);
 
 /// Checks that a response belongs to the request and comes from an upstream: it must echo the
-/// request id if callers set one, and a response with a status below 300 must carry the signature
-/// field if the dialect has one.
+/// request id if callers set one, a response with a status below 300 must carry the signature field
+/// if the dialect has one, and its body must not be encoded if upstreams never do that.
 /// @param aResult result of the attempt; passed through unless its outcome is Answered
 /// @param aRequestId request id that the caller set, or empty
 /// @param aDialect names the header fields
--- a/boragepier/entry/wire_dialect.h
+++ b/boragepier/entry/wire_dialect.h
@@ -50,6 +50,9 @@
   /// Present in every successful response of an upstream. A response with a status below 300 that
   /// lacks it does not come from an upstream.
   std::string signatureField_;
+  /// Upstreams never encode bodies. A response with Content-Encoding does not come from an
+  /// upstream.
+  bool bodiesAreNotEncoded_ = false;
   /// Id of the upstream that a request is meant for, so that another one can refuse it.
   std::string expectedUpstreamField_;
   /// Key by which a caller identifies itself as one of a team. Never passed on.
