Refuse no request for good by limits that precede the configuration

What callers saw: before the first configuration, an instance refused a request above the limits of its settings with 413 or 431, after which callers do not send it again, although the configuration may allow it.

Cause: the server takes the limits of the settings until the configuration replaces them, and its refusals did not depend on whether there is one.

Why it works: where the limits come from the configuration and there is none, a request that is too large gets 503 not-configured with Retry-After, a refusal after which callers return.

--- a/boragepier/entry/traffic_thread.cc
+++ b/boragepier/entry/traffic_thread.cc
@@ -23,6 +23,9 @@
 // Interval of WatchBodyMemory().
 constexpr Duration kMemoryWatchInterval = std::chrono::milliseconds(100);
 
+// A configuration follows the start of an instance within a fraction of a second.
+constexpr Duration kNotConfiguredRetryAfter = std::chrono::milliseconds(100);
+
 // Bodies of this size in total leave enough free memory behind to return it to the system.
 constexpr std::size_t kReturnedBodyBytes = 8 << 20;
 
@@ -57,6 +60,8 @@
                              const WireDialect& aDialect,
                              QuotaGate* aQuotas)
   : settings_(aSettings)
+  , router_(aRouter)
+  , limitsFromConfiguration_(aSettings.storeEndpoint_.port_ != 0)
   , bodyBudget_(std::make_shared<http::BodyBudget>(BodyBudgetBytes(aSettings)))
   , client_(loop_, bodyBudget_)
   , platform_(loop_, client_, PlatformOptionsFrom(aSettings))
@@ -151,6 +156,13 @@
 TrafficThread::MakeServerRefusal(RefusalReason aReason) const
 {
   Duration retryAfter{};
+  const bool tooLarge =
+    aReason == RefusalReason::HeaderTooLarge || aReason == RefusalReason::BodyTooLarge;
+  if (tooLarge && limitsFromConfiguration_ && !router_.HasConfiguration()) {
+    // The limits of the settings are no reason to refuse for good.
+    return MakeRefusalResponse(
+      RefusalReason::NotConfigured, Outcome::NotRun, RequestId(), kNotConfiguredRetryAfter);
+  }
   if (aReason == RefusalReason::BodyBudgetExceeded) {
     retryAfter = bodyHoldTime_.Mean();
   }
--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -84,6 +84,9 @@
   http::Response MakeServerRefusal(RefusalReason aReason) const;
 
   const Settings settings_;
+  const ServiceRouter& router_;
+  const bool
+    limitsFromConfiguration_; ///< whether the configuration replaces the limits of the settings
   net::EventLoop loop_;
   const std::shared_ptr<http::BodyBudget> bodyBudget_;
   http::HoldTime bodyHoldTime_;
