--- a/boragepier/entry/traffic_thread.h
+++ b/boragepier/entry/traffic_thread.h
@@ -85,8 +85,7 @@
 
   const Settings settings_;
   const ServiceRouter& router_;
-  const bool
-    limitsFromConfiguration_; ///< whether the configuration replaces the limits of the settings
+  const bool limitsFromConfiguration_; ///< otherwise those of the settings apply throughout
   net::EventLoop loop_;
   const std::shared_ptr<http::BodyBudget> bodyBudget_;
   http::HoldTime bodyHoldTime_;
