--- a/testing/e2e/restored_store_test.cc
+++ b/testing/e2e/restored_store_test.cc
@@ -1,15 +1,8 @@
 #include <array>
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
-#include <memory>
 #include <string>
-#include <vector>
 
-#include "boragepier/net/event_loop.h"
-#include "platform/store_stand_in.h"
-#include "testing/e2e/child_process.h"
-#include "testing/wire/loop_thread.h"
+#include "testing/e2e/store_fleet.h"
 #include "testing/wire/raw_socket.h"
 
 #include <CppUTest/TestHarness.h>
@@ -33,46 +26,14 @@
 
 } // namespace
 
-// Runs the real binary with the binding to the users' store, before a store that is restored from
-// an older copy. There are no upstreams: a request to a route gets 503, any other one 404.
+// Runs the real binary before a store that is restored from an older copy.
 TEST_GROUP(RestoredStore)
 {
-  net::EventLoop loop_;
-  metastore::StoreStandIn store_{ loop_ };
-  const std::uint16_t storePort_ = store_.Listen("127.0.0.1", 0);
-  std::unique_ptr<LoopThread> thread_ = std::make_unique<LoopThread>(loop_);
-  std::vector<std::filesystem::path> settings_;
-  std::vector<std::unique_ptr<ChildProcess>> instances_;
-  std::vector<std::uint16_t> ports_;
-
-  void setup() override
-  {
-    Publish(10);
-    for (int i = 0; i < kInstanceCount; ++i) {
-      settings_.push_back(
-        std::filesystem::temp_directory_path() /
-        ("boragepier-restored-" + std::to_string(storePort_) + '-' + std::to_string(i) + ".ini"));
-      std::ofstream(settings_.back()) << "[instance]\nid = front-" << i
-                                      << "\nzone = a\n[store]\naddress = 127.0.0.1:" << storePort_
-                                      << "\n[fleet]\nfirst-start = true\n";
-      instances_.push_back(std::make_unique<ChildProcess>(
-        BORAGEPIER_BINARY, std::vector<std::string>{ "--settings", settings_.back().string() }));
-      ports_.push_back(instances_.back()->ReadPort("listening"));
-    }
-  }
-
-  void teardown() override
-  {
-    instances_.clear();
-    thread_.reset();
-    for (const std::filesystem::path& path : settings_) {
-      std::filesystem::remove(path);
-    }
-  }
+  StoreFleet fleet_{ kInstanceCount, MakeConfig(10) };
 
   void Publish(unsigned aVersion)
   {
-    thread_->Run([&] { store_.Put("op", "config", MakeConfig(aVersion)); });
+    fleet_.Publish(MakeConfig(aVersion));
   }
 
   bool IsInForce(std::uint16_t aPort, unsigned aVersion)
@@ -84,14 +45,17 @@
 
   void WaitForVersion(unsigned aVersion, unsigned aOtherVersion)
   {
-    for (const std::uint16_t port : ports_) {
+    for (const std::uint16_t port : fleet_.Ports()) {
       WaitUntil([&] { return IsInForce(port, aVersion) && !IsInForce(port, aOtherVersion); });
     }
   }
 
   void WaitForInstances(std::size_t aCount)
   {
-    WaitUntil([&] { return thread_->Run([&] { return store_.RowCount("instances"); }) == aCount; });
+    WaitUntil([&] {
+      return fleet_.RunWithStore([](auto& aStore) { return aStore.RowCount("instances"); }) ==
+             aCount;
+    });
   }
 };
 
@@ -100,23 +64,23 @@
 TEST(RestoredStore, EveryInstanceTakesTheCopyAndWhatIsWrittenToItLater)
 {
   WaitForVersion(10, 12);
-  thread_->Run([&] { store_.TakeCopy(); });
+  fleet_.RunWithStore([](auto& aStore) { aStore.TakeCopy(); });
   Publish(12);
   WaitForVersion(12, 10);
   WaitForInstances(kInstanceCount);
-  thread_->Run([&] { store_.Restore(); });
+  fleet_.RunWithStore([](auto& aStore) { aStore.Restore(); });
   WaitForVersion(10, 12);
   WaitForInstances(kInstanceCount);
   Publish(11);
   WaitForVersion(11, 10);
-  thread_->Run([&] {
-    store_.Restore();
-    store_.Put("op", "config", MakeConfig(9));
-    store_.Put("op", "config", MakeConfig(14));
+  fleet_.RunWithStore([](auto& aStore) {
+    aStore.Restore();
+    aStore.Put("op", "config", MakeConfig(9));
+    aStore.Put("op", "config", MakeConfig(14));
   });
   WaitForVersion(14, 11);
   WaitForInstances(kInstanceCount);
-  CHECK(IsInForce(ports_.front(), 14));
+  CHECK(IsInForce(fleet_.Ports().front(), 14));
 }
 
 } // namespace boragepier::testing
