Drop an exchange of a test in the loop thread

ThreadSanitizer reported two data races in http_server_test: RequestWithoutAResponseIsReportedWithItsCause destroyed an Exchange in the thread of the test, while the loop thread still handled its connection. An Exchange belongs to the loop thread (server.h), so the test was wrong, not the server. It checks the same as before: a dropped exchange is reported as aborted.

--- a/boragepier/http/server_test.cc
+++ b/boragepier/http/server_test.cc
@@ -932,7 +932,7 @@
     idle.ReadMessage();
     RawSocket held = server.Connect();
     held.Send(kGetHeld);
-    server.TakeHeldExchange().reset();
+    server.Run([exchange = server.TakeHeldExchange()]() mutable { exchange.reset(); });
     WaitUntil([&] { return reported() == 4; });
   }
   CHECK(causes == std::vector<UnansweredCause>({ UnansweredCause::CallerClosed,
