--- a/boragepier/config/route_set.h
+++ b/boragepier/config/route_set.h
@@ -44,7 +44,6 @@
   /// same have the same routes there.
   const std::shared_ptr<const Shard>& ShardAt(std::size_t aIndex) const { return shards_[aIndex]; }
   std::size_t Size() const { return size_; }
-  bool Empty() const { return size_ == 0; }
 
 private:
   std::array<std::shared_ptr<const Shard>, kShardCount> shards_;
--- a/boragepier/entry/traffic_thread_test.cc
+++ b/boragepier/entry/traffic_thread_test.cc
@@ -1,8 +1,11 @@
 #include "boragepier/entry/traffic_thread.h"
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "boragepier/entry/pipeline_fakes.h"
 #include "testing/wire/loop_thread.h"
--- a/testing/e2e/config_change_test.cc
+++ b/testing/e2e/config_change_test.cc
@@ -1,3 +1,5 @@
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
--- a/testing/e2e/foreign_bytes_test.cc
+++ b/testing/e2e/foreign_bytes_test.cc
@@ -1,8 +1,3 @@
-#include <stdlib.h>
-#include <unistd.h>
-
-#include <filesystem>
-#include <fstream>
 #include <memory>
 #include <string>
 
@@ -10,6 +5,7 @@
 #include "boragepier/peer/peer_codec.h"
 #include "platform/dialect.h"
 #include "testing/e2e/child_process.h"
+#include "testing/e2e/store_settings.h"
 #include "testing/wire/raw_socket.h"
 
 #include <CppUTest/TestHarness.h>
@@ -27,35 +23,16 @@
   return request.append(kIdField).append(aId).append("\r\n\r\n");
 }
 
-std::filesystem::path
-MakeSettingsFile(std::uint16_t aStorePort)
-{
-  std::string path = (std::filesystem::temp_directory_path() / "boragepier-XXXXXX").string();
-  const int descriptor = ::mkstemp(path.data());
-  if (descriptor < 0) {
-    throw ChildProcessError("cannot create a temporary settings file");
-  }
-  ::close(descriptor);
-  std::ofstream(path) << "[instance]\nid = front-1\nzone = a\n[store]\naddress = 127.0.0.1:"
-                      << aStorePort << "\n[fleet]\nfirst-start = true\n";
-  return path;
-}
-
 } // namespace
 
 // Runs the real binary with the binding to the users' store, whose callers set their request ids.
 TEST_GROUP(ForeignBytes)
 {
   RawListener store_; // accepts no connection, so that the instance stays without a configuration
-  std::filesystem::path settings_ = MakeSettingsFile(store_.Port());
-  ChildProcess instance_{ BORAGEPIER_BINARY, { "--settings", settings_.string() } };
+  StoreSettings settings_{ "front-1", store_.Port() };
+  ChildProcess instance_{ BORAGEPIER_BINARY, { "--settings", settings_.Path() } };
   std::uint16_t port_ = instance_.ReadPort("listening");
 
-  void teardown() override
-  {
-    std::filesystem::remove(settings_);
-  }
-
   std::string SendAndReceive(const std::string& aBytes)
   {
     RawSocket caller(port_);
--- a/testing/e2e/store_fleet.h
+++ b/testing/e2e/store_fleet.h
@@ -3,16 +3,14 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <filesystem>
-#include <fstream>
 #include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "boragepier/net/event_loop.h"
 #include "platform/store_stand_in.h"
 #include "testing/e2e/child_process.h"
+#include "testing/e2e/store_settings.h"
 #include "testing/wire/loop_thread.h"
 
 namespace boragepier::testing {
@@ -27,28 +25,14 @@
   {
     Publish(aConfig);
     for (std::size_t i = 0; i < aInstances; ++i) {
-      settings_.push_back(std::filesystem::temp_directory_path() /
-                          ("boragepier-store-fleet-" + std::to_string(storePort_) + '-' +
-                           std::to_string(i) + ".ini"));
-      std::ofstream(settings_.back()) << "[instance]\nid = front-" << i
-                                      << "\nzone = a\n[store]\naddress = 127.0.0.1:" << storePort_
-                                      << "\n[fleet]\nfirst-start = true\n";
+      settings_.push_back(
+        std::make_unique<StoreSettings>("front-" + std::to_string(i), storePort_));
       instances_.push_back(std::make_unique<ChildProcess>(
-        BORAGEPIER_BINARY, std::vector<std::string>{ "--settings", settings_.back().string() }));
+        BORAGEPIER_BINARY, std::vector<std::string>{ "--settings", settings_.back()->Path() }));
       ports_.push_back(instances_.back()->ReadPort("listening"));
     }
   }
 
-  ~StoreFleet()
-  {
-    instances_.clear();
-    for (const std::filesystem::path& path : settings_) {
-      std::filesystem::remove(path);
-    }
-  }
-  StoreFleet(const StoreFleet&) = delete;
-  StoreFleet& operator=(const StoreFleet&) = delete;
-
   /// Runs a function with the store in its thread.
   /// @return its result
   template<typename Function>
@@ -71,7 +55,7 @@
   metastore::StoreStandIn store_{ loop_ };
   const std::uint16_t storePort_ = store_.Listen("127.0.0.1", 0);
   LoopThread thread_{ loop_ };
-  std::vector<std::filesystem::path> settings_;
+  std::vector<std::unique_ptr<StoreSettings>> settings_;
   std::vector<std::unique_ptr<ChildProcess>> instances_;
   std::vector<std::uint16_t> ports_;
 };
