--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -285,7 +285,7 @@
                 backend.on_request(self, b"")
 
             def do_POST(self):
-                backend.on_request(self, self.body())
+                backend.on_body(self)
 
         self.server = Server(("127.0.0.1", 0), BackendHandler)
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
@@ -318,6 +318,10 @@
     def load(self):
         return f"{self.running},{self.waiting},{self.slots},100"
 
+    def on_body(self, handler):
+        """A request with a body, which is not read yet."""
+        self.on_request(handler, handler.body())
+
     def on_request(self, handler, body):
         leaving = {"Server_Leaving": "1"} if self.state == "draining" else {}
         if handler.path == "/health":
