--- a/review/11/run.py
+++ b/review/11/run.py
@@ -7,7 +7,8 @@
 import time
 
 sys.path.insert(0, "../standins-3")
-from standins import Backend, Client, Instance, Record, Store, configuration, now  # noqa: E402
+from standins import (Backend, Client, Instance, Record, Store, configuration,  # noqa: E402
+                      now, run_case)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 8
@@ -177,7 +178,7 @@
     if broken_off is None or cut is None:
         return 2
     for text in (f"{len(broken_off)} of {CLIENTS} uploads were broken off while their backends were "
-                 f"at work, after a SIGTERM and long before its grace time and their deadline ended",
+                 "at work, after a SIGTERM and long before its grace time and their deadline ended",
                  f"{len(cut)} of {CLIENTS} downloads were cut off before the client's deadline"):
         record.write(text)
         print(text)
@@ -185,5 +186,4 @@
 
 
 if __name__ == "__main__":
-    code = main()
-    os._exit(code)
+    run_case(main)
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -16,6 +16,7 @@
 import subprocess
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -103,6 +104,8 @@
         self.copies = []  # (time, rows, version)
         self.calls = []  # (time, caller, path) of each call
         self.refused = set()  # callers that are turned away with 503
+        self.servers = {}  # by caller
+        self.gone = set()  # callers whose address was given up
         self.address = self.listen("")
 
     def listen(self, caller):
@@ -118,8 +121,17 @@
 
         server = Server(("127.0.0.1", 0), StoreHandler)
         threading.Thread(target=server.serve_forever, daemon=True).start()
+        self.servers[caller] = server
         return f"127.0.0.1:{server.server_address[1]}"
 
+    def stop_listening(self, caller):
+        """Gives up the address of a caller: its connections end, and new ones are refused."""
+        with self.lock:
+            self.gone.add(caller)
+            self.lock.notify_all()
+        self.servers[caller].shutdown()
+        self.servers[caller].server_close()
+
     def refuse(self, callers):
         """Turns some machines away, and serves the others."""
         with self.lock:
@@ -181,7 +193,7 @@
         with self.lock:
             self.calls.append((now(), caller, path))
             era = self.era
-            if self.away:
+            if self.away or caller in self.gone:
                 handler.close_connection = True
                 return
         time.sleep(0.004)
@@ -229,6 +241,8 @@
             while not self.away and self.era == era:
                 if caller in self.refused:
                     return 503, {}
+                if caller in self.gone:
+                    return None
                 if after < self.oldest or after > self.version:
                     return 410, self._stamp({})
                 newest = {}
@@ -384,6 +398,29 @@
 """
 
 
+INSTANCES = []
+
+
+def run_case(main):
+    """Runs a case and ends the process with its result. Instances are ended in any case, also if
+    the script is stopped by a signal or fails."""
+
+    def stop(number, frame):
+        raise SystemExit(2)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop)
+    code = 2
+    try:
+        code = main()
+    except BaseException:  # noqa: B902
+        traceback.print_exc()
+    finally:
+        for instance in INSTANCES:
+            instance.kill()
+    os._exit(code)
+
+
 class Instance:
     """One process of boragepier."""
 
@@ -395,16 +432,22 @@
         self.log = os.path.join(folder, name + ".log")
         self.fields = dict(name=name, zone=zone, store=store, fleet=fleet, **self.ports)
         self.process = None
+        INSTANCES.append(self)
         self.start(True)
 
     def start(self, first):
-        with open(self.settings, "w", encoding="utf-8") as file:
-            file.write(SETTINGS.format(first="true" if first else "false", **self.fields))
+        self.write_settings(first)
         with open(self.log, "a", encoding="utf-8") as log:
             self.process = subprocess.Popen([PROGRAM], stdout=log, stderr=log, cwd=ROOT,
                                             env={"BORAGEPIER_SETTINGS": self.settings,
                                                  "PATH": "/usr/bin:/bin"})
 
+    def write_settings(self, first, **changes):
+        self.fields.update(changes)
+        with open(self.settings + ".new", "w", encoding="utf-8") as file:
+            file.write(SETTINGS.format(first="true" if first else "false", **self.fields))
+        os.rename(self.settings + ".new", self.settings)
+
     def ready(self):
         try:
             connection = http.client.HTTPConnection("127.0.0.1", self.ports["admin"], timeout=1)
