--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
-# Backends read the rest of large bodies late, and clients pause while they read large answers.
-# Exits with 1 if uploads are broken off after a SIGTERM, or downloads cut off; 0 if not; 2 if the
-# case could not run. TROUBLE=0 leaves the pauses out.
+# Faulty backends break some answers off and send some a second time, late.
+# Exits with 1 if a client gets a success with bytes of another answer, 0 if none does, 2 if the case
+# could not run. TROUBLE=0 leaves the faulty answers out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/apps/boragepier/boragepier ] || exit 2
 PYTHONDONTWRITEBYTECODE=1 exec python3 run.py
