--- a/review/11/run.py
+++ b/review/11/run.py
@@ -14,9 +14,9 @@
 SHARE = 0.03  # of the answers of a faulty backend that are broken off or sent twice
 SPELL_S, REST_S = 5.0, 1.0  # as long as one such disruption of the site file, and the pause after it
 FAULTY, BACKENDS = 3, 5  # 0.6 of the backends of the service
-DURATION_S = 95.0
+DURATION_S = 60.0
 CLIENTS = 8
-LATEST_COPY_S = 0.06
+LATEST_COPY_S = 0.15
 
 
 class Garbling(Backend):
