Count and log responses to other requests on the connection of an attempt

A result now says that a response to another request was skipped first. The event foreign-response (4016) names upstream, service and request, and boragepier_foreign_responses_total counts attempts and probes.

Tests: Client.ForeignResponsesAreSkippedAndTheConnectionIsNotUsedAgain checks the mark, Call.MixedResponseIsReportedAndARepeatableRequestIsRetried and Call.AtMostOnceRequestIsNotRetriedAfterAMixedResponse the reports.

--- a/boragepier/base/outcome.cc
+++ b/boragepier/base/outcome.cc
@@ -52,6 +52,7 @@
   "response-too-large",
   "cancelled",
   "withdrawn",
+  "mixed-response",
 };
 
 // In the order of UnansweredCause.
--- a/boragepier/base/outcome.h
+++ b/boragepier/base/outcome.h
@@ -67,8 +67,9 @@
   ResponseTooLarge,  ///< the response exceeds the limit of the service
   Cancelled,         ///< by boragepier: the caller disconnected, or another attempt succeeded
   Withdrawn,         ///< not sent yet when the upstream asked for a pause
+  MixedResponse,     ///< the response holds a part of another one
 };
-inline constexpr int kAttemptFailureCount = 12;
+inline constexpr int kAttemptFailureCount = 13;
 
 /// Why a further attempt was sent. Each reason has a counter.
 enum class RetryReason : std::uint8_t
--- a/boragepier/decision/attempt_rules.cc
+++ b/boragepier/decision/attempt_rules.cc
@@ -21,6 +21,7 @@
       return RetryReason::AttemptTimeout;
     case AttemptFailure::Truncated:
     case AttemptFailure::MalformedResponse:
+    case AttemptFailure::MixedResponse:
       return RetryReason::TruncatedResponse;
     case AttemptFailure::LocalLimit:
     case AttemptFailure::ResponseTooLarge:
--- a/boragepier/entry/attempt_reports.cc
+++ b/boragepier/entry/attempt_reports.cc
@@ -73,6 +73,7 @@
       return aDeadlinePassed ? RefusalReason::DeadlineExpired : RefusalReason::UpstreamTimeout;
     case AttemptFailure::Truncated:
     case AttemptFailure::MalformedResponse:
+    case AttemptFailure::MixedResponse:
       return RefusalReason::UpstreamTruncated;
     case AttemptFailure::ResponseTooLarge:
       return RefusalReason::ResponseTooLarge;
--- a/boragepier/entry/balancer_driver.h
+++ b/boragepier/entry/balancer_driver.h
@@ -121,6 +121,9 @@
                     const UpstreamEndpoint& aEndpoint,
                     const http::SendResult& aResult)
   {
+    if (http::HasForeignResponse(aResult)) {
+      deps_.observer_.OnForeignResponse(aService->Config()->name_, aEndpoint, {}, aResult);
+    }
     // The upstream may have closed an idle connection in the meantime; that says nothing about its
     // health. The probe is repeated on a connection that is known to work.
     if (aResult.failure_ == AttemptFailure::ConnectionLost && !aResult.newConnection_) {
--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -598,6 +598,10 @@
     if (aResult.connection_ != http::ConnectionId::None) {
       usedConnections_.push_back(aResult.connection_);
     }
+    if (http::HasForeignResponse(aResult)) {
+      deps_.observer_.OnForeignResponse(
+        serviceConfig_->name_, *attempts_[aIndex].endpoint_, record_.id_.View(), aResult);
+    }
     AttemptReport report = MakeAttemptReport(attempts_[aIndex].upstream_, aResult, deps_.dialect_);
     // A late answer of an earlier start says nothing about the present one.
     if ((report.draining_ || report.pause_) && !IsCurrentStart(attempts_[aIndex])) {
--- a/boragepier/entry/call_observer.h
+++ b/boragepier/entry/call_observer.h
@@ -6,6 +6,7 @@
 #include "boragepier/base/ids.h"
 #include "boragepier/base/outcome.h"
 #include "boragepier/config/upstream_endpoint.h"
+#include "boragepier/http/client.h"
 #include "boragepier/http/server.h"
 #include "boragepier/telemetry/explain.h"
 #include "boragepier/telemetry/metrics.h"
@@ -50,6 +51,14 @@
                                 Duration aAdded) = 0;
   /// An upstream asked for a pause with a value that is ignored.
   virtual void OnPauseIgnored(const ServiceName& aService, const UpstreamEndpoint& aUpstream) = 0;
+  /// The response to another request, or a part of it, arrived on the connection of an attempt or a
+  /// probe.
+  /// @param aRequest id of the request; empty for a probe
+  /// @param aResult result of the attempt or the probe
+  virtual void OnForeignResponse(const ServiceName& aService,
+                                 const UpstreamEndpoint& aUpstream,
+                                 std::string_view aRequest,
+                                 const http::SendResult& aResult) = 0;
 };
 
 } // namespace boragepier
--- a/boragepier/entry/call_telemetry.cc
+++ b/boragepier/entry/call_telemetry.cc
@@ -250,4 +250,19 @@
   Log(EventId::PauseIgnored, { { "upstream", aUpstream.id_ }, { "service", aService } });
 }
 
+void
+CallTelemetry::OnForeignResponse(const ServiceName& aService,
+                                 const UpstreamEndpoint& aUpstream,
+                                 std::string_view aRequest,
+                                 const http::SendResult& aResult)
+{
+  metrics_.Service(aService).OnForeignResponse();
+  Log(EventId::ForeignResponse,
+      { { "upstream", aUpstream.id_ },
+        { "service", aService },
+        { "request", aRequest },
+        { "mixed", aResult.failure_ == AttemptFailure::MixedResponse },
+        { "outcome", aResult.outcome_ } });
+}
+
 } // namespace boragepier
--- a/boragepier/entry/call_telemetry.h
+++ b/boragepier/entry/call_telemetry.h
@@ -35,6 +35,10 @@
                         const UpstreamEndpoint& aUpstream,
                         Duration aAdded) override;
   void OnPauseIgnored(const ServiceName& aService, const UpstreamEndpoint& aUpstream) override;
+  void OnForeignResponse(const ServiceName& aService,
+                         const UpstreamEndpoint& aUpstream,
+                         std::string_view aRequest,
+                         const http::SendResult& aResult) override;
 
 private:
   Metrics& metrics_;
--- a/boragepier/entry/call_test.cc
+++ b/boragepier/entry/call_test.cc
@@ -191,6 +191,32 @@
   CHECK(exchange->OutcomeField() == "answered");
 }
 
+// Guards against an upstream that mixes answers unnoticed, and against a repeatable request that
+// fails because of it.
+TEST(Call, MixedResponseIsReportedAndARepeatableRequestIsRetried)
+{
+  const auto exchange = Send("GET");
+  sender_.Fail(0, Outcome::Unknown, AttemptFailure::MixedResponse);
+  scheduler_.Advance(std::chrono::milliseconds(100));
+  CHECK_EQUAL(2U, sender_.sentRequests_.size());
+  CHECK_EQUAL(1U, observer_.foreignResponses_.size());
+  STRCMP_EQUAL("i1-1", observer_.foreignResponses_.front().second.c_str());
+  sender_.Answer(1, MakeResponse(200));
+  CHECK_EQUAL(200, exchange->response_->status_);
+  CHECK(observer_.retryReasons_.front() == RetryReason::TruncatedResponse);
+}
+
+// Guards against a request that runs twice, or is told as not run, because its answer is mixed with
+// that of another.
+TEST(Call, AtMostOnceRequestIsNotRetriedAfterAMixedResponse)
+{
+  const auto exchange = Send("POST");
+  sender_.Fail(0, Outcome::Unknown, AttemptFailure::MixedResponse);
+  scheduler_.Advance(std::chrono::seconds(10));
+  CHECK_EQUAL(1U, sender_.sentRequests_.size());
+  CheckRefusal(*exchange, RefusalReason::UpstreamTruncated, "unknown");
+}
+
 // Guards against a request that is reported as not run although it has run: a late second copy of
 // the refusal of one attempt would be taken for the answer to the next one on the same connection.
 TEST(Call, AttemptsOfARequestDoNotShareAConnection)
--- a/boragepier/entry/pipeline_fakes.h
+++ b/boragepier/entry/pipeline_fakes.h
@@ -229,6 +229,13 @@
   {
     ++ignoredPauseCount_;
   }
+  void OnForeignResponse(const ServiceName&,
+                         const UpstreamEndpoint& aUpstream,
+                         std::string_view aRequest,
+                         const http::SendResult&) override
+  {
+    foreignResponses_.emplace_back(aUpstream.id_, aRequest);
+  }
   void OnUpstreamLeaving(const UpstreamEndpoint& aUpstream) override
   {
     leavingUpstreams_.push_back(aUpstream.id_);
@@ -238,6 +245,7 @@
   int abandonedCount_ = 0;
   std::vector<RetryReason> retryReasons_;
   std::vector<UpstreamId> leavingUpstreams_;
+  std::vector<std::pair<UpstreamId, std::string>> foreignResponses_; ///< upstream, request id
   int pauseCount_ = 0;
   int ignoredPauseCount_ = 0;
   bool throwsOnAttemptStarted_ = false;
--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -371,6 +371,7 @@
       pending.waitsForDescriptor_ ? AttemptFailure::LocalLimit : AttemptFailure::Timeout;
     if (const ClientConnection* const connection = pending.connection_) {
       result.newConnection_ = connection->HasNoResponseYet();
+      result.foreignResponseSkipped_ = connection->ForeignResponseSkipped();
       if (!connection->Connected()) {
         result.failure_ = AttemptFailure::ConnectFailed;
       } else {
--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -58,9 +58,17 @@
   Response response_;          ///< valid when outcome_ is Answered
   Duration latency_{};         ///< from Send() to the result, including the wait for a connection
   bool newConnection_ = false; ///< the connection had received no response before
+  bool foreignResponseSkipped_ = false;          ///< a response to another request came first
   ConnectionId connection_ = ConnectionId::None; ///< None if the request was assigned none
 };
 
+/// @return true if a response to another request, or a part of it, arrived
+inline bool
+HasForeignResponse(const SendResult& aResult)
+{
+  return aResult.foreignResponseSkipped_ || aResult.failure_ == AttemptFailure::MixedResponse;
+}
+
 /// Identifies a request of one Client; values are never reused.
 enum class SendId : std::uint64_t
 {
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -208,6 +208,7 @@
   result.outcome_ = Outcome::Answered;
   result.response_ = reader_->Take();
   result.newConnection_ = responseCount_ == 1;
+  result.foreignResponseSkipped_ = foreignResponseSkipped_;
   request_ = nullptr;
   if (!reusable) {
     stream_->Close();
@@ -222,6 +223,7 @@
   result.outcome_ = OutcomeIfAborted();
   result.failure_ = aFailure;
   result.newConnection_ = HasNoResponseYet();
+  result.foreignResponseSkipped_ = foreignResponseSkipped_;
   request_ = nullptr;
   stream_->Close();
   handler_.OnRequestEnded(*this, std::move(result), false);
--- a/boragepier/http/client_connection.h
+++ b/boragepier/http/client_connection.h
@@ -66,6 +66,8 @@
   MonotonicTime RequestWriteTime() const { return requestWriteTime_; }
   /// @return true if no complete response has been received on this connection
   bool HasNoResponseYet() const { return responseCount_ == 0; }
+  /// @return true if a response to another request came before that of the request in flight
+  bool ForeignResponseSkipped() const { return foreignResponseSkipped_; }
 
 private:
   void OnConnected() override;
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -542,7 +542,9 @@
   const std::string foreign = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nold";
   peer.Send(foreign + foreign + "HTTP/1.1 200 OK\r\nX-Id: 2\r\n");
   peer.Send("Content-Length: 3\r\n\r\nnew");
-  STRCMP_EQUAL("new", Await(std::move(result)).response_.body_.Text().c_str());
+  const SendResult ended = Await(std::move(result));
+  STRCMP_EQUAL("new", ended.response_.body_.Text().c_str());
+  CHECK(ended.foreignResponseSkipped_);
   STRCMP_EQUAL("", peer.ReadToEnd().c_str());
   CHECK_EQUAL(0U, client.ConnectionCount());
 }
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -254,6 +254,14 @@
     "pause-ignored",
     "an upstream asked for a pause with a value that is no number of seconds up to an hour",
     "correct the Retry-After that the upstream sends" },
+  EventInfo{ EventId::ForeignResponse,
+             LogLevel::Warn,
+             "foreign-response",
+             "an upstream sent the response to another request, or a part of it, on the "
+             "connection of the given request (empty for a probe); with mixed the two cannot "
+             "be told apart, and the request got neither",
+             "restart the upstream if it repeats, and have it end a connection on which it "
+             "breaks a response off" },
   EventInfo{ EventId::PeerConnected,
              LogLevel::Info,
              "peer-connected",
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -60,6 +60,7 @@
   EntriesAwaited = 4013,
   UpstreamPaused = 4014,
   PauseIgnored = 4015,
+  ForeignResponse = 4016,
 
   PeerConnected = 5001,
   PeerLost = 5002,
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -86,6 +86,7 @@
     pauseCount_.fetch_add(1, std::memory_order_relaxed);
     pausedNs_.fetch_add(static_cast<std::uint64_t>(aAdded.count()), std::memory_order_relaxed);
   }
+  void OnForeignResponse() { foreignResponseCount_.fetch_add(1, std::memory_order_relaxed); }
   void OnPauseIgnored() { ignoredPauseCount_.fetch_add(1, std::memory_order_relaxed); }
   void OnEjection() { ejectionCount_.fetch_add(1, std::memory_order_relaxed); }
   void OnProbe(MonotonicTime aNow);
@@ -134,6 +135,7 @@
   std::atomic<std::uint64_t> pauseCount_ = 0;
   std::atomic<std::uint64_t> pausedNs_ = 0;
   std::atomic<std::uint64_t> ignoredPauseCount_ = 0;
+  std::atomic<std::uint64_t> foreignResponseCount_ = 0;
   std::atomic<std::uint64_t> probeCount_ = 0;
   std::atomic<double> probeBudgetPerSecond_ = 0;
   std::atomic<std::uint64_t> configVersion_ = 0;
--- a/boragepier/telemetry/metrics_test.cc
+++ b/boragepier/telemetry/metrics_test.cc
@@ -45,7 +45,9 @@
   }
   metrics.Service(ServiceName("b")).OnClaim(ClaimEvent::Replayed);
   metrics.Service(ServiceName()).OnAttemptFailure(AttemptFailure::Timeout);
+  metrics.Service(ServiceName("b")).OnForeignResponse();
   const std::string text = metrics.WritePrometheus(MonotonicTime());
+  CheckContains(text, "boragepier_foreign_responses_total{service=\"b\"} 1\n");
   CheckContains(text, "boragepier_requests_total{service=\"a\",outcome=\"not-run\"} 20000\n");
   CheckContains(text, "boragepier_requests_total{service=\"b\",outcome=\"not-run\"} 0\n");
   CheckContains(text, "boragepier_refusals_total{service=\"a\",reason=\"overloaded\"} 20000\n");
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -105,6 +105,10 @@
   MetricInfo{ "boragepier_ignored_pauses_total",
               "counter",
               "refusals of upstreams whose Retry-After is no number of seconds up to an hour" },
+  MetricInfo{ "boragepier_foreign_responses_total",
+              "counter",
+              "attempts and probes on whose connection a response to another request, or a part of "
+              "it, arrived" },
   MetricInfo{ "boragepier_probes_total", "counter", "probes sent to upstreams" },
   MetricInfo{ "boragepier_probe_budget_per_second",
               "gauge",
@@ -414,6 +418,9 @@
   WritePerService("boragepier_ignored_pauses_total", [](const Service& aService) {
     return LoadAsDouble(aService.ignoredPauseCount_);
   });
+  WritePerService("boragepier_foreign_responses_total", [](const Service& aService) {
+    return LoadAsDouble(aService.foreignResponseCount_);
+  });
   WritePerService("boragepier_probes_total",
                   [](const Service& aService) { return LoadAsDouble(aService.probeCount_); });
   WritePerService("boragepier_probe_budget_per_second",
