Take the bytes of two responses for none of them

Found beside it: an order that ran and failed is told as "not run" and sent to a second upstream, when its broken 500 is followed by the refusal of another request.

Cause: an upstream breaks an answer off, leaves the connection open, and sends another answer on it later. The parser takes both for one. Cut in the header, the second answer continues it, and its status line becomes the end of a field or of the reason phrase; the first request id matches, so the fields, the certificate "not run", the load and the body are those of another. Cut in the body, the second answer fills it up. The other way round, the true answer was swallowed by a broken copy, and its request waited for the time-out.

Why this works: every response begins with a status line, so a header of two has one inside a field or the reason, wherever the first was cut; parts of chunk headers and trailers likewise. In a body a status line may be quoted, so there it counts only if its header names a request, or if the bytes behind the body are no answer while one begins inside. Such a response ends the attempt as mixed-response with the outcome unknown and closes the connection.

--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -77,10 +77,11 @@
 /// HTTP/1.1 client with one connection pool per target. It uses boragepier/net for I/O and
 /// Boost.Beast for message framing. It never retries a request. A connection is reused only after a
 /// complete response that no further bytes follow, so a late response cannot be taken for that of
-/// another request. When a request times out on an open connection, the idle connections to its
-/// target without activity since the request was written are closed too. For a connection beyond
-/// SetMaxConnections(), or for which the process has no descriptor, an idle one to any target is
-/// closed first; if there is none, the request waits for one. Loop thread only.
+/// another request. A response that holds a part of another one fails as MixedResponse. When a
+/// request times out on an open connection, the idle connections to its target without activity
+/// since the request was written are closed too. For a connection beyond SetMaxConnections(), or
+/// for which the process has no descriptor, an idle one to any target is closed first; if there is
+/// none, the request waits for one. Loop thread only.
 class Client
 {
 public:
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -50,7 +50,7 @@
 {
   sendId_ = aId;
   request_ = std::move(aRequest);
-  requestIdField_ = aOptions.requestIdField_;
+  responseFields_ = { aOptions.requestIdField_ };
   maxResponseBodyBytes_ = aOptions.maxResponseBody_;
   ExpectResponse();
   bytesWrittenBefore_ = stream_->BytesWritten();
@@ -69,26 +69,21 @@
 void
 ClientConnection::ExpectResponse()
 {
-  reader_.emplace(request_->method_ == "HEAD", maxResponseBodyBytes_, budget_);
+  reader_.emplace(request_->method_ == "HEAD", maxResponseBodyBytes_, budget_, responseFields_);
 }
 
-// Whether a response names another request than the one in flight.
+// Skips the response that was read, or fails, unless it is that of the request in flight. Returns
+// false if it is.
 bool
-ClientConnection::IsForeign(const Response& aResponse) const
+ClientConnection::HandleUnlessOwn()
 {
-  if (requestIdField_.empty()) {
+  const std::string_view field = responseFields_.requestId_;
+  if (field.empty()) {
     return false;
   }
-  const auto expected = request_->headers_.Get(requestIdField_);
-  const auto id = aResponse.headers_.Get(requestIdField_);
-  return expected && !expected->empty() && id && *id != *expected;
-}
-
-// Returns false if the response that was read is that of the request in flight.
-bool
-ClientConnection::SkipForeignResponse()
-{
-  if (!IsForeign(reader_->GetResponse())) {
+  const std::string_view expected = request_->headers_.Get(field).value_or("");
+  const std::string_view id = reader_->GetResponse().headers_.Get(field).value_or("");
+  if (expected.empty() || id.empty() || id == expected) {
     return false;
   }
   if (reader_->KeepAlive()) {
@@ -155,7 +150,7 @@
         memoryTimer_.Set(loop_.Now() + kMemoryPollInterval);
         return;
       case ReadStatus::Complete:
-        if (!SkipForeignResponse()) {
+        if (!HandleUnlessOwn()) {
           OnComplete();
           return;
         }
@@ -186,7 +181,7 @@
              reader_->OnEndOfStream() == ReadStatus::Complete) {
     // A peer that ends its output while the request is still being written may reset the connection
     // next, and the response may lack its end.
-    if (!SkipForeignResponse()) {
+    if (!HandleUnlessOwn()) {
       OnComplete();
     }
   } else {
--- a/boragepier/http/client_connection.h
+++ b/boragepier/http/client_connection.h
@@ -77,8 +77,7 @@
   void ReadResponse();
   void WriteCurrentRequest();
   void ExpectResponse();
-  bool IsForeign(const Response& aResponse) const;
-  bool SkipForeignResponse();
+  bool HandleUnlessOwn();
   void OnComplete();
   void Fail(AttemptFailure aFailure);
 
@@ -93,7 +92,7 @@
   net::DeadlineTimer memoryTimer_; ///< runs while the response waits for memory
   std::optional<ResponseReader> reader_;
   std::shared_ptr<const Request> request_; ///< null while idle
-  std::string_view requestIdField_;        ///< SendOptions::requestIdField_
+  ResponseFields responseFields_;
   std::size_t maxResponseBodyBytes_ = 0;
   bool foreignResponseSkipped_ = false;
   SendId sendId_{};
--- a/boragepier/http/response_reader.cc
+++ b/boragepier/http/response_reader.cc
@@ -1,5 +1,6 @@
 #include "boragepier/http/response_reader.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "boragepier/http/message_parser.h"
@@ -26,10 +27,12 @@
 
 ResponseReader::ResponseReader(bool aRequestIsHead,
                                std::size_t aMaxBodyBytes,
-                               std::shared_ptr<BodyBudget> aBudget)
+                               std::shared_ptr<BodyBudget> aBudget,
+                               const ResponseFields& aFields)
   : requestIsHead_(aRequestIsHead)
   , maxBodyBytes_(aMaxBodyBytes)
   , budget_(std::move(aBudget))
+  , fields_(aFields)
 {
   Reset();
 }
@@ -41,6 +44,7 @@
 {
   parser_ = std::make_unique<Parser>(kMaxResponseHeaderBytes, maxBodyBytes_);
   parser_->BeastParser().skip(requestIsHead_);
+  embeddedResponse_.emplace(fields_.requestId_);
   charge_ = BodyCharge(budget_, BodyUse::Response);
 }
 
@@ -51,8 +55,54 @@
   return ReadStatus::Failed;
 }
 
+ReadStatus
+ResponseReader::FailMalformed(const InputBuffer& aInput)
+{
+  // The line that cannot be parsed may be where another response begins. The status line of this
+  // response is at the front of the input as long as none of it was consumed.
+  const std::size_t from = parser_->Started() ? 0 : 1;
+  return Fail(FindStatusLine(aInput.View(), from) == std::string_view::npos
+                ? AttemptFailure::MalformedResponse
+                : AttemptFailure::MixedResponse);
+}
+
+// Whether the header consists of parts of two responses: the status line of the second one is the
+// end of a field or of the reason of the first, or fields occur twice.
+bool
+ResponseReader::HeaderIsMixed() const
+{
+  const auto& message = parser_->BeastParser().get();
+  if (FindStatusLine(FromBeast(message.reason())) != std::string_view::npos) {
+    return true;
+  }
+  for (const auto& field : message) {
+    if (FindStatusLine(FromBeast(field.value())) != std::string_view::npos) {
+      return true;
+    }
+  }
+  return !fields_.requestId_.empty() && message.count(ToBeast(fields_.requestId_)) > 1;
+}
+
+// Whether the body that was read up to now is filled up by another response.
+bool
+ResponseReader::BodyIsMixed(std::string_view aUnread)
+{
+  const std::string_view body = parser_->BeastParser().get().body();
+  return embeddedResponse_->Update(body) ||
+         (parser_->IsDone() && embeddedResponse_->ContinuesAfter(body, aUnread));
+}
+
 ReadStatus
 ResponseReader::Read(InputBuffer& aInput)
+{
+  const ReadStatus status = Continue(aInput);
+  return status == ReadStatus::NeedMore && parser_->HeaderDone() && BodyIsMixed({})
+           ? Fail(AttemptFailure::MixedResponse)
+           : status;
+}
+
+ReadStatus
+ResponseReader::Continue(InputBuffer& aInput)
 {
   for (;;) {
     if (!parser_->Charge(charge_)) {
@@ -67,6 +117,9 @@
       case ParseStatus::Progress:
         break;
       case ParseStatus::HeaderDone:
+        if (HeaderIsMixed()) {
+          return Fail(AttemptFailure::MixedResponse);
+        }
         if (parser_->BeastParser().get().result_int() / 100 == 1) {
           if (parser_->BeastParser().get().result_int() == 101 ||
               ++interimResponseCount_ > kMaxInterimResponses) {
@@ -79,16 +132,16 @@
           return Fail(AttemptFailure::MalformedResponse);
         }
         if (parser_->IsDone()) {
-          return Complete();
+          return Complete(aInput.View());
         }
         break;
       case ParseStatus::Complete:
-        return Complete();
+        return Complete(aInput.View());
       case ParseStatus::HeaderTooLarge:
       case ParseStatus::BodyTooLarge:
         return Fail(AttemptFailure::ResponseTooLarge);
       case ParseStatus::Malformed:
-        return Fail(AttemptFailure::MalformedResponse);
+        return FailMalformed(aInput);
     }
   }
 }
@@ -106,9 +159,15 @@
   return response_.status_ >= 200 && response_.status_ <= kMaxStatus;
 }
 
+// aUnread holds the bytes that have arrived after the response.
 ReadStatus
-ResponseReader::Complete()
+ResponseReader::Complete(std::string_view aUnread)
 {
+  // The trailer is among the fields now.
+  const bool hasTrailer = parser_->BeastParser().chunked();
+  if ((hasTrailer && HeaderIsMixed()) || BodyIsMixed(aUnread)) {
+    return Fail(AttemptFailure::MixedResponse);
+  }
   keepAlive_ = parser_->BeastParser().keep_alive();
   response_.body_ = parser_->TakeBody(std::move(charge_));
   return ReadStatus::Complete;
@@ -128,7 +187,7 @@
   }
   beast::error_code error;
   parser_->BeastParser().put_eof(error);
-  return error ? Fail(AttemptFailure::Truncated) : Complete();
+  return error ? Fail(AttemptFailure::Truncated) : Complete({});
 }
 
 Response
--- a/testing/e2e/store_fleet.h
+++ b/testing/e2e/store_fleet.h
@@ -15,18 +15,21 @@
 
 namespace boragepier::testing {
 
-/// A stand-in of the users' store, and instances of the real binary with the binding to it. There
-/// are no upstreams: a request to a route gets 503, any other one 404.
+/// A stand-in of the users' store, and instances of the real binary with the binding to it. Until
+/// the test registers upstreams, a request to a route gets 503, any other one 404.
 class StoreFleet
 {
 public:
   /// Writes a configuration and starts the instances.
-  StoreFleet(std::size_t aInstances, const std::string& aConfig)
+  /// @param aMoreSettings further sections of their settings
+  StoreFleet(std::size_t aInstances,
+             const std::string& aConfig,
+             const std::string& aMoreSettings = "")
   {
     Publish(aConfig);
     for (std::size_t i = 0; i < aInstances; ++i) {
       settings_.push_back(
-        std::make_unique<StoreSettings>("front-" + std::to_string(i), storePort_));
+        std::make_unique<StoreSettings>("front-" + std::to_string(i), storePort_, aMoreSettings));
       instances_.push_back(std::make_unique<ChildProcess>(
         BORAGEPIER_BINARY, std::vector<std::string>{ "--settings", settings_.back()->Path() }));
       ports_.push_back(instances_.back()->ReadPort("listening"));
@@ -47,6 +50,7 @@
     RunWithStore([&](auto& aStore) { aStore.Put("op", "config", aConfig); });
   }
 
+  ChildProcess& Instance(std::size_t aIndex) { return *instances_.at(aIndex); }
   /// @return the ports of the instances for callers
   const std::vector<std::uint16_t>& Ports() const { return ports_; }
 
--- a/testing/e2e/store_settings.h
+++ b/testing/e2e/store_settings.h
@@ -21,8 +21,11 @@
 public:
   /// @param aInstance id of the instance
   /// @param aStorePort port of the store on 127.0.0.1
+  /// @param aMore further sections
   /// @throws ChildProcessError if the file cannot be created
-  StoreSettings(const std::string& aInstance, std::uint16_t aStorePort)
+  StoreSettings(const std::string& aInstance,
+                std::uint16_t aStorePort,
+                const std::string& aMore = "")
   {
     std::string path = (std::filesystem::temp_directory_path() / "boragepier-XXXXXX").string();
     const int descriptor = ::mkstemp(path.data());
@@ -33,7 +36,8 @@
     path_ = path;
     std::ofstream(path_) << "[instance]\nid = " << aInstance
                          << "\nzone = a\n[store]\naddress = 127.0.0.1:" << aStorePort
-                         << "\n[fleet]\nfirst-start = true\n";
+                         << "\n[fleet]\nfirst-start = true\n"
+                         << aMore;
   }
   ~StoreSettings()
   {
