Accept no response in which a field that decides something occurs twice

What callers could see: a response with two request ids, signatures, load reports or certificates "not run" was taken at the first of them, so a part of another response that is not found by its status line could decide whether an order is sent again, or where later requests go.

Cause: Headers::Get() returns the first value, and nothing counted them.

Now the dialect names the fields that occur once, ResponseReader counts them, and a second one ends the attempt as mixed-response and closes the connection.

--- a/boragepier/entry/call.h
+++ b/boragepier/entry/call.h
@@ -499,9 +499,7 @@
     sendOptions.recentlyActiveOnly_ = requestInfo_.repeatability_ == Repeatability::AtMostOnce;
     sendOptions.maxResponseBody_ = serviceConfig_->maxResponseBody_;
     sendOptions.excludedConnections_ = usedConnections_;
-    if (deps_.dialect_.callerSetsRequestId_) {
-      sendOptions.requestIdField_ = deps_.dialect_.requestIdField_;
-    }
+    deps_.dialect_.SetResponseFields(sendOptions);
 
     const std::size_t index = attempts_.size();
     attempts_.push_back({ aUpstream, endpoint, {}, now, true });
--- a/boragepier/entry/wire_dialect.cc
+++ b/boragepier/entry/wire_dialect.cc
@@ -57,6 +57,16 @@
   }
 }
 
+void
+WireDialect::SetResponseFields(http::SendOptions& aOptions) const
+{
+  aOptions.singleFields_ = singleFields_;
+  // Upstreams name the request only where callers set the id.
+  if (callerSetsRequestId_) {
+    aOptions.requestIdField_ = requestIdField_;
+  }
+}
+
 const WireDialect&
 NativeDialect()
 {
@@ -67,6 +77,9 @@
     .idempotencyKeyField_ = std::string(kIdempotencyKeyHeader),
     .signatureField_ = {},
     .expectedUpstreamField_ = {},
+    .singleFields_ = { std::string(kLoadHeader),
+                       std::string(kDrainingHeader),
+                       std::string(kNotRunHeader) },
     .callerKeyField_ = {},
     .teamField_ = {},
     .promisesNotRun_ = NoStatusPromisesNotRun,
--- a/boragepier/entry/wire_dialect.h
+++ b/boragepier/entry/wire_dialect.h
@@ -4,9 +4,11 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "boragepier/config/upstream_endpoint.h"
 #include "boragepier/decision/service_balancer.h"
+#include "boragepier/http/client.h"
 #include "boragepier/http/message.h"
 
 namespace boragepier {
@@ -55,6 +57,9 @@
   bool bodiesAreNotEncoded_ = false;
   /// Id of the upstream that a request is meant for, so that another one can refuse it.
   std::string expectedUpstreamField_;
+  /// Fields of responses that have one value. A response in which one of them occurs twice consists
+  /// of parts of two.
+  std::vector<std::string> singleFields_;
   /// Key by which a caller identifies itself as one of a team. Never passed on.
   std::string callerKeyField_;
   /// Name of the team of the caller, set towards upstreams.
@@ -73,6 +78,10 @@
   /// @return whether a response to a probe comes from the probed upstream; also true if it does not
   ///   identify its sender
   bool (*isFromUpstream_)(const http::Response&, const UpstreamEndpoint&) = nullptr;
+
+  /// Sets by which fields the response to a request or a probe is told from others.
+  /// @param aOptions refers to texts of this object afterwards
+  void SetResponseFields(http::SendOptions& aOptions) const;
 };
 
 /// @return the dialect of boragepier's own interface, see docs/interface.md
--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,8 @@
   /// not used again. Refers to a text that outlives the request. If empty, or if the request has no
   /// value, the next response is that of this request.
   std::string_view requestIdField_ = {};
+  /// Header fields that a response has at most once. They outlive the request.
+  std::span<const std::string> singleFields_ = {};
   std::size_t maxConnections_ = 200;      ///< to this target; at the limit, requests wait
   std::size_t maxResponseBody_ = 8 << 20; ///< bytes
 };
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -50,7 +50,7 @@
 {
   sendId_ = aId;
   request_ = std::move(aRequest);
-  responseFields_ = { aOptions.requestIdField_ };
+  responseFields_ = { aOptions.requestIdField_, aOptions.singleFields_ };
   maxResponseBodyBytes_ = aOptions.maxResponseBody_;
   ExpectResponse();
   bytesWrittenBefore_ = stream_->BytesWritten();
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -909,4 +909,23 @@
   }
 }
 
+// Guards against a field that decides something and has two values, of which one is that of another
+// answer.
+TEST(Client, RepeatedFieldIsNoAnswer)
+{
+  ClientFixture client;
+  const std::vector<std::string> singleFields = { "X-Load", "X-Not-Run" };
+  client.options_.requestIdField_ = "X-Id";
+  client.options_.singleFields_ = singleFields;
+  for (const std::string repeated : { "X-Id: 2\r\n", "X-Id: 1\r\n", "x-load: 1,0,2\r\n" }) {
+    const SendResult result =
+      client.Respond({ MakeResponse("200 OK", "2", "its body", "X-Load: 0,0,2\r\n" + repeated) });
+    CheckFailure(result, Outcome::Unknown, AttemptFailure::MixedResponse);
+  }
+  CHECK_EQUAL(0U, client.ConnectionCount());
+  CheckResponse(client.Respond({ MakeResponse("200 OK", "2", "its body", "X-A: 1\r\nX-A: 1\r\n") }),
+                200,
+                "its body");
+}
+
 } // namespace boragepier::http
--- a/boragepier/http/response_reader.cc
+++ b/boragepier/http/response_reader.cc
@@ -80,7 +80,9 @@
       return true;
     }
   }
-  return !fields_.requestId_.empty() && message.count(ToBeast(fields_.requestId_)) > 1;
+  const auto isRepeated = [&](std::string_view aName) { return message.count(ToBeast(aName)) > 1; };
+  return (!fields_.requestId_.empty() && isRepeated(fields_.requestId_)) ||
+         std::ranges::any_of(fields_.single_, isRepeated);
 }
 
 // Whether the body that was read up to now is filled up by another response.
--- a/boragepier/http/response_reader.h
+++ b/boragepier/http/response_reader.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,8 @@
 {
   /// Field in which a response names its request. If empty, responses name none.
   std::string_view requestId_;
+  /// Fields that a response has at most once.
+  std::span<const std::string> single_;
 };
 
 /// Parses the final response to one request and skips interim responses (1xx). Fails as
