Tell answers to probes from answers to requests on one connection

What callers could see: an order that ran is answered 502, because a late second answer came before the probe on its connection. The probe took it for its own, whatever its id, with the load of the past, and the probe's true answer then met the next order, which has an id and found none.

Cause: only requests with an id told answers apart. A response without an id belonged to whoever waited, and a response that failed this check afterwards left its connection in the pool.

Now probes name the request id field too. A request without an id takes only a response without one and skips others. After such a response, a further one without an id may be its second copy, so a request with an id skips it. Otherwise a response without the id ends the attempt as malformed-response and the connection is closed.

Tests, all failed on: Client.RequestsWithAndWithoutIdShareAConnection (the body of the other answer), Client.ResponseWithoutIdIsNoAnswer (delivered).

--- a/boragepier/entry/balancer_driver.h
+++ b/boragepier/entry/balancer_driver.h
@@ -108,6 +108,7 @@
     http::SendOptions options;
     options.timeout_ = kProbeTimeout;
     options.recentlyActiveOnly_ = aProvenConnectionOnly;
+    deps_.dialect_.SetResponseFields(options);
     deps_.sender_.Send({ endpoint->address_, endpoint->port_ },
                        std::move(request),
                        options,
--- a/boragepier/entry/cold_upstream_test.cc
+++ b/boragepier/entry/cold_upstream_test.cc
@@ -145,4 +145,22 @@
   CHECK(!IsLimited());
 }
 
+// Guards against a probe that takes a late second answer to a request for its own: its dialect has
+// to tell them apart as it does for requests.
+TEST(ColdUpstreams, ResponsesToProbesAreToldFromThoseToRequests)
+{
+  dialect_.callerSetsRequestId_ = true;
+  const std::size_t probe = BeginProbe();
+  const http::SendOptions& options = sender_.sentRequests_[probe].options_;
+  CHECK(options.requestIdField_ == dialect_.requestIdField_);
+  CHECK(options.singleFields_.data() == dialect_.singleFields_.data());
+  CHECK(!dialect_.singleFields_.empty());
+  http::SendResult result;
+  result.outcome_ = Outcome::Answered;
+  result.foreignResponseSkipped_ = true;
+  sender_.sentRequests_[probe].done_(std::move(result));
+  CHECK_EQUAL(1U, observer_.foreignResponses_.size());
+  STRCMP_EQUAL("", observer_.foreignResponses_.front().second.c_str());
+}
+
 } // namespace boragepier
--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -44,8 +44,8 @@
   std::vector<ConnectionId> excludedConnections_ = {};
   /// Header field in which a response names its request, with the same value as in the request. A
   /// response with another value, such as a late second answer, is skipped, and the connection is
-  /// not used again. Refers to a text that outlives the request. If empty, or if the request has no
-  /// value, the next response is that of this request.
+  /// not used again. A request without a value is answered by a response without one. Refers to a
+  /// text that outlives the request. If empty, the next response is that of this request.
   std::string_view requestIdField_ = {};
   /// Header fields that a response has at most once. They outlive the request.
   std::span<const std::string> singleFields_ = {};
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -83,10 +83,13 @@
   }
   const std::string_view expected = request_->headers_.Get(field).value_or("");
   const std::string_view id = reader_->GetResponse().headers_.Get(field).value_or("");
-  if (expected.empty() || id.empty() || id == expected) {
+  if (id == expected) {
+    answeredWithoutId_ = answeredWithoutId_ || id.empty();
     return false;
   }
-  if (reader_->KeepAlive()) {
+  // One without an id may be a second response to an earlier request without an id.
+  const bool isForeign = !id.empty() || answeredWithoutId_;
+  if (isForeign && reader_->KeepAlive()) {
     foreignResponseSkipped_ = true;
     ExpectResponse();
   } else {
--- a/boragepier/http/client_connection.h
+++ b/boragepier/http/client_connection.h
@@ -93,6 +93,7 @@
   std::optional<ResponseReader> reader_;
   std::shared_ptr<const Request> request_; ///< null while idle
   ResponseFields responseFields_;
+  bool answeredWithoutId_ = false; ///< by a response without an id to a request without one
   std::size_t maxResponseBodyBytes_ = 0;
   bool foreignResponseSkipped_ = false;
   SendId sendId_{};
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -928,4 +928,44 @@
                 "its body");
 }
 
+// Guards against a probe that takes a late second answer for its own, and against an order that is
+// answered with the second answer to a probe, or fails because of it.
+TEST(Client, RequestsWithAndWithoutIdShareAConnection)
+{
+  ClientFixture client;
+  client.options_.requestIdField_ = "X-Id";
+  const std::string order = MakeResponse("200 OK", "2", "order");
+  const auto probeResponse = [](std::string_view aBody) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+           std::string(aBody);
+  };
+  for (const bool probeFirst : { false, true }) {
+    client.requestId_ = probeFirst ? "" : "2";
+    auto first = client.Send();
+    RawSocket peer = client.listener_.Accept();
+    peer.ReadMessage();
+    peer.Send(probeFirst ? probeResponse("probe") : order);
+    CheckResponse(Await(std::move(first)), 200, probeFirst ? "probe" : "order");
+    client.requestId_ = probeFirst ? "2" : "";
+    auto second = client.Send();
+    peer.ReadMessage();
+    peer.Send(probeFirst ? probeResponse("late") + order : order + probeResponse("probe"));
+    const SendResult result = Await(std::move(second));
+    CheckResponse(result, 200, probeFirst ? "order" : "probe");
+    CHECK(result.foreignResponseSkipped_);
+    STRCMP_EQUAL("", peer.ReadToEnd().c_str());
+  }
+}
+
+// Guards against using a connection again whose peer does not say which request it answered.
+TEST(Client, ResponseWithoutIdIsNoAnswer)
+{
+  ClientFixture client;
+  client.options_.requestIdField_ = "X-Id";
+  CheckFailure(client.Respond({ std::string(kOkResponse) }),
+               Outcome::Unknown,
+               AttemptFailure::MalformedResponse);
+  CHECK_EQUAL(0U, client.ConnectionCount());
+}
+
 } // namespace boragepier::http
