Show when an instance's data is out of date, and from whom it should come

Neither logs nor metrics told whether an instance that refuses a new route is behind because the store fails, because its transfer from another instance does not end, or because it takes old data for fresh.

--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -25,6 +25,17 @@
 
 namespace boragepier {
 
+/// How up to date the data of a DirectoryWatch is, and where it comes from.
+struct DirectoryFreshness
+{
+  /// Time since the store was last known to hold nothing newer. Nothing without data.
+  std::optional<Duration> age_;
+  RelayLevel level_ = RelayLevel::Leaf;
+  std::optional<InstanceId> source_; ///< instance that is followed, if there is one
+  bool storeFailing_ = false;        ///< the last call to the store failed
+  bool receiving_ = false;           ///< a transfer from the source is not complete
+};
+
 /// Keeps a DirectoryState up to date from a store that many instances share.
 ///
 /// One instance, the root, reads the store with long polls. The others receive the changes over
@@ -144,6 +155,21 @@
 
   const DirectoryState& State() const { return state_; }
 
+  DirectoryFreshness Freshness() const
+  {
+    DirectoryFreshness freshness;
+    if (const auto confirmedAt = view_.ConfirmedAt()) {
+      freshness.age_ = scheduler_.Now() - *confirmedAt;
+    }
+    freshness.level_ = follower_.Role().level_;
+    if (const auto& source = follower_.Source()) {
+      freshness.source_ = source->id_;
+      freshness.receiving_ = view_.IsTransferringFrom(source->id_);
+    }
+    freshness.storeFailing_ = reader_.IsFailing();
+    return freshness;
+  }
+
 private:
   /// Number of sources that are tried before the store is read instead.
   static constexpr std::size_t kMaxSources = 5;
--- a/boragepier/directory/relay_tree.cc
+++ b/boragepier/directory/relay_tree.cc
@@ -142,6 +142,22 @@
 
 } // namespace
 
+std::string_view
+ToString(RelayLevel aLevel)
+{
+  switch (aLevel) {
+    case RelayLevel::Root:
+      return "root";
+    case RelayLevel::Head:
+      return "head";
+    case RelayLevel::Relay:
+      return "relay";
+    case RelayLevel::Leaf:
+      break;
+  }
+  return "leaf";
+}
+
 RelayRole
 ComputeRelayRole(std::span<const InstanceEntry> aInstances,
                  const InstanceEntry& aSelf,
--- a/boragepier/directory/relay_tree.h
+++ b/boragepier/directory/relay_tree.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "boragepier/ports/directory_feed.h"
@@ -18,6 +19,10 @@
   Leaf,
 };
 
+/// @return the name of the level, in small letters
+std::string_view
+ToString(RelayLevel aLevel);
+
 /// Role of one instance in the tree along which changes of the store are relayed.
 struct RelayRole
 {
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -217,6 +217,7 @@
   {
     const MonotonicTime now = loop_.Now();
     ReportUsage(now);
+    ReportFreshness();
     lastTickNs_ = now.time_since_epoch().count();
     loop_.After(kTickInterval, [this] { RunEverySecond(); });
     ReportSuppressedEvents();
@@ -250,8 +251,25 @@
     reportedBytesSent_ = bytesSent;
   }
 
+  void ReportFreshness()
+  {
+    const DirectoryFreshness freshness = watch_->Freshness();
+    const Duration age = freshness.age_.value_or(Duration(0));
+    metrics_.SetDirectoryAge(age);
+    if (age > kReportedDataAge) {
+      Log(EventId::DirectoryStale,
+          { { "source", freshness.source_ ? freshness.source_->View() : "none" },
+            { "ageMs", age },
+            { "role", ToString(freshness.level_) },
+            { "storeFailing", freshness.storeFailing_ },
+            { "receiving", freshness.receiving_ } });
+    }
+  }
+
   static constexpr Duration kTickInterval = std::chrono::seconds(1);
   static constexpr Duration kReportedDelay = std::chrono::milliseconds(250);
+  /// Older than any bound of DirectoryTiming allows while the store or a source answers.
+  static constexpr Duration kReportedDataAge = std::chrono::seconds(2);
 
   Metrics& metrics_;
   const RoutingCallback onRoutingTable_;
--- a/boragepier/telemetry/events.cc
+++ b/boragepier/telemetry/events.cc
@@ -335,6 +335,14 @@
              "configuration and upstreams were complete for the first time since the start; the "
              "fields give the number of upstreams and of other instances",
              "no action needed" },
+  EventInfo{
+    EventId::DirectoryStale,
+    LogLevel::Warn,
+    "directory-stale",
+    "the instance may miss changes of configuration and upstreams: for the given time neither "
+    "the store nor another instance has confirmed its data; written once a second meanwhile",
+    "look at its source and at what it reaches; if other instances are up to date and it "
+    "reaches them, report the fault with these lines" },
   EventInfo{ EventId::RequestRefused,
              LogLevel::Debug,
              "request-refused",
--- a/boragepier/telemetry/events.h
+++ b/boragepier/telemetry/events.h
@@ -75,6 +75,7 @@
   ZoneRestored = 5011,
   StoreRestored = 5012,
   DirectoryLoaded = 5013,
+  DirectoryStale = 5014,
 
   RequestRefused = 6001,
   RequestOutcomeUnknown = 6002,
--- a/boragepier/telemetry/metrics.h
+++ b/boragepier/telemetry/metrics.h
@@ -221,6 +221,8 @@
   /// @param aCpuTime CPU time of the control thread since the start of the process
   /// @param aBytesSent bytes that the control thread has sent to peers and the platform since then
   void SetControlThreadUsage(Duration aCpuTime, std::uint64_t aBytesSent);
+  /// @param aAge time since the store was last known to hold nothing newer; 0 without data
+  void SetDirectoryAge(Duration aAge) { directoryAgeNs_ = aAge.count(); }
 
   /// @return all metrics in the Prometheus text format 0.0.4
   std::string WritePrometheus(MonotonicTime aNow) const;
@@ -264,6 +266,7 @@
   std::atomic<std::uint64_t> quotaSilences_ = 0;
   std::atomic<std::int64_t> controlThreadCpuNs_ = 0;
   std::atomic<std::uint64_t> controlThreadBytesSent_ = 0;
+  std::atomic<Duration::rep> directoryAgeNs_ = 0;
 };
 
 } // namespace boragepier
--- a/boragepier/telemetry/metrics_test.cc
+++ b/boragepier/telemetry/metrics_test.cc
@@ -66,6 +66,7 @@
   metrics.SetPeerCount(3);
   metrics.SetReady(true);
   metrics.SetControlThreadUsage(std::chrono::milliseconds(1500), 77);
+  metrics.SetDirectoryAge(std::chrono::milliseconds(2500));
   metrics.Service(ServiceName("a")).SetConfigVersion(9);
   const std::string text = metrics.WritePrometheus(MonotonicTime());
   for (const MetricInfo& info : MetricCatalogue()) {
@@ -75,6 +76,7 @@
   CheckContains(text, "\nboragepier_ready 1\n");
   CheckContains(text, "\nboragepier_control_processor_seconds_total 1.5\n");
   CheckContains(text, "\nboragepier_control_bytes_total 77\n");
+  CheckContains(text, "\nboragepier_directory_age_seconds 2.5\n");
   CheckContains(text, "\nboragepier_config_version{service=\"a\"} 9\n");
 }
 
--- a/boragepier/telemetry/prometheus_writer.cc
+++ b/boragepier/telemetry/prometheus_writer.cc
@@ -55,6 +55,10 @@
               "counter",
               "CPU time of the control thread" },
   MetricInfo{ "boragepier_control_bytes_total", "counter", "bytes sent by the control thread" },
+  MetricInfo{ "boragepier_directory_age_seconds",
+              "gauge",
+              "time since the store was last known to hold nothing newer than the instance; 0 "
+              "without data" },
   MetricInfo{ "boragepier_routing_tables_total",
               "counter",
               "changes of the routes, services, upstreams or instances that were applied" },
@@ -316,6 +320,8 @@
   WriteGauge("boragepier_control_processor_seconds_total",
              static_cast<double>(metrics_.controlThreadCpuNs_.load()) / 1e9);
   WriteGauge("boragepier_control_bytes_total", LoadAsDouble(metrics_.controlThreadBytesSent_));
+  WriteGauge("boragepier_directory_age_seconds",
+             static_cast<double>(metrics_.directoryAgeNs_.load()) / 1e9);
   WriteGauge("boragepier_routing_tables_total", LoadAsDouble(metrics_.routingTableCount_));
   WriteGauge("boragepier_built_routes_total", LoadAsDouble(metrics_.builtRouteCount_));
 }
