Follow any instance that has fresh data if there is no source

Cause: an instance had two ways out, and each could be closed. It asked only its preferred source, every 4 s, and gave up what that one sent in several messages, because a transfer was kept only from the current source, which it could not become while the data was old. And its reads of the store failed. The root had no source at all.

Now an instance without a source whose data is too old asks others at random and follows the first one with fresh data; a source stays in use while it sends rows, however old the data is; the root takes part while the store does not answer it, and confirms nothing to its subscribers meanwhile.

--- a/boragepier/directory/directory_timing.h
+++ b/boragepier/directory/directory_timing.h
@@ -44,10 +44,10 @@
   /// If the data of a relay or leaf is this close to its bound, it changes to the next source.
   Duration sourceChangeMargin_ = std::chrono::milliseconds(300);
   /// A transfer of rows in several messages is in progress if its last message arrived less than
-  /// this ago. Its source is kept, and the store is not read, although the data is too old
-  /// meanwhile.
+  /// this ago. Its source is kept although the data is too old meanwhile.
   Duration transferTimeout_ = std::chrono::milliseconds(300);
-  /// A transfer in progress extends the bounds on the age of the data by this at most.
+  /// By how much a transfer in progress raises the bound on the age of the data from which on the
+  /// store is read.
   Duration maxTransferExtension_ = std::chrono::milliseconds(500);
   /// A confirmation that moves the age of the data by less than this is not passed on at once.
   /// Subscribers then learn of it in reply to their next PeerSubscribe.
--- a/boragepier/directory/directory_watch.h
+++ b/boragepier/directory/directory_watch.h
@@ -45,6 +45,11 @@
 /// longer fresh (see DirectoryTiming::stalenessBound_), reads the store itself. It can do so at any
 /// time, so no instance depends on the tree.
 ///
+/// An instance that finds no source, and whose data the store does not confirm either, asks
+/// instances at random and follows the first one that has fresh data, wherever that is in the tree.
+/// The root does so too while the store does not answer it. So a change reaches every instance that
+/// reaches one that has it.
+///
 /// An instance that starts reads the list of instances and subscribes. It looks for a source that
 /// replies, and waits a short time for one that has no data itself, so that instances that start
 /// together do not all read the store. Those at the top of the tree wait the shortest time. An
@@ -191,6 +196,9 @@
                                      const auto& aError) { state_.OnUnreadable(aKey, aError); },
              .onCallEnded_ =
                [this] {
+                 if (!reader_.IsFailing()) {
+                   follower_.ReleaseAdopted();
+                 }
                  Publish();
                  subscribers_.SendChanges(Status(), scheduler_.Now());
                  ReportSource();
@@ -273,11 +281,7 @@
     });
   }
 
-  bool IsFresh() const
-  {
-    const auto confirmedAt = view_.ConfirmedAt();
-    return confirmedAt && scheduler_.Now() - *confirmedAt <= StalenessBound();
-  }
+  bool IsFresh() const { return !IsOlderThan(StalenessBound()); }
 
   Duration StalenessBound() const
   {
@@ -297,18 +301,37 @@
     if (!view_.HasRoutingData()) {
       return !IsAwaitingFirstData() || IsFirstReadDue();
     }
-    return !IsFresh() && !IsTransferInProgress() && !IsAwaitingEra();
+    return !IsFresh() && !IsTransferAwaited() && !IsAwaitingEra();
   }
 
-  // Whether the data will be up to date as soon as the current source has sent the rest of it. To
-  // ask another source, or the store, for the same rows would take longer.
+  // Whether the current source is sending rows. To ask another source for the same rows would take
+  // longer.
   bool IsTransferInProgress() const
   {
-    const MonotonicTime now = scheduler_.Now();
-    const auto confirmedAt = view_.ConfirmedAt();
     return follower_.Source() && view_.IsTransferringFrom(follower_.Source()->id_) &&
-           now - transferProgressAt_ <= timing_.transferTimeout_ && confirmedAt &&
-           now - *confirmedAt <= StalenessBound() + timing_.maxTransferExtension_;
+           scheduler_.Now() - transferProgressAt_ <= timing_.transferTimeout_;
+  }
+
+  // Whether a transfer in progress will probably make the data fresh sooner than the store could.
+  bool IsTransferAwaited() const
+  {
+    const auto confirmedAt = view_.ConfirmedAt();
+    return IsTransferInProgress() && confirmedAt &&
+           scheduler_.Now() - *confirmedAt <= StalenessBound() + timing_.maxTransferExtension_;
+  }
+
+  // Whether there is no source, and the data is older than that of an instance which reads the
+  // store. Any instance may then be the source.
+  bool IsSearchingSource() const
+  {
+    return instanceListRead_ && !follower_.Source() && !IsAwaitingFirstData() &&
+           IsOlderThan(timing_.stalenessBound_ - timing_.sourceChangeMargin_);
+  }
+
+  bool IsOlderThan(Duration aAge) const
+  {
+    const auto confirmedAt = view_.ConfirmedAt();
+    return !confirmedAt || scheduler_.Now() - *confirmedAt > aAge;
   }
 
   // Whether this instance has no data and leaves its sources more time to send it.
@@ -385,7 +408,9 @@
 
   ViewStatus Status() const
   {
-    if (reader_.IsFailing() || shuttingDown_) {
+    // The source of the root may be one of its own subscribers.
+    const bool rootFollows = follower_.Role().IsRoot() && follower_.Source();
+    if (reader_.IsFailing() || rootFollows || shuttingDown_) {
       return ViewStatus::Unconfirmed;
     }
     if (!view_.HasRoutingData() || view_.IsBehindEra()) {
@@ -424,17 +449,18 @@
     }
     // During a grace period another instance may know that the store was not down.
     const bool inGracePeriod = state_.InGracePeriod(now);
-    for (const InstanceEntry& source : follower_.Renewals(now, inGracePeriod)) {
+    const bool isSearching = IsSearchingSource();
+    for (const InstanceEntry& source : follower_.Renewals(now, inGracePeriod || isSearching)) {
       SendSubscribe(source, registrations);
     }
-    if (inGracePeriod && ActsAsRoot()) {
-      AskOthersForObservations();
+    if (isSearching || (inGracePeriod && ActsAsRoot())) {
+      AskOthers();
     }
   }
 
-  // Subscribes for a short time to some instances that are no sources, for the period in which they
-  // have observed the store. Their rows are ignored.
-  void AskOthersForObservations()
+  // Subscribes for a short time to some instances that are no sources: for the period in which they
+  // have observed the store, or to follow one of them. Their rows are ignored otherwise.
+  void AskOthers()
   {
     std::vector<InstanceEntry> others = state_.Instances();
     std::erase_if(others, [this](const InstanceEntry& aOther) { return aOther.id_ == self_.id_; });
@@ -497,7 +523,9 @@
       return false;
     }
     // The heads of the zones have no other source with newer data than the root.
-    return follower_.Role().level_ > RelayLevel::Head && IsNearlyStale(aNow) &&
+    const bool hasAlternative =
+      follower_.Role().level_ > RelayLevel::Head || !follower_.IsCandidate();
+    return hasAlternative && IsNearlyStale(aNow) &&
            follower_.IsInUseFor(timing_.sourceChangeMargin_, aNow);
   }
 
@@ -595,6 +623,9 @@
         (aStoreUpdate.storeAnswers_ || aStoreUpdate.pending_)) {
       follower_.OnFirstReply(aSender.id_, now);
     }
+    if (IsSearchingSource() && HoldsFreshData(aStoreUpdate)) {
+      AdoptSource(aSender.id_, now);
+    }
     if (!follower_.IsCurrent(aSender.id_) && !follower_.IsPreferred(aSender.id_)) {
       Publish();
       return;
@@ -640,6 +671,26 @@
     ReportSource();
   }
 
+  // Whether a message continues the routing topics with data that is up to date.
+  bool HoldsFreshData(const PeerStoreUpdate& aStoreUpdate) const
+  {
+    return aStoreUpdate.storeAnswers_ &&
+           std::all_of(kFeedTopics.begin(), kFeedTopics.end(), [&](FeedTopic aTopic) {
+             return !IsRoutingTopic(aTopic) ||
+                    aStoreUpdate.topics_[static_cast<std::size_t>(aTopic)].position_ > 0;
+           });
+  }
+
+  void AdoptSource(const InstanceId& aId, MonotonicTime aNow)
+  {
+    const std::vector<InstanceEntry> instances = state_.Instances();
+    const auto found = std::find_if(
+      instances.begin(), instances.end(), [&](const auto& aEntry) { return aEntry.id_ == aId; });
+    if (found != instances.end()) {
+      follower_.Adopt(*found, aNow);
+    }
+  }
+
   // --- directory state ---
 
   // Takes over what the sender of a message knows of outages of the store.
--- a/boragepier/directory/source_follower.h
+++ b/boragepier/directory/source_follower.h
@@ -42,6 +42,9 @@
   /// @return the current source, if there is one
   const std::optional<InstanceEntry>& Source() const { return source_; }
   bool IsCurrent(const InstanceId& aId) const { return source_ && source_->id_ == aId; }
+  /// @return whether the current source is one of the candidates, rather than one of an earlier
+  /// tree or one that was adopted
+  bool IsCandidate() const { return source_ && Find(source_->id_) != role_.sources_.end(); }
   bool IsPreferred(const InstanceId& aId) const
   {
     return !role_.sources_.empty() && role_.sources_.front().id_ == aId;
@@ -55,8 +58,7 @@
     if (!source_) {
       return;
     }
-    const auto current = std::find(role_.sources_.begin(), role_.sources_.end(), *source_);
-    // A source of an earlier tree is not among the candidates.
+    const auto current = Find(source_->id_);
     auto next = current == role_.sources_.end()
                   ? std::size_t{ 0 }
                   : static_cast<std::size_t>(current - role_.sources_.begin()) + 1;
@@ -71,6 +73,22 @@
     Select(next, aNow);
   }
 
+  /// Makes an instance the source that need not be a candidate, until SelectNext() or the preferred
+  /// one replaces it. To be called if there is no source.
+  void Adopt(const InstanceEntry& aSource, MonotonicTime aNow)
+  {
+    Follow(aSource, aNow);
+    replied_ = true;
+  }
+
+  /// Gives up the source of the root, which reads the store again.
+  void ReleaseAdopted()
+  {
+    if (role_.IsRoot()) {
+      source_.reset();
+    }
+  }
+
   /// Goes back to the first candidate if the current one is in another availability zone and the
   /// first one is not.
   void SkipSourcesOutside(const ZoneName& aZone, MonotonicTime aNow)
@@ -100,10 +118,7 @@
       replied_ = true;
       return;
     }
-    const auto found =
-      std::find_if(role_.sources_.begin(), role_.sources_.end(), [&](const InstanceEntry& aSource) {
-        return aSource.id_ == aSender;
-      });
+    const auto found = Find(aSender);
     if (source_ && !replied_ && found != role_.sources_.end()) {
       Select(static_cast<std::size_t>(found - role_.sources_.begin()), aNow);
       replied_ = true;
@@ -144,9 +159,18 @@
   }
 
 private:
-  void Select(std::size_t aIndex, MonotonicTime aNow)
+  std::vector<InstanceEntry>::const_iterator Find(const InstanceId& aId) const
+  {
+    return std::find_if(role_.sources_.begin(),
+                        role_.sources_.end(),
+                        [&](const InstanceEntry& aSource) { return aSource.id_ == aId; });
+  }
+
+  void Select(std::size_t aIndex, MonotonicTime aNow) { Follow(role_.sources_[aIndex], aNow); }
+
+  void Follow(const InstanceEntry& aSource, MonotonicTime aNow)
   {
-    source_ = role_.sources_[aIndex];
+    source_ = aSource;
     aliveAt_ = aNow;
     selectedAt_ = aNow;
     replied_ = false;
