Await a response of the store as long as it keeps arriving

An instance behind a slow link kept an old configuration (CONFIG): it began to read one with 4,000 routes, gave the response up after 1.5 s, and began anew every 2 s.

Cause: the time limit covered the whole response, so that it depended on the size of the configuration whether the store counted as unreachable.

--- a/boragepier/http/client.cc
+++ b/boragepier/http/client.cc
@@ -361,8 +361,25 @@
     DispatchWaiting(*aPending.pool_);
   }
 
+  // Returns until when a response that is arriving may go on beyond the timeout of its request.
+  static MonotonicTime ExtendedDeadline(const PendingRequest& aPending)
+  {
+    const Duration stallTimeout = aPending.options_.stallTimeout_;
+    if (aPending.connection_ == nullptr || stallTimeout <= Duration(0) ||
+        !aPending.connection_->ResponseStarted()) {
+      return {};
+    }
+    return std::min(aPending.connection_->LastInput() + stallTimeout,
+                    aPending.startTime_ + aPending.options_.maxTimeout_);
+  }
+
   void OnTimeout(SendId aId)
   {
+    PendingRequest& extended = pendingRequests_.at(aId);
+    if (const Duration left = ExtendedDeadline(extended) - loop_.Now(); left > Duration(0)) {
+      extended.timeoutTimer_ = loop_.After(left, [this, aId] { OnTimeout(aId); });
+      return;
+    }
     const auto node = pendingRequests_.extract(aId);
     const PendingRequest& pending = node.mapped();
     SendResult result;
--- a/boragepier/http/client.h
+++ b/boragepier/http/client.h
@@ -36,6 +36,10 @@
 struct SendOptions
 {
   Duration timeout_ = std::chrono::seconds(2); ///< from Send() to the end of the response
+  /// If positive, a response that has begun may end later than timeout_, as long as each of its
+  /// bytes arrives within this time after the one before.
+  Duration stallTimeout_{};
+  Duration maxTimeout_ = std::chrono::seconds(10); ///< limit of such a response, from Send() on
   /// Use only a new connection or one that received a complete response within
   /// Client::kRecentActivityWindow.
   bool recentlyActiveOnly_ = false;
--- a/boragepier/http/client_connection.cc
+++ b/boragepier/http/client_connection.cc
@@ -140,6 +140,7 @@
     handler_.OnIdleClosed(*this);
     return;
   }
+  lastInput_ = loop_.Now();
   input_.Append(aBytes);
   ReadResponse();
 }
--- a/boragepier/http/client_connection.h
+++ b/boragepier/http/client_connection.h
@@ -64,6 +64,10 @@
   MonotonicTime LastActivity() const { return lastActivity_; }
   /// @return time at which writing of the request in flight began
   MonotonicTime RequestWriteTime() const { return requestWriteTime_; }
+  /// @return true if a part of the response to the request in flight has been received
+  bool ResponseStarted() const { return requestWriteTime_ < lastInput_; }
+  /// @return time at which bytes last arrived
+  MonotonicTime LastInput() const { return lastInput_; }
   /// @return true if no complete response has been received on this connection
   bool HasNoResponseYet() const { return responseCount_ == 0; }
   /// @return true if a response to another request came before that of the request in flight
@@ -101,6 +105,7 @@
   std::uint64_t responseCount_ = 0;
   MonotonicTime lastActivity_{};
   MonotonicTime requestWriteTime_{};
+  MonotonicTime lastInput_{};
   bool connected_ = false;
 };
 
--- a/boragepier/http/client_test.cc
+++ b/boragepier/http/client_test.cc
@@ -1,5 +1,6 @@
 #include "boragepier/http/client.h"
 
+#include <thread>
 #include <vector>
 
 #include "boragepier/net/descriptor_shortage.h"
@@ -376,6 +377,55 @@
   LONGS_EQUAL(0, client.ConnectionCount());
 }
 
+// Guards against a long response that is given up and requested again, over and over, although it
+// arrives without a pause.
+TEST(Client, ResponseThatKeepsArrivingMayTakeLongerThanTheTimeout)
+{
+  ClientFixture client;
+  client.options_.timeout_ = milliseconds(50);
+  client.options_.stallTimeout_ = std::chrono::seconds(15);
+  client.options_.maxTimeout_ = std::chrono::seconds(30);
+  auto result = client.Send();
+  RawSocket peer = client.listener_.Accept();
+  peer.ReadMessage();
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+  for (int i = 0; i < 10; ++i) {
+    std::this_thread::sleep_for(milliseconds(10));
+    peer.Send("x");
+  }
+  CheckResponse(Await(std::move(result)), 200, "xxxxxxxxxx");
+}
+
+// Guards against a response that is awaited without end: one that has not begun, one that pauses,
+// and one that goes on for too long.
+TEST(Client, ResponseThatDoesNotArriveInTimeIsGivenUp)
+{
+  for (const bool begins : { false, true }) {
+    ClientFixture client;
+    client.options_.timeout_ = milliseconds(50);
+    client.options_.stallTimeout_ = milliseconds(100);
+    auto result = client.Send();
+    RawSocket peer = client.listener_.Accept();
+    peer.ReadMessage();
+    if (begins) {
+      peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nx");
+    }
+    CheckFailure(Await(std::move(result)), Outcome::Unknown, AttemptFailure::Timeout);
+  }
+  ClientFixture client;
+  client.options_.timeout_ = milliseconds(50);
+  client.options_.stallTimeout_ = std::chrono::seconds(15);
+  client.options_.maxTimeout_ = milliseconds(200);
+  auto result = client.Send();
+  RawSocket peer = client.listener_.Accept();
+  peer.ReadMessage();
+  peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n");
+  while (result.wait_for(milliseconds(10)) != std::future_status::ready) {
+    peer.Send("x");
+  }
+  CheckFailure(Await(std::move(result)), Outcome::Unknown, AttemptFailure::Timeout);
+}
+
 // Guards against reusing connections that went dead at the same time as the one that timed out, and
 // against closing those that received a response since.
 TEST(Client, TimeoutClosesIdleConnectionsWithoutLaterActivity)
