Let an instance that follows its preferred source again confirm its data

Instances went to another source, or read the store, because theirs confirmed nothing any more; no request failed.

CatchUp.InstancesReturnToTheirSourcesAfterACut failed on (after a cut of a head of 4 s, a follower of it stayed with the head of another zone), and passes now; the other tests of the directory pass, with the same calls to the store.

--- a/boragepier/directory/catch_up_test.cc
+++ b/boragepier/directory/catch_up_test.cc
@@ -101,6 +101,17 @@
     return found->id_;
   }
 
+  // Returns the source of each instance, empty if it has none.
+  std::map<InstanceId, std::string> Sources() const
+  {
+    std::map<InstanceId, std::string> sources;
+    for (const auto& [id, instance] : instances_) {
+      const auto source = instance->watch_.Freshness().source_;
+      sources[id] = source ? source->Text() : "";
+    }
+    return sources;
+  }
+
   std::size_t CountUpToDate(std::span<const InstanceId> aIds)
   {
     return static_cast<std::size_t>(std::count_if(
@@ -311,4 +322,20 @@
   CheckChangesInQuickSuccession();
 }
 
+// Guards against an instance that has followed another one for a while and confirms nothing to its
+// subscribers any more, so that they read the store or crowd elsewhere.
+TEST(CatchUp, InstancesReturnToTheirSourcesAfterACut)
+{
+  for (const RelayLevel level : { RelayLevel::Head, RelayLevel::Relay, RelayLevel::Leaf }) {
+    const auto before = Sources();
+    const InstanceId id = FirstOf(level);
+    CheckCatchUp(std::span(&id, 1), std::chrono::seconds(4), [&] { Publish(kFewRoutes); });
+    for (const auto& [follower, source] : Sources()) {
+      STRCMP_EQUAL_TEXT(before.at(follower).c_str(),
+                        source.c_str(),
+                        (follower.Text() + " after " + id.Text()).c_str());
+    }
+  }
+}
+
 } // namespace boragepier
--- a/boragepier/directory/source_follower.h
+++ b/boragepier/directory/source_follower.h
@@ -42,8 +42,11 @@
   /// @return the current source, if there is one
   const std::optional<InstanceEntry>& Source() const { return source_; }
   bool IsCurrent(const InstanceId& aId) const { return source_ && source_->id_ == aId; }
-  /// @return whether the current source was adopted rather than chosen from the candidates
-  bool IsAdopted() const { return source_ && adopted_; }
+  /// @return whether the current source was adopted and is not one of the candidates either
+  bool IsAdopted() const
+  {
+    return source_ && adopted_ && Find(source_->id_) == role_.sources_.end();
+  }
   bool IsPreferred(const InstanceId& aId) const
   {
     return !role_.sources_.empty() && role_.sources_.front().id_ == aId;
