--- a/boragepier/directory/catch_up_test.cc
+++ b/boragepier/directory/catch_up_test.cc
@@ -24,18 +24,9 @@
 constexpr double kLargeMbps = 200;
 constexpr int kUpstreamCount = 100;
 constexpr int kFewRoutes = 40;
+constexpr std::size_t kMaxSources = 5;
 constexpr Duration kApplyTime = std::chrono::milliseconds(2500);
 
-// Value of the row in the fake store: version, number of routes, and about as many bytes as the
-// configuration takes in the users' store.
-std::string
-ConfigRowValue(std::uint64_t aVersion, int aRouteCount)
-{
-  constexpr std::size_t kBytesPerRoute = 150;
-  return std::to_string(aVersion) + ' ' + std::to_string(aRouteCount) + ' ' +
-         std::string(kBytesPerRoute * static_cast<std::size_t>(aRouteCount), 'x');
-}
-
 } // namespace
 
 TEST_GROUP(CatchUp)
@@ -92,10 +83,15 @@
     }
   }
 
+  RelayLevel LevelOf(const InstanceEntry& aEntry) const
+  {
+    return ComputeRelayRole(entries_, aEntry, kMaxSources).level_;
+  }
+
   InstanceId FirstOf(RelayLevel aLevel) const
   {
     const auto found = std::find_if(entries_.begin(), entries_.end(), [&](const auto& aEntry) {
-      return ComputeRelayRole(entries_, aEntry, 5).level_ == aLevel;
+      return LevelOf(aEntry) == aLevel;
     });
     CHECK(found != entries_.end());
     return found->id_;
@@ -303,21 +299,20 @@
 TEST(CatchUp, InstanceThatTheStoreAnswersReadsItForTheOthers)
 {
   constexpr std::size_t kRunning = 4;
-  const InstanceId head = FirstOf(RelayLevel::Head);
-  const ZoneName zone = network_.links_.at(head).zone_;
-  std::size_t running = 1;
+  std::vector<InstanceId> running = { FirstOf(RelayLevel::Head) };
+  const ZoneName zone = network_.links_.at(running.front()).zone_;
   for (const InstanceEntry& entry : entries_) {
-    const bool isLeaf = ComputeRelayRole(entries_, entry, 5).level_ == RelayLevel::Leaf;
-    if (entry.id_ == head || (entry.zone_ == zone && isLeaf && running++ < kRunning)) {
-      store_.unansweredInstances_.insert(entry.id_);
-    } else {
-      instances_.at(entry.id_)->Stop(true);
+    if (running.size() < kRunning && entry.zone_ == zone && LevelOf(entry) == RelayLevel::Leaf) {
+      running.push_back(entry.id_);
+    }
+  }
+  for (const auto& [id, instance] : instances_) {
+    if (std::find(running.begin(), running.end(), id) == running.end()) {
+      instance->Stop(true);
     }
   }
-  const auto reader = std::find_if(entries_.begin(), entries_.end(), [&](const auto& aEntry) {
-    return aEntry.id_ != head && !instances_.at(aEntry.id_)->stopped_;
-  });
-  store_.unansweredInstances_.erase(reader->id_);
+  store_.unansweredInstances_.insert(running.begin(), running.end());
+  store_.unansweredInstances_.erase(running.at(1));
   scheduler_.Advance(std::chrono::seconds(20)); // until they have found each other
   CheckChangesInQuickSuccession();
 }
--- a/boragepier/directory/config_random_test.cc
+++ b/boragepier/directory/config_random_test.cc
@@ -57,10 +57,7 @@
   {
     const int routes = 1 + static_cast<int>(aRandom(kMaxRoutes));
     routeCounts_[++version_] = routes;
-    store_.Put(FeedTopic::Configuration,
-               "config",
-               std::to_string(version_) + ' ' + std::to_string(routes) + ' ' +
-                 std::string(static_cast<std::size_t>(routes) * 150, 'x'));
+    store_.Put(FeedTopic::Configuration, "config", ConfigRowValue(version_, routes));
   }
 
   // Each instance has exactly the routes of one version, and never one before another.
@@ -101,6 +98,7 @@
     scheduler_.Advance(kApplyTime);
     CheckConfigurations();
     for (const auto& [id, instance] : running_) {
+      // One without a configuration has no older version to act on.
       if (instance->watch_.State().ConfigVersion() > 0) {
         CHECK_EQUAL_TEXT(version_,
                          instance->watch_.State().ConfigVersion(),
--- a/boragepier/directory/config_relay_test.cc
+++ b/boragepier/directory/config_relay_test.cc
@@ -24,16 +24,6 @@
 constexpr int kFewRoutes = 40;
 constexpr int kManyRoutes = 4000;
 
-// Value of the row in the fake store: version, number of routes, and about as many bytes as the
-// configuration takes in the users' store.
-std::string
-ConfigRowValue(std::uint64_t aVersion, int aRouteCount)
-{
-  constexpr std::size_t kBytesPerRoute = 150;
-  return std::to_string(aVersion) + ' ' + std::to_string(aRouteCount) + ' ' +
-         std::string(kBytesPerRoute * static_cast<std::size_t>(aRouteCount), 'x');
-}
-
 } // namespace
 
 TEST_GROUP(ConfigRelay)
--- a/boragepier/directory/directory_fakes.h
+++ b/boragepier/directory/directory_fakes.h
@@ -54,6 +54,15 @@
   return { aKey, aVersion, false, aValue };
 }
 
+/// Value of the row of a configuration, with about as many bytes as it takes in the users' store.
+inline std::string
+ConfigRowValue(std::uint64_t aVersion, int aRouteCount)
+{
+  constexpr std::size_t kBytesPerRoute = 150;
+  return std::to_string(aVersion) + ' ' + std::to_string(aRouteCount) + ' ' +
+         std::string(kBytesPerRoute * static_cast<std::size_t>(aRouteCount), 'x');
+}
+
 inline std::string
 InstanceRowValue(const InstanceEntry& aInstance)
 {
--- a/boragepier/directory/source_follower.h
+++ b/boragepier/directory/source_follower.h
@@ -25,7 +25,7 @@
   /// Replaces the candidates after a change of the relay tree. The current source stays in use
   /// until the preferred one has confirmed its data, so that no instance is without a source
   /// because the list of instances changes.
-  /// @param aRole role of this instance; the root has no source
+  /// @param aRole role of this instance; the root has no candidates
   void SetRole(RelayRole aRole, MonotonicTime aNow)
   {
     role_ = std::move(aRole);
--- a/boragepier/entry/directory_thread.h
+++ b/boragepier/entry/directory_thread.h
@@ -268,7 +268,8 @@
 
   static constexpr Duration kTickInterval = std::chrono::seconds(1);
   static constexpr Duration kReportedDelay = std::chrono::milliseconds(250);
-  /// Older than any bound of DirectoryTiming allows while the store or a source answers.
+  /// Above the bounds of DirectoryTiming from which on the store is read, without the extension for
+  /// a transfer in progress.
   static constexpr Duration kReportedDataAge = std::chrono::seconds(2);
 
   Metrics& metrics_;
